--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,17 @@
+#ifndef LAPISHATCH_BASE_BASE_H_
+#define LAPISHATCH_BASE_BASE_H_
+
+/// Umbrella header of the base package: time, ids, enum names, random numbers,
+/// events and metrics. Base depends on no other package; every other package
+/// may depend on it.
+
+#include "base/backoff.h"
+#include "base/clock.h"
+#include "base/enum_names.h"
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/names.h"
+
+#endif  // LAPISHATCH_BASE_BASE_H_
--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,84 @@
+#include "base/log.h"
+
+#include <atomic>
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+#include <boost/json/value.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <iostream>
+
+namespace lapishatch::base {
+namespace {
+
+constexpr int kNothingIsLogged = 1000;
+
+std::atomic<int> least_severity{kNothingIsLogged};
+
+std::string_view SeverityName(Severity severity) {
+  switch (severity) {
+    case Severity::kDebug:
+      return "debug";
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "error";
+}
+
+std::string Quoted(std::string_view text) {
+  return boost::json::serialize(
+      boost::json::value(boost::json::string_view(text.data(), text.size())));
+}
+
+std::string LineOf(const Event& event, std::initializer_list<LogField> fields) {
+  std::string line(SeverityName(event.severity));
+  line += " E";
+  line += std::to_string(event.number);
+  line += ' ';
+  line += event.name;
+  for (const auto& field : fields) {
+    line += ' ';
+    line += field.key();
+    line += '=';
+    line += field.text();
+  }
+  return line;
+}
+
+}  // namespace
+
+LogField::LogField(std::string_view key, std::string_view text)
+    : key_(key), text_(Quoted(text)) {}
+
+void StartLog(std::string_view program, Severity least) {
+  namespace expr = boost::log::expressions;
+  boost::log::add_common_attributes();
+  boost::log::add_console_log(
+      std::clog, boost::log::keywords::auto_flush = true,
+      boost::log::keywords::format =
+          (expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                        << ' ' << std::string(program) << ' '
+                        << expr::smessage));
+  least_severity = static_cast<int>(least);
+}
+
+void Log(const Event& event, std::initializer_list<LogField> fields) {
+  if (static_cast<int>(event.severity) <
+      least_severity.load(std::memory_order_relaxed))
+    return;
+  boost::log::sources::logger_mt logger;
+  BOOST_LOG(logger) << LineOf(event, fields);
+}
+
+}  // namespace lapishatch::base
--- /dev/null
+++ b/test/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
