Agree on the interfaces between packages

Cause: packages are written side by side and need fixed edges first. Ruled out: asynchronous calls as coroutines in the interfaces (callbacks let fakes in virtual time stand in without an executor). Measured: every header compiles by itself with g++ 12.

--- /dev/null
+++ b/src/backends/backends.h
@@ -0,0 +1,10 @@
+#ifndef LAPISHATCH_BACKENDS_BACKENDS_H_
+#define LAPISHATCH_BACKENDS_BACKENDS_H_
+
+/// Umbrella header of the backends package: runners and workers behind narrow
+/// interfaces, and their HTTP implementations.
+
+#include "backends/runner_client.h"
+#include "backends/worker_client.h"
+
+#endif  // LAPISHATCH_BACKENDS_BACKENDS_H_
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,11 @@
+#ifndef LAPISHATCH_HTTP_HTTP_H_
+#define LAPISHATCH_HTTP_HTTP_H_
+
+/// Umbrella header of the http package: messages, a bounded server and a
+/// pooling client on Boost.Beast.
+
+#include "http/client.h"
+#include "http/message.h"
+#include "http/server.h"
+
+#endif  // LAPISHATCH_HTTP_HTTP_H_
--- /dev/null
+++ b/src/lifecycle/lifecycle.h
@@ -0,0 +1,10 @@
+#ifndef LAPISHATCH_LIFECYCLE_LIFECYCLE_H_
+#define LAPISHATCH_LIFECYCLE_LIFECYCLE_H_
+
+/// Umbrella header of the lifecycle package: the state machines of gangs and
+/// cell leases, and what is said to workers. Pure: events and time in, commands
+/// out.
+
+#include "lifecycle/worker_protocol.h"
+
+#endif  // LAPISHATCH_LIFECYCLE_LIFECYCLE_H_
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,11 @@
+#ifndef LAPISHATCH_PLACEMENT_PLACEMENT_H_
+#define LAPISHATCH_PLACEMENT_PLACEMENT_H_
+
+/// Umbrella header of the placement package: which gang runs where and whose
+/// capacity it is. Pure.
+
+#include "placement/gang.h"
+#include "placement/planner.h"
+#include "placement/shape.h"
+
+#endif  // LAPISHATCH_PLACEMENT_PLACEMENT_H_
