Add the event loop interface, on Asio and in virtual time

Cause: asynchronous logic must run under exact virtual time in tests. Ruled out: fake Asio executors (their timers read the real clock). Change: base::EventLoop with an Asio strand behind it, fakes::VirtualTime.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/enum_names.h"
 #include "base/event.h"
+#include "base/event_loop.h"
 #include "base/ids.h"
 #include "base/log.h"
 #include "base/metrics.h"
--- /dev/null
+++ b/testing/fakes/fakes.h
@@ -0,0 +1,9 @@
+#ifndef LAPISHATCH_TESTING_FAKES_FAKES_H_
+#define LAPISHATCH_TESTING_FAKES_FAKES_H_
+
+/// Umbrella header of the fakes package: virtual time and what stands behind
+/// the interfaces in tests.
+
+#include "fakes/virtual_time.h"
+
+#endif  // LAPISHATCH_TESTING_FAKES_FAKES_H_
