Add fakes in virtual time for table, runners and workers

Cause: the machines are proved against exact fakes at their interfaces. Ruled out: fakes with real sockets (time and order would not be exact).

--- a/testing/fakes/fakes.h
+++ b/testing/fakes/fakes.h
@@ -4,6 +4,10 @@
 /// Umbrella header of the fakes package: virtual time and what stands behind
 /// the interfaces in tests.
 
+#include "fakes/fake_process.h"
+#include "fakes/fake_runners.h"
+#include "fakes/fake_table.h"
+#include "fakes/fake_workers.h"
 #include "fakes/virtual_time.h"
 
 #endif  // LAPISHATCH_TESTING_FAKES_FAKES_H_
