--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -5,6 +5,8 @@
 /// cell leases, and what is said to workers. Pure: events and time in, commands
 /// out.
 
+#include "lifecycle/cell_lease.h"
+#include "lifecycle/gang_machine.h"
 #include "lifecycle/worker_protocol.h"
 
 #endif  // LAPISHATCH_LIFECYCLE_LIFECYCLE_H_
