Add the codecs, clients and health of runners and workers

Cause: the request path and the cell owners need runners and workers over HTTP, and the stand-ins must not drift from what the product speaks. Ruled out: a codec for each side (drifts); a ping over the requests' own pool (waits behind them); condemning a runner for one silent connection. Change: JSON codecs in both directions in files of their own, HTTP clients with exact outcomes (not reached only when no byte left, refused only on the runner's own word, another request id is a lost answer), RunnerHealth (pure) and RunnerMonitor, which pings quiet and suspect runners.

--- /dev/null
+++ b/src/backends/codec_error.h
@@ -0,0 +1,24 @@
+#ifndef LAPISHATCH_BACKENDS_CODEC_ERROR_H_
+#define LAPISHATCH_BACKENDS_CODEC_ERROR_H_
+
+#include <string>
+
+namespace lapishatch::backends {
+
+/// A message that is not as the protocol says. Carried by `leaf::result`.
+struct CodecError {
+  /// Path of the first wrong field, such as "commands[2].lease_ms"; empty for
+  /// the message as a whole.
+  std::string field;
+  std::string detail;
+};
+
+/// "field: detail", for answers and logs.
+inline std::string TextOf(const CodecError& error) {
+  if (error.field.empty()) return error.detail;
+  return error.field + ": " + error.detail;
+}
+
+}  // namespace lapishatch::backends
+
+#endif  // LAPISHATCH_BACKENDS_CODEC_ERROR_H_
--- /dev/null
+++ b/src/backends/runner_health.cc
@@ -0,0 +1,45 @@
+#include "backends/runner_health.h"
+
+namespace lapishatch::backends {
+
+RunnerHealth::RunnerHealth(RunnerHealthOptions options, base::TimePoint now)
+    : options_(options),
+      random_(options.seed),
+      backoff_(options.retry_first, options.retry_limit),
+      next_ping_(now) {}
+
+void RunnerHealth::Answered(base::TimePoint now) {
+  state_ = RunnerState::kWorking;
+  ping_under_way_ = false;
+  failed_pings_ = 0;
+  backoff_.Reset();
+  next_ping_ = now + options_.ping_interval;
+}
+
+void RunnerHealth::Lost(base::TimePoint now) {
+  if (state_ != RunnerState::kWorking) return;
+  state_ = RunnerState::kSuspect;
+  next_ping_ = now;
+}
+
+void RunnerHealth::PingSent() { ping_under_way_ = true; }
+
+void RunnerHealth::PingFailed(base::TimePoint now) {
+  // An answer that came while the ping was under way has cleared the runner.
+  if (!ping_under_way_) return;
+  ping_under_way_ = false;
+  ++failed_pings_;
+  next_ping_ = now;
+  if (failed_pings_ < options_.failed_pings_to_condemn) {
+    state_ = RunnerState::kSuspect;
+    return;
+  }
+  state_ = RunnerState::kUnreachable;
+  next_ping_ = now + backoff_.Next(random_);
+}
+
+bool RunnerHealth::PingDue(base::TimePoint now) const {
+  return !ping_under_way_ && next_ping_ <= now;
+}
+
+}  // namespace lapishatch::backends
--- /dev/null
+++ b/src/backends/worker_codec.h
@@ -0,0 +1,47 @@
+#ifndef LAPISHATCH_BACKENDS_WORKER_CODEC_H_
+#define LAPISHATCH_BACKENDS_WORKER_CODEC_H_
+
+#include <boost/leaf.hpp>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "backends/codec_error.h"
+#include "backends/worker_client.h"
+#include "http/http.h"
+#include "lifecycle/lifecycle.h"
+
+/// The worker protocol of docs/OUTSIDE.md as JSON, in both directions: the
+/// scheduler and the stand-in worker use the same functions, so they cannot
+/// drift apart. Decoders fail with a CodecError.
+
+namespace lapishatch::backends {
+
+inline constexpr std::string_view kOrdersPath = "/v1/orders";
+inline constexpr std::string_view kReportPath = "/v1/report";
+
+/// The body of an order. A payload that is not JSON travels as a JSON string.
+std::string EncodeOrder(const lifecycle::WorkerOrder& order);
+boost::leaf::result<lifecycle::WorkerOrder> DecodeOrder(std::string_view body);
+
+/// The body of a report. Fields of a task that have their default are left out.
+std::string EncodeReport(const lifecycle::WorkerReport& report);
+boost::leaf::result<lifecycle::WorkerReport> DecodeReport(
+    std::string_view body);
+
+/// The response to an order. `outcome` must be one that a worker can give:
+/// OrderDone, StaleEpoch or OtherIncarnation; the others become 500.
+http::Response EncodeOrderAnswer(const lifecycle::OrderOutcome& outcome);
+
+/// What a response to an order of `commands` commands means; whatever is not as
+/// the protocol says is OrderUnknown, since the worker may have acted.
+lifecycle::OrderOutcome DecodeOrderAnswer(const http::Response& response,
+                                          std::size_t commands);
+
+/// The request target that asks for a report.
+std::string EncodeReportQuery(const ReportQuery& query);
+boost::leaf::result<ReportQuery> DecodeReportQuery(const http::Target& target);
+
+}  // namespace lapishatch::backends
+
+#endif  // LAPISHATCH_BACKENDS_WORKER_CODEC_H_
