--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -12,6 +12,8 @@
 using lifecycle::TaskState;
 
 constexpr int kExitCodeOfFailedStart = 127;
+constexpr int kExitCodeOfKill = 137;
+constexpr int kAcceleratorBits = 64;
 
 bool IsHeld(TaskState state) {
   return state == TaskState::kReserved || state == TaskState::kRunning;
@@ -53,6 +55,38 @@
   return behaviour;
 }
 
+int WorkerModel::Task::WantedCores() const {
+  return behaviour.use_cores.value_or(report.cores);
+}
+
+int WorkerModel::Task::UsedCores() const {
+  return std::min(WantedCores(), throttle.value_or(WantedCores()));
+}
+
+std::int64_t WorkerModel::Task::UsedMemory() const {
+  return behaviour.use_memory_mb.value_or(report.memory_mb);
+}
+
+std::optional<base::TimePoint> WorkerModel::Task::RunEnd() const {
+  if (restoring) return std::nullopt;
+  const auto left = std::max(behaviour.run_time - done, base::Duration(0));
+  if (UsedCores() == WantedCores()) return counted + left;
+  if (UsedCores() <= 0) return std::nullopt;
+  // A throttled task is slower by the share of cores that it lacks; rounded up,
+  // so that it never ends before it is done.
+  const auto slowed = left.count() * WantedCores();
+  return counted + base::Duration((slowed + UsedCores() - 1) / UsedCores());
+}
+
+void WorkerModel::Task::Count(base::TimePoint now) {
+  const auto span = std::max(now - counted, base::Duration(0));
+  counted = std::max(counted, now);
+  if (restoring) return;
+  const auto wanted = std::max(WantedCores(), 1);
+  const auto used = WantedCores() == 0 ? 1 : UsedCores();
+  done += base::Duration(span.count() * used / wanted);
+}
+
 WorkerModel::WorkerModel(WorkerModelOptions options)
     : options_(std::move(options)),
       incarnation_(base::MakeUniqueText("worker-")) {}
@@ -69,6 +103,7 @@
     done.results.push_back(
         std::visit([this](const auto& it) { return Do(it); }, command));
   }
+  RecordUsage();
   return done;
 }
 
@@ -85,6 +120,26 @@
   }
 }
 
+void WorkerModel::Note(const backends::ReportQuery& query,
+                       base::TimePoint now) {
+  Advance(now);
+  const bool current = NoteEpoch(query.epoch);
+  if (!current || query.incarnation != incarnation_) return;
+  if (query.renew > base::Duration(0)) RenewAll(query.renew, now);
+}
+
+bool WorkerModel::IsReady(const backends::ReportQuery& query) const {
+  return query.epoch < epoch_seen_ || query.incarnation != incarnation_ ||
+         sequence_ > query.since;
+}
+
+lifecycle::WorkerReport WorkerModel::Answer(
+    const backends::ReportQuery& query) {
+  const bool current =
+      query.epoch >= epoch_seen_ && query.incarnation == incarnation_;
+  return Report(current ? query.since : 0);
+}
+
 lifecycle::WorkerReport WorkerModel::Report(std::uint64_t since) {
   std::erase_if(tasks_, [since](const auto& entry) {
     return !IsHeld(entry.second.report.state) &&
@@ -100,13 +155,9 @@
   report.memory_mb = options_.memory_mb;
   report.leaving = leaving_;
   report.sequence = sequence_;
+  report.used_cores = usage_.front().cores;
+  report.used_memory_mb = usage_.front().memory_mb;
   for (const auto& [key, task] : tasks_) {
-    if (task.report.state == TaskState::kRunning &&
-        now_ - task.began >= options_.usage_lag) {
-      report.used_cores += task.behaviour.use_cores.value_or(task.report.cores);
-      report.used_memory_mb +=
-          task.behaviour.use_memory_mb.value_or(task.report.memory_mb);
-    }
     if (task.changed_at > since) report.tasks.push_back(task.report);
   }
   return report;
@@ -115,17 +166,19 @@
 void WorkerModel::Advance(base::TimePoint now) {
   now_ = std::max(now_, now);
   for (auto& [key, task] : tasks_) AdvanceTask(task);
+  RecordUsage();
+  EndLargestOverMemory();
+  ShowUsage();
 }
 
 void WorkerModel::AdvanceTask(Task& task) {
   if (!IsHeld(task.report.state)) return;
   if (task.checkpoint_end && *task.checkpoint_end <= now_) {
-    task.checkpoint_end.reset();
-    task.report.checkpoint = task.checkpoint_object;
-    Touch(task);
+    CompleteCheckpoint(task);
   }
   const bool running = task.report.state == TaskState::kRunning;
-  if (running && task.run_end <= std::min(now_, task.lease_end)) {
+  const auto end = running ? task.RunEnd() : std::nullopt;
+  if (end && *end <= std::min(now_, task.lease_end)) {
     const bool failed = task.behaviour.exit_code != 0;
     task.report.exit_code = task.behaviour.exit_code;
     End(task, failed ? TaskState::kFailed : TaskState::kFinished, {});
@@ -134,28 +187,148 @@
   if (task.lease_end <= now_) End(task, TaskState::kStopped, "lease lapsed");
 }
 
+void WorkerModel::CompleteCheckpoint(Task& task) {
+  const auto end = *task.checkpoint_end;
+  task.checkpoint_end.reset();
+  if (options_.external_checkpoints) {
+    task.Count(end);
+    checkpoint_writes_.push_back(
+        {task.report.key, task.checkpoint_object, task.done});
+    return;
+  }
+  task.report.checkpoint = task.checkpoint_object;
+  task.report.checkpoint_failed = false;
+  Touch(task);
+}
+
+void WorkerModel::RecordUsage() {
+  Usage usage{now_, 0, 0};
+  for (const auto& [key, task] : tasks_) {
+    if (task.report.state != TaskState::kRunning) continue;
+    usage.cores += task.UsedCores();
+    usage.memory_mb += task.UsedMemory();
+  }
+  const auto& last = usage_.back();
+  if (usage.cores == last.cores && usage.memory_mb == last.memory_mb) return;
+  usage_.push_back(usage);
+  if (usage.memory_mb <= options_.memory_mb) {
+    over_memory_since_.reset();
+  } else if (!over_memory_since_) {
+    over_memory_since_ = now_;
+  }
+}
+
+void WorkerModel::ShowUsage() {
+  while (usage_.size() > 1 && usage_[1].since + options_.usage_lag <= now_) {
+    const bool was_overfull = IsOverfull(usage_.front());
+    usage_.pop_front();
+    if (!was_overfull && IsOverfull(usage_.front())) ++sequence_;
+  }
+}
+
+bool WorkerModel::IsOverfull(const Usage& usage) const {
+  return usage.cores > options_.cores || usage.memory_mb > options_.memory_mb;
+}
+
+void WorkerModel::EndLargestOverMemory() {
+  if (!over_memory_since_) return;
+  if (now_ < *over_memory_since_ + options_.memory_grace) return;
+  Task* largest = nullptr;
+  std::int64_t most = 0;
+  for (auto& [key, task] : tasks_) {
+    if (task.report.state != TaskState::kRunning) continue;
+    const auto excess = task.UsedMemory() - task.report.memory_mb;
+    if (excess <= most) continue;
+    most = excess;
+    largest = &task;
+  }
+  if (largest == nullptr) return;
+  largest->report.exit_code = kExitCodeOfKill;
+  End(*largest, TaskState::kFailed, "out of memory");
+  over_memory_since_.reset();
+  RecordUsage();
+}
+
 std::optional<base::TimePoint> WorkerModel::NextChange() const {
   std::optional<base::TimePoint> next;
-  const auto consider = [&next](base::TimePoint time) {
-    if (!next || time < *next) next = time;
+  const auto consider = [&next](std::optional<base::TimePoint> time) {
+    if (time && (!next || *time < *next)) next = time;
   };
   for (const auto& [key, task] : tasks_) {
     if (!IsHeld(task.report.state)) continue;
     consider(task.lease_end);
-    if (task.report.state == TaskState::kRunning) consider(task.run_end);
-    if (task.checkpoint_end) consider(*task.checkpoint_end);
+    if (task.report.state == TaskState::kRunning) consider(task.RunEnd());
+    consider(task.checkpoint_end);
+  }
+  if (usage_.size() > 1) consider(usage_[1].since + options_.usage_lag);
+  if (over_memory_since_) {
+    consider(*over_memory_since_ + options_.memory_grace);
   }
   return next;
 }
 
 void WorkerModel::Restart() {
   tasks_.clear();
+  started_.clear();
+  usage_.assign(1, Usage{});
+  over_memory_since_.reset();
+  checkpoint_writes_.clear();
+  checkpoint_reads_.clear();
   epoch_seen_ = 0;
   sequence_ = 0;
   leaving_ = false;
   incarnation_ = base::Incarnation(base::MakeUniqueText("worker-"));
 }
 
+void WorkerModel::Resume(base::TimePoint began, base::TimePoint now) {
+  for (auto& [key, task] : tasks_) {
+    if (task.report.state != TaskState::kRunning) continue;
+    task.Count(began);
+    task.counted = std::max(task.counted, now);
+  }
+  Advance(now);
+}
+
+void WorkerModel::SetLeaving(bool leaving) {
+  if (leaving != leaving_) ++sequence_;
+  leaving_ = leaving;
+}
+
+std::vector<CheckpointWrite> WorkerModel::TakeCheckpointWrites() {
+  return std::exchange(checkpoint_writes_, {});
+}
+
+std::vector<CheckpointRead> WorkerModel::TakeCheckpointReads() {
+  return std::exchange(checkpoint_reads_, {});
+}
+
+void WorkerModel::CheckpointWritten(const CheckpointWrite& write,
+                                    bool complete) {
+  const auto it = tasks_.find(write.key);
+  if (it == tasks_.end() || !IsHeld(it->second.report.state)) return;
+  auto& task = it->second;
+  if (task.checkpoint_object != write.object) return;
+  if (complete) task.report.checkpoint = write.object;
+  task.report.checkpoint_failed = !complete;
+  Touch(task);
+}
+
+void WorkerModel::CheckpointRestored(const CheckpointRead& read,
+                                     std::optional<base::Duration> done) {
+  const auto it = tasks_.find(read.key);
+  if (it == tasks_.end() || !it->second.restoring) return;
+  auto& task = it->second;
+  if (!IsHeld(task.report.state)) return;
+  if (!done) {
+    task.report.exit_code = kExitCodeOfFailedStart;
+    End(task, TaskState::kFailed, "checkpoint cannot be read");
+    return;
+  }
+  task.Count(now_);
+  task.restoring = false;
+  task.done = *done;
+}
+
 std::vector<WorkerModel::RunningTask> WorkerModel::Running() const {
   std::vector<RunningTask> out;
   for (const auto& [key, task] : tasks_) {
@@ -182,7 +355,8 @@
   if ((HeldAccelerators() & command.accelerators) != 0) {
     return NotDone("accelerators are held");
   }
-  const auto all = options_.accelerators >= 64
+  if (started_.contains(command.key)) return NotDone("ran before");
+  const auto all = options_.accelerators >= kAcceleratorBits
                        ? ~std::uint64_t{0}
                        : (std::uint64_t{1} << options_.accelerators) - 1;
   if ((command.accelerators & ~all) != 0) return NotDone("no such accelerator");
@@ -217,14 +391,19 @@
   task.behaviour = BehaviourOf(command.payload, options_.default_run_time);
   task.report.state = TaskState::kRunning;
   task.began = now_;
-  task.run_end = now_ + task.behaviour.run_time;
+  task.counted = now_;
   task.lease_end = now_ + command.lease;
+  started_.insert(command.key);
   ++starts_[command.key.job];
   if (refuses_starts_ || task.behaviour.fail_start) {
     task.report.exit_code = kExitCodeOfFailedStart;
     End(task, TaskState::kFailed, "start failed");
     return;
   }
+  if (options_.external_checkpoints && !command.from_checkpoint.empty()) {
+    task.restoring = true;
+    checkpoint_reads_.push_back({command.key, command.from_checkpoint});
+  }
   Touch(task);
 }
 
@@ -252,7 +431,8 @@
   if (it == tasks_.end() || it->second.report.state != TaskState::kRunning) {
     return NotDone("not running");
   }
-  it->second.behaviour.use_cores = command.cores;
+  it->second.Count(now_);
+  it->second.throttle = command.cores;
   return Done();
 }
 
@@ -269,6 +449,7 @@
   task.report.state = state;
   task.report.detail = std::move(detail);
   task.checkpoint_end.reset();
+  task.restoring = false;
   Touch(task);
 }
 
--- a/testing/fakes/fake_workers.cc
+++ b/testing/fakes/fake_workers.cc
@@ -50,12 +50,12 @@
   auto polls = std::exchange(worker.polls, {});
   for (auto& poll : polls) {
     if (poll->answered) continue;
-    if (worker.model->sequence() <= poll->query.since) {
+    if (!worker.model->IsReady(poll->query)) {
       worker.polls.push_back(poll);
       continue;
     }
     poll->answered = true;
-    poll->answer(worker.model->Report(poll->query.since));
+    poll->answer(worker.model->Answer(poll->query));
   }
 }
 
@@ -72,7 +72,6 @@
 void FakeWorkersView::Send(const http::Endpoint& worker,
                            lifecycle::WorkerOrder order,
                            std::function<void(lifecycle::OrderOutcome)> done) {
-  if (process_.killed()) return;
   const auto& options = workers_.options_;
   const auto it = workers_.workers_.find(worker);
   const auto fail = [this, &done](base::Duration delay,
@@ -88,10 +87,8 @@
     fail(options.timeout, lifecycle::OrderUnknown{"no answer"});
     return;
   }
-  auto fault = fault_ ? fault_(worker, order) : OrderFault::kNone;
-  if (fault == OrderFault::kNone && workers_.fault_) {
-    fault = workers_.fault_(worker, order);
-  }
+  const auto fault =
+      workers_.fault_ ? workers_.fault_(worker, order) : OrderFault::kNone;
   if (fault == OrderFault::kNotSent) {
     fail(options.latency, lifecycle::OrderNotSent{"connection refused"});
     return;
@@ -135,16 +132,10 @@
                                          done = std::move(done)] {
     auto& model = *target.model;
     const auto now = workers_.time_.Now();
-    model.Advance(now);
-    const bool current = model.NoteEpoch(query.epoch);
-    const bool same = query.incarnation == model.incarnation();
-    if (current && same && query.renew > base::Duration(0)) {
-      model.RenewAll(query.renew, now);
-      workers_.Arm(target);
-    }
+    model.Note(query, now);
+    workers_.Arm(target);
     auto poll = std::make_shared<FakeWorkers::Poll>();
     poll->query = query;
-    if (!same) poll->query.since = 0;
     poll->answer = [this, &target, &options,
                     done](backends::ReportResult result) {
       if (!target.reachable || cut_) result = backends::ReportFailed{"cut"};
@@ -152,17 +143,12 @@
                      [done, result = std::move(result)] { done(result); });
     };
     target.polls.push_back(poll);
-    if (!current || !same) {
-      poll->answered = true;
-      poll->answer(model.Report(poll->query.since));
-      return;
-    }
     workers_.AnswerPolls(target);
     workers_.time_.After(query.wait, [&target, poll] {
       if (poll->answered) return;
       poll->answered = true;
       std::erase(target.polls, poll);
-      poll->answer(target.model->Report(poll->query.since));
+      poll->answer(target.model->Answer(poll->query));
     });
   });
 }
