--- /dev/null
+++ b/src/http/internal/stream_buffer.h
@@ -0,0 +1,79 @@
+#ifndef LAPISHATCH_HTTP_INTERNAL_STREAM_BUFFER_H_
+#define LAPISHATCH_HTTP_INTERNAL_STREAM_BUFFER_H_
+
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace lapishatch::http::internal {
+
+/// What waits between the writer of a stream, on any thread, and the
+/// connection that sends it. Bounded: a peer that does not keep up loses the
+/// stream rather than filling the memory.
+class StreamBuffer {
+ public:
+  explicit StreamBuffer(std::size_t limit) : limit_(limit) {}
+
+  enum class Added { kFirst, kMore, kRefused };
+
+  /// kFirst: the buffer was empty, the connection is to be woken.
+  Added Add(std::string bytes) {
+    const std::lock_guard lock(mutex_);
+    if (dead_ || ended_) return Added::kRefused;
+    const auto backlog = waiting_.size() + in_flight_ + bytes.size();
+    if (backlog > limit_) {
+      dead_ = true;
+      return Added::kRefused;
+    }
+    const bool was_empty = waiting_.empty();
+    if (was_empty) {
+      waiting_ = std::move(bytes);
+    } else {
+      waiting_ += bytes;
+    }
+    return was_empty ? Added::kFirst : Added::kMore;
+  }
+
+  /// Everything that waits; it counts as backlog until the next Take.
+  std::string Take() {
+    const std::lock_guard lock(mutex_);
+    in_flight_ = waiting_.size();
+    return std::exchange(waiting_, {});
+  }
+
+  /// No more will be added; false when that was said before.
+  bool End() {
+    const std::lock_guard lock(mutex_);
+    return !std::exchange(ended_, true);
+  }
+
+  /// The peer is gone or too slow.
+  void Kill() {
+    const std::lock_guard lock(mutex_);
+    dead_ = true;
+    waiting_.clear();
+  }
+
+  bool ended() const {
+    const std::lock_guard lock(mutex_);
+    return ended_;
+  }
+
+  bool dead() const {
+    const std::lock_guard lock(mutex_);
+    return dead_;
+  }
+
+ private:
+  const std::size_t limit_;
+  mutable std::mutex mutex_;
+  std::string waiting_;
+  std::size_t in_flight_ = 0;
+  bool ended_ = false;
+  bool dead_ = false;
+};
+
+}  // namespace lapishatch::http::internal
+
+#endif  // LAPISHATCH_HTTP_INTERNAL_STREAM_BUFFER_H_
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,11 +1,16 @@
 #ifndef LAPISHATCH_HTTP_MESSAGE_H_
 #define LAPISHATCH_HTTP_MESSAGE_H_
 
+#include <compare>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "base/base.h"
+
 namespace lapishatch::http {
 
 /// The address of a listening socket: an IP number and a port. Names are never
@@ -31,6 +36,8 @@
  public:
   Headers() = default;
   Headers(std::initializer_list<HeaderField> fields) : fields_(fields) {}
+  explicit Headers(std::vector<HeaderField> fields)
+      : fields_(std::move(fields)) {}
 
   /// The value of the first field called `name`, or an empty view.
   std::string_view Find(std::string_view name) const;
@@ -87,6 +94,12 @@
 Response MakeProblem(int status, std::string_view type, std::string_view title,
                      std::string_view detail);
 
+/// A problem that also tells the caller what is known of its work, in the body
+/// (`work`, `request_id` unless empty) and in the header `Lapishatch-Work`.
+Response MakeWorkProblem(int status, std::string_view type,
+                         std::string_view title, std::string_view detail,
+                         base::WorkDone work, std::string_view request_id);
+
 }  // namespace lapishatch::http
 
 #endif  // LAPISHATCH_HTTP_MESSAGE_H_
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,6 +29,9 @@
   base::Duration stream_stall_timeout{30'000};
   /// Bytes that may wait for one slow stream before it is closed.
   std::size_t max_stream_backlog_bytes = 4 * 1024 * 1024;
+  /// At a planned stop an idle connection is kept this long for a request that
+  /// may be on its way, which is then served with `Connection: close`.
+  base::Duration drain_grace{500};
 };
 
 /// One request in progress. Exactly one of Respond or StartStream is called,
--- /dev/null
+++ b/src/placement/cell_facts.cc
@@ -0,0 +1,199 @@
+#include "placement/cell_facts.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "placement/internal/cell.h"
+
+namespace lapishatch::placement {
+namespace {
+
+using OrganisationOnWorker =
+    std::pair<base::OrganisationName, base::WorkerName>;
+
+/// Sums up a cell worker by worker and compares.
+class Checker {
+ public:
+  explicit Checker(const CellFacts& facts) : facts_(&facts) {
+    for (const auto& it : facts.workers) workers_[it.spec.name] = &it;
+  }
+
+  std::string Run() {
+    for (const auto& it : facts_->gangs) CheckGang(it);
+    CheckRoom();
+    for (const auto& it : facts_->blocks) CheckBlock(it);
+    CheckDisjoint();
+    CheckOwners();
+    CheckCounts();
+    return problem_;
+  }
+
+ private:
+  void Fail(std::string text) {
+    if (problem_.empty()) problem_ = std::move(text);
+  }
+
+  int ChargeOf(const GangFact& gang, const TaskPlacement& task) const {
+    const auto it = workers_.find(task.worker);
+    if (it == workers_.end()) return 0;
+    return internal::ChargeOn(it->second->spec, gang.gang.needs);
+  }
+
+  /// Whole, and as close together as it asked.
+  void CheckGang(const GangFact& it) {
+    const auto& name = it.gang.job.str();
+    if (static_cast<int>(it.placement.tasks.size()) != it.gang.tasks) {
+      Fail("gang " + name + " is placed in part");
+    }
+    std::set<base::WorkerName> on;
+    std::set<base::RackName> racks;
+    for (const auto& task : it.placement.tasks) {
+      on.insert(task.worker);
+      const auto worker = workers_.find(task.worker);
+      if (worker == workers_.end()) continue;
+      racks.insert(worker->second->spec.rack);
+    }
+    if (it.gang.adjacency == Adjacency::kWorker && on.size() > 1) {
+      Fail("gang " + name + " is on several workers");
+    }
+    if (it.gang.adjacency == Adjacency::kRack && racks.size() > 1) {
+      Fail("gang " + name + " is in several racks");
+    }
+    if (it.placement.borrowed && !it.evicting &&
+        !(it.gang.checkpoint || it.gang.idempotent || it.gang.may_be_lost)) {
+      Fail("gang " + name + " is borrowed and can't be evicted");
+    }
+  }
+
+  /// No worker holds more than it has, now or once arrivals have started.
+  void CheckRoom() {
+    std::map<base::WorkerName, int> now;
+    std::map<base::WorkerName, int> later;
+    std::map<base::WorkerName, std::uint64_t> masks;
+    for (const auto& it : facts_->gangs) {
+      for (const auto& task : it.placement.tasks) {
+        const int charge = ChargeOf(it, task);
+        if (!it.arriving) now[task.worker] += charge;
+        if (!it.evicting) later[task.worker] += charge;
+        if (it.arriving) continue;
+        if ((masks[task.worker] & task.accelerators) != 0) {
+          Fail("two tasks hold one accelerator of worker " + task.worker.str());
+        }
+        masks[task.worker] |= task.accelerators;
+      }
+    }
+    for (const auto& [name, worker] : workers_) {
+      if (now[name] > worker->spec.accelerators) {
+        Fail("worker " + name.str() + " is overfilled");
+      }
+      if (later[name] > worker->spec.accelerators) {
+        Fail("worker " + name.str() + " will be overfilled");
+      }
+    }
+  }
+
+  void CheckBlock(const BlockFact& it) {
+    if (it.parts.empty() || !it.guaranteed) return;
+    int sum = 0;
+    int broken_workers = 0;
+    std::set<base::WorkerName> on;
+    std::set<base::RackName> racks;
+    for (const auto& part : it.parts) {
+      sum += part.accelerators;
+      on.insert(part.worker);
+      const auto worker = workers_.find(part.worker);
+      if (worker == workers_.end()) {
+        Fail("a block of " + it.organisation.str() + " is on no known worker");
+        continue;
+      }
+      racks.insert(worker->second->spec.rack);
+      if (part.accelerators < worker->second->spec.accelerators) {
+        ++broken_workers;
+      }
+    }
+    const auto text = "a block of " + it.organisation.str() + " ";
+    if (sum != it.shape.accelerators) Fail(text + "has the wrong size");
+    if (broken_workers > 1) Fail(text + "takes parts of several workers");
+    if (it.shape.adjacency == Adjacency::kWorker && on.size() > 1) {
+      Fail(text + "is on several workers");
+    }
+    if (it.shape.adjacency == Adjacency::kRack && racks.size() > 1) {
+      Fail(text + "is in several racks");
+    }
+  }
+
+  void CheckDisjoint() {
+    std::map<base::WorkerName, int> claimed;
+    for (const auto& it : facts_->blocks) {
+      for (const auto& part : it.parts) {
+        claimed[part.worker] += part.accelerators;
+      }
+    }
+    for (const auto& [name, worker] : workers_) {
+      if (claimed[name] > worker->spec.accelerators) {
+        Fail("guaranteed blocks overlap on worker " + name.str());
+      }
+    }
+  }
+
+  /// What is not borrowed runs in its own organisation's blocks.
+  void CheckOwners() {
+    std::map<OrganisationOnWorker, int> claimed;
+    for (const auto& it : facts_->blocks) {
+      for (const auto& part : it.parts) {
+        claimed[{it.organisation, part.worker}] += part.accelerators;
+      }
+    }
+    std::map<OrganisationOnWorker, int> own;
+    for (const auto& it : facts_->gangs) {
+      if (it.placement.borrowed) continue;
+      for (const auto& task : it.placement.tasks) {
+        own[{it.gang.organisation, task.worker}] += ChargeOf(it, task);
+      }
+    }
+    for (const auto& [key, charge] : own) {
+      if (charge <= claimed[key]) continue;
+      Fail("work of " + key.first.str() + " on worker " + key.second.str() +
+           " is neither borrowed nor in a guaranteed block");
+    }
+    // What a block has free on a worker that takes no new work is not there.
+    for (const auto& [key, count] : claimed) {
+      const auto worker = workers_.find(key.second);
+      if (worker == workers_.end()) continue;
+      if (worker->second->present &&
+          worker->second->health == WorkerHealth::kHealthy) {
+        continue;
+      }
+      if (own[key] < count) lost_.insert(key);
+    }
+  }
+
+  /// Every guarantee has its blocks, and those without a place are no more
+  /// than hardware explains.
+  void CheckCounts() {
+    std::map<std::pair<base::OrganisationName, Shape>, int> counts;
+    for (const auto& it : facts_->guarantees) {
+      counts[{it.organisation, it.shape}] += it.count;
+    }
+    for (const auto& it : facts_->blocks) {
+      if (it.guaranteed) --counts[{it.organisation, it.shape}];
+    }
+    for (const auto& [key, missing] : counts) {
+      if (missing == 0) continue;
+      Fail("organisation " + key.first.str() + " has " +
+           std::to_string(missing) + " blocks too few");
+    }
+  }
+
+  const CellFacts* facts_;
+  std::map<base::WorkerName, const WorkerFact*> workers_;
+  std::set<OrganisationOnWorker> lost_;
+  std::string problem_;
+};
+
+}  // namespace
+
+std::string CheckCell(const CellFacts& facts) { return Checker(facts).Run(); }
+
+}  // namespace lapishatch::placement
--- /dev/null
+++ b/src/placement/cell_facts.h
@@ -0,0 +1,62 @@
+#ifndef LAPISHATCH_PLACEMENT_CELL_FACTS_H_
+#define LAPISHATCH_PLACEMENT_CELL_FACTS_H_
+
+#include <string>
+#include <vector>
+
+#include "placement/gang.h"
+#include "placement/shape.h"
+
+namespace lapishatch::placement {
+
+/// A worker as it is.
+struct WorkerFact {
+  WorkerSpec spec;
+  WorkerHealth health = WorkerHealth::kHealthy;
+  bool present = true;
+};
+
+/// A gang that holds a place.
+struct GangFact {
+  Gang gang;
+  GangPlacement placement;
+  /// Told to stop.
+  bool evicting = false;
+  /// Does not run yet: waits until what is evicted for it has ended.
+  bool arriving = false;
+};
+
+/// Accelerators of one worker.
+struct BlockPart {
+  base::WorkerName worker;
+  int accelerators = 0;
+};
+
+/// Where one guaranteed shape is claimed to be honoured; no parts when the
+/// hardware is said to be short. `guaranteed` is false for a block that only
+/// keeps work that can't be evicted.
+struct BlockFact {
+  base::OrganisationName organisation;
+  Shape shape;
+  bool guaranteed = true;
+  std::vector<BlockPart> parts = {};
+};
+
+/// A cell as plain facts. `blocks` is a claim that CheckCell proves or refutes
+/// from the rest.
+struct CellFacts {
+  std::vector<WorkerFact> workers;
+  std::vector<Guarantee> guarantees;
+  std::vector<GangFact> gangs;
+  std::vector<BlockFact> blocks;
+};
+
+/// Whether every organisation's guaranteed shapes are there at once when only
+/// borrowed work is evicted, and no worker is overfilled by what is placed.
+/// Takes nothing from the planner's own counts. Returns what is broken, or an
+/// empty text.
+std::string CheckCell(const CellFacts& facts);
+
+}  // namespace lapishatch::placement
+
+#endif  // LAPISHATCH_PLACEMENT_CELL_FACTS_H_
--- a/src/placement/gang.h
+++ b/src/placement/gang.h
@@ -39,7 +39,7 @@
   bool may_be_lost = false;
   /// Declared, so never to be relied on for safety or freedom from starvation.
   base::Duration declared_runtime{0};
-  base::TimePoint submitted;
+  base::TimePoint submitted{};
 
   int accelerators() const { return tasks * needs.accelerators; }
 };
--- /dev/null
+++ b/src/placement/internal/cell.h
@@ -0,0 +1,110 @@
+#ifndef LAPISHATCH_PLACEMENT_INTERNAL_CELL_H_
+#define LAPISHATCH_PLACEMENT_INTERNAL_CELL_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "base/base.h"
+#include "placement/gang.h"
+
+namespace lapishatch::placement::internal {
+
+/// Index of a worker in its cell; stays the same as long as the planner lives.
+using WorkerIndex = int;
+using RackIndex = int;
+
+inline constexpr int kNone = -1;
+
+/// One worker and how much of it is spoken for, all in accelerators (each
+/// stands for its share of the worker's cores and memory).
+struct WorkerState {
+  WorkerSpec spec;
+  RackIndex rack = kNone;
+  int type = kNone;
+  WorkerHealth health = WorkerHealth::kHealthy;
+  bool present = false;
+  /// Charged by gangs that hold places here.
+  int used = 0;
+  /// The part of `used` whose gangs are being evicted.
+  int evicting = 0;
+  /// Claimed by gangs that wait for evictions.
+  int arriving = 0;
+  /// In guaranteed blocks that are in use.
+  int pinned = 0;
+  /// In guaranteed blocks that are not in use.
+  int reserved = 0;
+  /// Held back for a starving gang.
+  bool held = false;
+  /// Bit i: accelerator i is given to a task.
+  std::uint64_t taken = 0;
+
+  bool open() const { return present && health == WorkerHealth::kHealthy; }
+
+  /// What a new gang can have now without evicting anything.
+  int available() const {
+    if (!open()) return 0;
+    return spec.accelerators - std::max(used, used - evicting + arriving);
+  }
+
+  /// What is in no guaranteed block that is in use.
+  int unpinned() const { return open() ? spec.accelerators - pinned : 0; }
+
+  /// What is in no guaranteed block at all.
+  int slack() const { return unpinned() - reserved; }
+};
+
+/// The workers of one cell by index, name and rack.
+class Cell {
+ public:
+  /// Adds a worker or one that was removed before; its size must be the same
+  /// as long as something holds a place there.
+  WorkerIndex Put(const WorkerSpec& spec);
+
+  void Remove(WorkerIndex worker) { workers_[worker].present = false; }
+
+  /// Index of a worker, kNone when its name was never seen.
+  WorkerIndex Find(const base::WorkerName& name) const;
+
+  WorkerState& at(WorkerIndex worker) { return workers_[worker]; }
+  const WorkerState& at(WorkerIndex worker) const { return workers_[worker]; }
+
+  int size() const { return static_cast<int>(workers_.size()); }
+  int racks() const { return static_cast<int>(rack_workers_.size()); }
+
+  /// The workers ever seen in a rack, in order of index.
+  const std::vector<WorkerIndex>& InRack(RackIndex rack) const {
+    return rack_workers_[rack];
+  }
+
+  const std::vector<WorkerState>& workers() const { return workers_; }
+
+  /// Accelerators that one task is charged on each type of worker, by type.
+  /// Above the worker's size when the task does not fit.
+  std::vector<int> ChargesOf(const TaskNeeds& needs) const;
+
+ private:
+  int TypeOf(const WorkerSpec& spec);
+
+  std::vector<WorkerState> workers_;
+  std::vector<std::vector<WorkerIndex>> rack_workers_;
+  std::unordered_map<base::WorkerName, WorkerIndex> by_name_;
+  std::unordered_map<base::RackName, RackIndex> racks_by_name_;
+  /// Distinct sizes of workers; few in practice.
+  std::vector<WorkerSpec> types_;
+};
+
+/// Accelerators that a task is charged on such a worker: enough that its share
+/// of cores and memory covers what it needs, at least one.
+int ChargeOn(const WorkerSpec& worker, const TaskNeeds& needs);
+
+/// Picks `count` of a worker's accelerators that are not `taken`: an aligned
+/// group of the next power of two when one is free, so that tasks keep to one
+/// half of a worker where they can, else the lowest free ones.
+std::uint64_t PickAccelerators(std::uint64_t taken, int accelerators,
+                               int count);
+
+}  // namespace lapishatch::placement::internal
+
+#endif  // LAPISHATCH_PLACEMENT_INTERNAL_CELL_H_
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -4,6 +4,7 @@
 /// Umbrella header of the placement package: which gang runs where and whose
 /// capacity it is. Pure.
 
+#include "placement/cell_facts.h"
 #include "placement/gang.h"
 #include "placement/planner.h"
 #include "placement/shape.h"
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "placement/cell_facts.h"
 #include "placement/gang.h"
 #include "placement/shape.h"
 
@@ -54,7 +55,7 @@
   /// Weight of its fair share of what is borrowed, 1 is ordinary.
   double weight = 1;
   /// Most accelerators it may have running at once; nothing means no limit.
-  std::optional<int> running_accelerators_limit;
+  std::optional<int> running_accelerators_limit = std::nullopt;
 };
 
 /// Why a gang waits or where it runs, for people.
@@ -150,6 +151,9 @@
   /// what is broken, or empty.
   std::string CheckInvariant() const;
 
+  /// The cell as plain facts, for CheckCell and for reports.
+  CellFacts Facts() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/placement/planner_explain.cc
@@ -0,0 +1,240 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "placement/internal/planner_impl.h"
+
+namespace lapishatch::placement {
+
+using internal::GangPhase;
+using internal::GangState;
+using internal::Room;
+
+namespace {
+
+std::string Plural(int n, const std::string& noun) {
+  return std::to_string(n) + " " + noun + (n == 1 ? "" : "s");
+}
+
+std::string WhereText(Adjacency adjacency) {
+  switch (adjacency) {
+    case Adjacency::kWorker:
+      return "on one worker";
+    case Adjacency::kRack:
+      return "in one rack";
+    case Adjacency::kDomain:
+      return "in this failure domain";
+  }
+  return {};
+}
+
+std::string NeedText(const Gang& gang) {
+  return Plural(gang.tasks, "task") + " with " +
+         Plural(gang.needs.accelerators, "accelerator") + ", " +
+         Plural(gang.needs.cores, "core") + " and " +
+         std::to_string(gang.needs.memory_mb) + " MB each, " +
+         WhereText(gang.adjacency);
+}
+
+}  // namespace
+
+std::string Planner::Impl::WhyNever(const Gang& gang) const {
+  if (gang.tasks < 1) return "a gang needs at least one task";
+  auto reason = WhyNotOnHardware(gang);
+  if (!reason.empty()) return reason;
+  const auto it = accounts_.find(gang.organisation);
+  if (it != accounts_.end()) {
+    const auto& limit = it->second.share.running_accelerators_limit;
+    if (limit.has_value() && gang.accelerators() > *limit) {
+      return "needs " + Plural(gang.accelerators(), "accelerator") +
+             " at once, but organisation " + gang.organisation.str() +
+             " may have only " + std::to_string(*limit) + " running";
+    }
+  }
+  if (internal::MayBorrow(gang)) return {};
+  return WhyNotOwn(gang);
+}
+
+std::string Planner::Impl::WhyNotOnHardware(const Gang& gang) const {
+  const auto charges = cell_.ChargesOf(gang.needs);
+  std::vector<Room> rooms;
+  const WorkerSpec* largest = nullptr;
+  bool task_fits = false;
+  for (internal::WorkerIndex it = 0; it < cell_.size(); ++it) {
+    const auto& worker = cell_.at(it);
+    if (!worker.present) continue;
+    rooms.push_back({it, worker.spec.accelerators, 0});
+    task_fits |= charges[worker.type] <= worker.spec.accelerators;
+    if (largest == nullptr ||
+        worker.spec.accelerators > largest->accelerators) {
+      largest = &worker.spec;
+    }
+  }
+  if (largest == nullptr) return "this cell has no workers";
+  if (!task_fits) {
+    return "one task needs " + Plural(gang.needs.accelerators, "accelerator") +
+           ", " + Plural(gang.needs.cores, "core") + " and " +
+           std::to_string(gang.needs.memory_mb) +
+           " MB, but the largest worker has " +
+           Plural(largest->accelerators, "accelerator") + ", " +
+           Plural(largest->cores, "core") + " and " +
+           std::to_string(largest->memory_mb) + " MB";
+  }
+  if (!internal::FindPlace(cell_, gang, charges, rooms).empty()) return {};
+  return "needs " + NeedText(gang) +
+         ", and even without any other work there is no room for that: the "
+         "cell has " +
+         Plural(static_cast<int>(rooms.size()), "worker") + " in " +
+         Plural(cell_.racks(), "rack");
+}
+
+std::string Planner::Impl::WhyNotOwn(const Gang& gang) const {
+  const std::string why_not_borrow =
+      gang.borrow ? "its work can neither be checkpointed nor run again, so it "
+                    "may not run on capacity that others can reclaim (unless "
+                    "it is submitted as work that may be lost)"
+                  : "it is submitted with borrow = false";
+  int largest = 0;
+  int total = 0;
+  bool fits = false;
+  for (const auto& it : guarantees_) {
+    if (it.organisation != gang.organisation || it.count == 0) continue;
+    largest = std::max(largest, it.shape.accelerators);
+    total += it.shape.accelerators * it.count;
+    const bool close_enough = it.shape.adjacency <= gang.adjacency;
+    const bool one_worker = gang.adjacency == Adjacency::kWorker;
+    if (it.shape.accelerators >= gang.accelerators() &&
+        (close_enough || !one_worker || it.shape.accelerators <= 8)) {
+      fits = true;
+    }
+  }
+  if (gang.adjacency == Adjacency::kDomain && total >= gang.accelerators()) {
+    fits = true;
+  }
+  if (fits) return {};
+  if (largest == 0) {
+    return "organisation " + gang.organisation.str() +
+           " has no guarantee here, and " + why_not_borrow;
+  }
+  return "needs " + NeedText(gang) + ", more than the largest guarantee of " +
+         "organisation " + gang.organisation.str() + " (" +
+         Plural(largest, "accelerator") + "), and " + why_not_borrow;
+}
+
+Explanation Planner::Impl::Explain(const base::JobName& job,
+                                   base::TimePoint now) const {
+  const auto* gang = FindGang(job);
+  if (gang == nullptr) {
+    return {"unknown job", "this cell does not know the job", 0};
+  }
+  if (gang->phase == GangPhase::kEvicting) {
+    return {"evicting", gang->reason, 0};
+  }
+  if (gang->phase == GangPhase::kRunning) {
+    return {"running",
+            gang->borrowed()
+                ? "on borrowed capacity: it is checkpointed or stopped when "
+                  "the capacity's owner needs it"
+                : "on its organisation's guaranteed capacity",
+            0};
+  }
+  if (gang->phase == GangPhase::kArriving) {
+    return {"queued",
+            "has its place, and starts when the borrowed work there has "
+            "stopped",
+            0};
+  }
+  int position = 0;
+  int at = 0;
+  queue_.Visit(
+      now, [&](const auto& organisation) { return ShareOf(organisation); },
+      [&](const base::JobName& it) {
+        ++at;
+        if (it == job) position = at;
+        return false;
+      });
+  return {"queued", WhyWaits(*gang), std::max(position, 1)};
+}
+
+std::string Planner::Impl::WhyWaits(const GangState& gang) const {
+  if (!WithinLimit(gang)) {
+    const auto& account = accounts_.at(gang.gang.organisation);
+    return "organisation " + gang.gang.organisation.str() + " has " +
+           std::to_string(account.running) + " of at most " +
+           std::to_string(*account.share.running_accelerators_limit) +
+           " accelerators running";
+  }
+  std::string reason = "needs " + NeedText(gang.gang) + "; " +
+                       std::to_string(free_accelerators()) +
+                       " accelerators are free, but no such group";
+  if (!internal::MayBorrow(gang.gang)) {
+    reason += " within its organisation's own guarantee, and it may not borrow";
+  }
+  return reason;
+}
+
+int Planner::Impl::free_accelerators() const {
+  int sum = 0;
+  for (const auto& it : cell_.workers()) {
+    if (it.open()) sum += it.spec.accelerators - it.used;
+  }
+  return sum;
+}
+
+double Planner::Impl::Fragmentation(const Shape& shape) const {
+  int free = 0;
+  int serving = 0;
+  int spare = 0;
+  std::vector<int> by_rack(cell_.racks(), 0);
+  const int size = std::max(shape.accelerators, 1);
+  for (const auto& it : cell_.workers()) {
+    if (!it.open()) continue;
+    const int here = it.spec.accelerators - it.used;
+    free += here;
+    // Larger blocks take whole workers and one part of another.
+    const bool whole = here == it.spec.accelerators;
+    if (size <= it.spec.accelerators) {
+      serving += here / size * size;
+    } else if (whole) {
+      by_rack[it.rack] += here;
+      spare += here;
+    }
+  }
+  if (free == 0) return 0;
+  if (shape.adjacency == Adjacency::kRack) {
+    for (const auto it : by_rack) serving += it / size * size;
+  } else if (shape.adjacency == Adjacency::kDomain) {
+    serving += spare / size * size;
+  }
+  return 1.0 - static_cast<double>(serving) / free;
+}
+
+CellFacts Planner::Impl::Facts() const {
+  CellFacts facts;
+  for (const auto& it : cell_.workers()) {
+    facts.workers.push_back({it.spec, it.health, it.present});
+  }
+  facts.guarantees = guarantees_;
+  for (const auto& [job, gang] : gangs_) {
+    if (gang.phase == GangPhase::kQueued) continue;
+    facts.gangs.push_back({.gang = gang.gang,
+                           .placement = PlacementOf(gang),
+                           .evicting = gang.phase == GangPhase::kEvicting,
+                           .arriving = gang.phase == GangPhase::kArriving});
+  }
+  std::sort(facts.gangs.begin(), facts.gangs.end(),
+            [](auto& a, auto& b) { return a.gang.job < b.gang.job; });
+  for (const auto& it : book_.blocks()) {
+    if (it.dead) continue;
+    BlockFact block{.organisation = it.organisation,
+                    .shape = it.shape,
+                    .guaranteed = !it.retiring};
+    for (const auto& piece : it.pieces) {
+      block.parts.push_back({cell_.at(piece.worker).spec.name, piece.count});
+    }
+    facts.blocks.push_back(std::move(block));
+  }
+  return facts;
+}
+
+}  // namespace lapishatch::placement
--- a/testing/fakes/fake_runners.cc
+++ b/testing/fakes/fake_runners.cc
@@ -82,6 +82,7 @@
 void FakeRunnersView::Send(const http::Endpoint& runner,
                            backends::RunnerRequest request,
                            std::function<void(backends::RunnerOutcome)> done) {
+  if (process_.killed()) return;
   const auto answer = std::make_shared<OneAnswer>(process_, std::move(done));
   const auto it = runners_.runners_.find(runner);
   if (cut_ || it == runners_.runners_.end()) {
@@ -90,9 +91,10 @@
   }
   auto& target = it->second;
   const auto latency = target.options.latency;
-  const auto fault = runners_.send_fault_
-                         ? runners_.send_fault_(runner, request)
-                         : RunnerFault::kNone;
+  auto fault = fault_ ? fault_(runner, request) : RunnerFault::kNone;
+  if (fault == RunnerFault::kNone && runners_.send_fault_) {
+    fault = runners_.send_fault_(runner, request);
+  }
   if (fault == RunnerFault::kNotReached) {
     answer->Give(latency, backends::RunnerNotReached{"connection refused"});
     return;
--- a/testing/fakes/fake_runners.h
+++ b/testing/fakes/fake_runners.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backends/backends.h"
@@ -93,6 +94,10 @@
   /// While cut, nothing reaches a runner and pings fail.
   void SetCut(bool cut) { cut_ = cut; }
 
+  /// Chooses the fault of what this process sends; kNone leaves it to the
+  /// fault that holds for all.
+  void SetFault(FakeRunners::SendFault fault) { fault_ = std::move(fault); }
+
   void Send(const http::Endpoint& runner, backends::RunnerRequest request,
             std::function<void(backends::RunnerOutcome)> done) override;
   void Ping(const http::Endpoint& runner, base::Duration timeout,
@@ -102,6 +107,7 @@
   FakeRunners& runners_;
   FakeProcess& process_;
   bool cut_ = false;
+  FakeRunners::SendFault fault_;
 };
 
 }  // namespace lapishatch::fakes
--- a/testing/fakes/fake_table.cc
+++ b/testing/fakes/fake_table.cc
@@ -58,6 +58,12 @@
   return commit_fault_(transaction);
 }
 
+TableFault FakeTableView::FaultOf(const store::Transaction& transaction) {
+  const auto fault =
+      commit_fault_ ? commit_fault_(transaction) : TableFault::kNone;
+  return fault == TableFault::kNone ? table_.FaultOf(transaction) : fault;
+}
+
 template <typename Result>
 void FakeTableView::Answer(base::Duration delay,
                            std::function<void(Result)> done, Result result) {
@@ -70,13 +76,14 @@
 void FakeTableView::Commit(store::Transaction transaction,
                            std::function<void(store::CommitResult)> done) {
   using Result = store::CommitResult;
+  if (process_.killed()) return;
   const auto& options = table_.options_;
   if (cut_) {
     Answer<Result>(options.timeout, std::move(done),
                    store::UnknownOutcome{"no answer"});
     return;
   }
-  switch (table_.FaultOf(transaction)) {
+  switch (FaultOf(transaction)) {
     case TableFault::kRefused:
       Answer<Result>(options.latency, std::move(done),
                      store::NotDone{"refused"});
@@ -90,6 +97,18 @@
       Answer<Result>(options.timeout, std::move(done),
                      store::UnknownOutcome{"no answer"});
       return;
+    case TableFault::kArrivesLate:
+      Answer<Result>(options.timeout, std::move(done),
+                     store::UnknownOutcome{"no answer"});
+      table_.time_.After(options.late, [&table = table_, transaction] {
+        table.Apply(transaction);
+      });
+      return;
+    case TableFault::kDoubled:
+      Answer<Result>(options.latency, std::move(done),
+                     table_.Apply(transaction));
+      table_.Apply(transaction);
+      return;
     case TableFault::kSlow:
       Answer<Result>(options.slow_latency, std::move(done),
                      table_.Apply(transaction));
--- a/testing/fakes/fake_table.h
+++ b/testing/fakes/fake_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -26,6 +27,10 @@
   kAnswerLost,
   /// Takes effect and is answered, but late.
   kSlow,
+  /// Takes effect long after the caller was told that the outcome is unknown.
+  kArrivesLate,
+  /// Carried out twice, answered once.
+  kDoubled,
 };
 
 /// The platform's table in memory and virtual time. Each process reaches it
@@ -37,6 +42,8 @@
     base::Duration slow_latency{1'500};
     /// When a call without an answer ends.
     base::Duration timeout{2'000};
+    /// When a late commit takes effect.
+    base::Duration late{4'000};
   };
 
   /// Chooses the fault of a commit; sees it before it is carried out.
@@ -88,6 +95,11 @@
   /// this process (it had no effect), reads fail.
   void SetCut(bool cut) { cut_ = cut; }
 
+  /// Chooses the fault of this process's commits; kNone leaves it to the table.
+  void SetCommitFault(FakeTable::CommitFault fault) {
+    commit_fault_ = std::move(fault);
+  }
+
   void Commit(store::Transaction transaction,
               std::function<void(store::CommitResult)> done) override;
   void Read(std::string key,
@@ -100,9 +112,12 @@
   void Answer(base::Duration delay, std::function<void(Result)> done,
               Result result);
 
+  TableFault FaultOf(const store::Transaction& transaction);
+
   FakeTable& table_;
   FakeProcess& process_;
   bool cut_ = false;
+  FakeTable::CommitFault commit_fault_;
 };
 
 }  // namespace lapishatch::fakes
--- a/testing/fakes/fake_workers.cc
+++ b/testing/fakes/fake_workers.cc
@@ -72,6 +72,7 @@
 void FakeWorkersView::Send(const http::Endpoint& worker,
                            lifecycle::WorkerOrder order,
                            std::function<void(lifecycle::OrderOutcome)> done) {
+  if (process_.killed()) return;
   const auto& options = workers_.options_;
   const auto it = workers_.workers_.find(worker);
   const auto fail = [this, &done](base::Duration delay,
@@ -87,8 +88,10 @@
     fail(options.timeout, lifecycle::OrderUnknown{"no answer"});
     return;
   }
-  const auto fault =
-      workers_.fault_ ? workers_.fault_(worker, order) : OrderFault::kNone;
+  auto fault = fault_ ? fault_(worker, order) : OrderFault::kNone;
+  if (fault == OrderFault::kNone && workers_.fault_) {
+    fault = workers_.fault_(worker, order);
+  }
   if (fault == OrderFault::kNotSent) {
     fail(options.latency, lifecycle::OrderNotSent{"connection refused"});
     return;
--- a/testing/fakes/fake_workers.h
+++ b/testing/fakes/fake_workers.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backends/backends.h"
@@ -98,6 +99,10 @@
   /// While cut, orders are not sent and reports fail.
   void SetCut(bool cut) { cut_ = cut; }
 
+  /// Chooses the fault of what this process sends; kNone leaves it to the
+  /// fault that holds for all.
+  void SetFault(FakeWorkers::Fault fault) { fault_ = std::move(fault); }
+
   void Send(const http::Endpoint& worker, lifecycle::WorkerOrder order,
             std::function<void(lifecycle::OrderOutcome)> done) override;
   void Report(const http::Endpoint& worker, backends::ReportQuery query,
@@ -107,6 +112,7 @@
   FakeWorkers& workers_;
   FakeProcess& process_;
   bool cut_ = false;
+  FakeWorkers::Fault fault_;
 };
 
 }  // namespace lapishatch::fakes
