--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,7 +5,7 @@
 set(LAPISHATCH_PACKAGES "" CACHE INTERNAL "")
 
 function(lapishatch_options target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wno-maybe-uninitialized
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wzero-as-null-pointer-constant -Wno-maybe-uninitialized
                          -Wno-stringop-overflow -Wno-stringop-overread -Wno-restrict -Wno-array-bounds)
   if(LAPISHATCH_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${LAPISHATCH_SANITIZE} -fno-omit-frame-pointer -g1)
@@ -27,7 +27,7 @@
 endfunction()
 
 function(lapishatch_pch_target target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wno-maybe-uninitialized
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wzero-as-null-pointer-constant -Wno-maybe-uninitialized
                          -Wno-stringop-overflow -Wno-stringop-overread -Wno-restrict -Wno-array-bounds)
   if(LAPISHATCH_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${LAPISHATCH_SANITIZE} -fno-omit-frame-pointer -g1)
@@ -68,7 +68,7 @@
   set(gen_files ${sources})
   list(FILTER gen_files INCLUDE REGEX "/gen/")
   if(gen_files)
-    set_source_files_properties(${gen_files} PROPERTIES COMPILE_OPTIONS "-Wno-all;-Wno-extra;-Wno-shadow")
+    set_source_files_properties(${gen_files} PROPERTIES COMPILE_OPTIONS "-Wno-all;-Wno-extra;-Wno-shadow;-Wno-zero-as-null-pointer-constant")
   endif()
   if(ARG_PROGRAM AND EXISTS ${main})
     add_executable(${ARG_PROGRAM} ${main})
@@ -80,7 +80,25 @@
   set(LAPISHATCH_PACKAGES ${LAPISHATCH_PACKAGES} ${target} CACHE INTERNAL "")
 endfunction()
 
-# test/<package>/*.cc become one Catch2 program per package, run by ctest.
+# Reads KNOWN-RED.txt, lines of `folder: test case | cause | issue`, and gives in `cases` the test cases of
+# `folder`, as Catch2 patterns.
+function(lapishatch_known_red folder cases)
+  set(found "")
+  set(file ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${file})
+  if(EXISTS ${file})
+    file(STRINGS ${file} lines REGEX "^${folder}: ")
+    foreach(line ${lines})
+      string(REGEX REPLACE "^${folder}: *([^|]*[^| ]) *\\|.*$" "\\1" case "${line}")
+      string(REPLACE "," "\\," case "${case}")
+      list(APPEND found "${case}")
+    endforeach()
+  endif()
+  set(${cases} "${found}" PARENT_SCOPE)
+endfunction()
+
+# test/<package>/*.cc become one Catch2 program per package, run by ctest. Cases that KNOWN-RED.txt lists are
+# left out of it and make a test of their own, with the label known-red.
 function(lapishatch_tests)
   add_library(lapishatch_catch_main OBJECT ${CMAKE_SOURCE_DIR}/test/catch_main.cc)
   target_link_libraries(lapishatch_catch_main PUBLIC Catch2::Catch2)
@@ -104,8 +122,17 @@
                                LAPISHATCH_BINARY_DIR="${CMAKE_BINARY_DIR}")
     target_link_libraries(${target} PRIVATE lapishatch_catch_main ${LAPISHATCH_PACKAGES} rapidcheck)
     set_target_properties(${target} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/test)
-    add_test(NAME ${name} COMMAND ${target})
+    lapishatch_known_red(${name} red_cases)
+    set(all_but_red "")
+    foreach(case ${red_cases})
+      list(APPEND all_but_red "~${case}")
+    endforeach()
+    add_test(NAME ${name} COMMAND ${target} ${all_but_red})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    foreach(case ${red_cases})
+      add_test(NAME "${name}: ${case}" COMMAND ${target} ${case})
+      set_tests_properties("${name}: ${case}" PROPERTIES TIMEOUT 300 LABELS known-red)
+    endforeach()
   endforeach()
 endfunction()
 
--- a/src/base/internal/bucket_counts.h
+++ b/src/base/internal/bucket_counts.h
@@ -44,11 +44,10 @@
 
 namespace tag {
 
-struct bucket_counts
-    : boost::accumulators::
-          depends_on<> {  // NOLINT(readability-identifier-naming)
-  using impl = boost::mpl::always<
-      BucketCountsImpl>;  // NOLINT(readability-identifier-naming)
+// The names are those that Boost.Accumulators asks of a feature.
+// NOLINTNEXTLINE(readability-identifier-naming)
+struct bucket_counts : boost::accumulators::depends_on<> {
+  using impl = boost::mpl::always<BucketCountsImpl>;
 };
 
 }  // namespace tag
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -75,8 +75,9 @@
 
 void Log(const Event& event, std::initializer_list<LogField> fields) {
   if (static_cast<int>(event.severity) <
-      least_severity.load(std::memory_order_relaxed))
+      least_severity.load(std::memory_order_relaxed)) {
     return;
+  }
   boost::log::sources::logger_mt logger;
   BOOST_LOG(logger) << LineOf(event, fields);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -18,12 +18,12 @@
  public:
   LogField(std::string_view key, std::string_view text);
   LogField(std::string_view key, const char* text)
-      : LogField(key, std::string_view(text)) {}
+      : LogField(key, std::string_view{text}) {}
   LogField(std::string_view key, const std::string& text)
-      : LogField(key, std::string_view(text)) {}
+      : LogField(key, std::string_view{text}) {}
   template <typename Tag>
   LogField(std::string_view key, const Id<Tag>& id)
-      : LogField(key, std::string_view(id.str())) {}
+      : LogField(key, std::string_view{id.str()}) {}
   template <typename Number>
   requires std::is_arithmetic_v<Number> LogField(std::string_view key,
                                                  Number value)
--- a/test/base/event_catalogue_test.cc
+++ b/test/base/event_catalogue_test.cc
@@ -40,6 +40,7 @@
   std::ifstream page(LAPISHATCH_SOURCE_DIR "/docs/EVENTS.md");
   REQUIRE(page.is_open());
   std::vector<std::string> expected;
+  expected.reserve(kAllEvents.size());
   for (const auto& event : kAllEvents) expected.push_back(CatalogueLine(event));
   CHECK(CatalogueLines(page) == expected);
 }
