Merge small table transactions, and read back unknown outcomes

Cause: the platform's table takes several hundred writes a second, fewer than the requests and jobs that need a record; and while it is down every caller would wait for its time-out. Ruled out: a fixed window in which transactions are collected (costs time when there is no load); sending all members singly after a conflict (as many writes as without merging, where leaving the failed ones out costs one more write per failed one at most); closing the circuit by a write of a caller (its outcome would be unknown at every failed probe). Change: GroupCommitTable merges what waits while writes are under way or the rate is used up, bounded in number and time; a circuit breaker with jittered read probes and slow start; ReadBack, which says only what a row's versions and attempt ids prove.

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -2,10 +2,13 @@
 #define LAPISHATCH_STORE_STORE_H_
 
 /// Umbrella header of the store package: the platform's table, object store and
-/// VM list behind narrow interfaces, and their HTTP implementations.
+/// VM list behind narrow interfaces, their HTTP implementations, and what makes
+/// the table cheap and safe to use: group commit and reading back.
 
+#include "store/group_commit.h"
 #include "store/http_platform.h"
 #include "store/object_store.h"
+#include "store/read_back.h"
 #include "store/table.h"
 #include "store/vm_list.h"
 
