Add the membership package: who runs, and spreading of change logs

A process must know the others from lagging and partial knowledge, and a change of configuration must be in force everywhere within seconds without every process reading the table.

Changes are pushed to the own domain and to one member of each other, gaps are pulled, a process that has nothing fetches the whole state from a peer in chunks.

Fakes: a network that loses, doubles, reorders and cuts, and a group of processes with pause, kill and double life in virtual time.

--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,15 @@
+#ifndef LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
+#define LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
+
+/// Umbrella header of the membership package: who the other processes are, and
+/// the spreading of change logs among them.
+
+#include "membership/group.h"
+#include "membership/group_options.h"
+#include "membership/member.h"
+#include "membership/member_table.h"
+#include "membership/node.h"
+#include "membership/seeds.h"
+#include "membership/spreader.h"
+
+#endif  // LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
--- /dev/null
+++ b/src/membership/spreader.h
@@ -0,0 +1,162 @@
+#ifndef LAPISHATCH_MEMBERSHIP_SPREADER_H_
+#define LAPISHATCH_MEMBERSHIP_SPREADER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "membership/group.h"
+#include "wire/wire.h"
+
+namespace lapishatch::membership {
+
+using wire::LogName;
+using wire::LogVersion;
+
+/// What a process does with one change log. Called on the loop only.
+class LogFollower {
+ public:
+  virtual ~LogFollower() = default;
+
+  /// The next change; `version` is one above that of the last call.
+  virtual void OnEntry(LogVersion version, const std::string& entry) = 0;
+
+  /// The whole state as of `version`, which is above that of the last call.
+  /// False when the bytes are of no use; the version then stays what it was.
+  virtual bool OnSnapshot(LogVersion version, const std::string& bytes) = 0;
+
+  /// The whole state as of the last call, for a process that has none.
+  virtual std::string TakeSnapshot() const = 0;
+};
+
+struct SpreaderOptions {
+  /// Changes that become known within this time travel together.
+  base::Duration spread_delay{20};
+  /// Wait for the answer to a pull before another peer is asked.
+  base::Duration pull_timeout{1'000};
+  /// Recent changes kept for peers that are behind, per log.
+  std::size_t keep_entries = 2'048;
+  std::size_t keep_bytes = 2 * 1024 * 1024;
+  /// Changes kept while earlier ones are missing, per log.
+  std::size_t max_pending = 1'024;
+  /// Of the changes in one message.
+  std::size_t max_message_bytes = 64 * 1024;
+  std::size_t snapshot_chunk_bytes = 64 * 1024;
+  std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
+};
+
+struct SpreaderCounts {
+  std::uint64_t entries_applied = 0;
+  /// Entries that had come before.
+  std::uint64_t entries_repeated = 0;
+  std::uint64_t pulls = 0;
+  std::uint64_t snapshots_installed = 0;
+};
+
+/// Spreads change logs among processes. A change is pushed to the members of
+/// the own domain and to one member of every other, which passes it on in its
+/// own; whoever misses a push finds out by the heads in the next probe and
+/// pulls. Every process sees every version once, in order, without a gap, and
+/// never goes back. To be used on the loop only.
+class Spreader {
+ public:
+  Spreader(base::EventLoop& loop, wire::Transport& transport, Group& group,
+           wire::RequestChannel& requests, SpreaderOptions options);
+  ~Spreader();
+  Spreader(const Spreader&) = delete;
+  Spreader& operator=(const Spreader&) = delete;
+
+  /// Begins to follow `log`; `follower` has it up to `version` and must
+  /// outlive the spreader.
+  void Follow(const LogName& log, LogFollower& follower, LogVersion version);
+
+  /// Consecutive changes, read from the table or written by this process; the
+  /// first has `first_version`. Old ones are ignored; those after a gap wait
+  /// until the missing ones come from here or from a peer. The follower is
+  /// called from within.
+  void Publish(const LogName& log, LogVersion first_version,
+               std::vector<std::string> entries);
+
+  /// The follower has loaded the whole state as of `version` by itself. Ignored
+  /// unless it is above the present version.
+  void SkipTo(const LogName& log, LogVersion version);
+
+  /// Version of `log` up to which the follower was called.
+  LogVersion version(const LogName& log) const;
+
+  /// The highest version that a peer or this process has spoken of.
+  LogVersion heard(const LogName& log) const;
+
+  std::vector<wire::LogHead> Heads() const;
+  const SpreaderCounts& counts() const { return counts_; }
+
+  // What the node hands over.
+  void OnHeads(const wire::Identity& from,
+               const std::vector<wire::LogHead>& heads);
+  void OnEntries(const wire::Identity& from, wire::LogEntries message);
+  void OnPull(const wire::Identity& from, const wire::PullEntries& pull);
+  wire::Answer AnswerSnapshot(const wire::SnapshotQuery& query);
+
+ private:
+  /// A whole state on its way here, chunk by chunk.
+  struct Transfer {
+    wire::Peer peer;
+    LogVersion version = 0;
+    std::uint64_t total_bytes = 0;
+    std::string bytes;
+  };
+  struct Snapshot {
+    LogVersion version = 0;
+    std::string bytes;
+  };
+  struct Log {
+    LogName name;
+    LogFollower* follower = nullptr;
+    LogVersion version = 0;
+    LogVersion heard = 0;
+    /// The changes up to `version`, as far back as they are kept.
+    std::deque<std::string> recent;
+    std::size_t recent_bytes = 0;
+    std::map<LogVersion, std::string> pending;
+    /// The first change that was not pushed yet, while a push is due.
+    std::optional<LogVersion> push_from;
+    base::TimePoint pull_until;
+    std::optional<Transfer> transfer;
+    std::optional<Snapshot> served;
+  };
+
+  Log* Find(const LogName& name);
+  const Log* Find(const LogName& name) const;
+  LogVersion Accept(Log& log, LogVersion first, std::vector<std::string> items);
+  void Apply(Log& log, std::string entry);
+  void Trim(Log& log);
+  void SchedulePush(Log& log, LogVersion from);
+  void Push(Log& log);
+  void PassOn(Log& log, LogVersion from, const wire::Identity& sender);
+  std::vector<wire::LogEntries> Chunks(const Log& log, LogVersion from,
+                                       LogVersion to) const;
+  void Pull(Log& log, const wire::Peer& peer);
+  void StartTransfer(Log& log, const wire::Peer& peer);
+  void AskChunk(Log& log);
+  void OnChunk(const LogName& name, wire::AskResult result);
+  void FinishTransfer(Log& log);
+
+  base::EventLoop& loop_;
+  wire::Transport& transport_;
+  Group& group_;
+  wire::RequestChannel& requests_;
+  SpreaderOptions options_;
+  std::map<LogName, Log> logs_;
+  SpreaderCounts counts_;
+  /// Lets tasks that run later find out that the spreader is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace lapishatch::membership
+
+#endif  // LAPISHATCH_MEMBERSHIP_SPREADER_H_
--- /dev/null
+++ b/src/membership/spreader_snapshot.cc
@@ -0,0 +1,92 @@
+// How a spreader fetches the whole state of a log from a peer, and gives it.
+
+#include <algorithm>
+#include <utility>
+
+#include "membership/spreader.h"
+
+namespace lapishatch::membership {
+namespace {
+
+/// Wait for the answer to one chunk.
+constexpr base::Duration kChunkTimeout{2'000};
+
+}  // namespace
+
+void Spreader::StartTransfer(Log& log, const wire::Peer& peer) {
+  if (log.transfer) return;
+  log.transfer = Transfer{peer, 0, 0, {}};
+  AskChunk(log);
+}
+
+void Spreader::AskChunk(Log& log) {
+  const auto& transfer = *log.transfer;
+  requests_.Ask(
+      transfer.peer,
+      wire::SnapshotQuery{log.name, transfer.version, transfer.bytes.size()},
+      kChunkTimeout,
+      [alive = alive_, this, name = log.name](wire::AskResult result) {
+        if (*alive) OnChunk(name, std::move(result));
+      });
+}
+
+/// Adds a chunk. Anything unexpected ends the transfer; the next head that is
+/// heard begins another, from whoever tells of it.
+void Spreader::OnChunk(const LogName& name, wire::AskResult result) {
+  auto& log = *Find(name);
+  if (!log.transfer) return;
+  auto& transfer = *log.transfer;
+  auto* answered = std::get_if<wire::Answered>(&result);
+  auto* chunk = answered == nullptr
+                    ? nullptr
+                    : std::get_if<wire::SnapshotAnswer>(&answered->answer);
+  const bool fits = chunk != nullptr &&
+                    chunk->offset == transfer.bytes.size() &&
+                    chunk->total_bytes <= options_.max_snapshot_bytes &&
+                    chunk->version > log.version;
+  if (!fits) {
+    log.transfer.reset();
+    return;
+  }
+  transfer.version = chunk->version;
+  transfer.total_bytes = chunk->total_bytes;
+  transfer.bytes += chunk->bytes;
+  if (transfer.bytes.size() >= transfer.total_bytes) {
+    FinishTransfer(log);
+  } else if (chunk->bytes.empty()) {
+    log.transfer.reset();
+  } else {
+    AskChunk(log);
+  }
+}
+
+void Spreader::FinishTransfer(Log& log) {
+  const auto transfer = *std::exchange(log.transfer, std::nullopt);
+  log.pull_until = base::TimePoint();
+  if (!log.follower->OnSnapshot(transfer.version, transfer.bytes)) return;
+  ++counts_.snapshots_installed;
+  SkipTo(log.name, transfer.version);
+}
+
+wire::Answer Spreader::AnswerSnapshot(const wire::SnapshotQuery& query) {
+  auto* log = Find(query.log);
+  if (log == nullptr || log->version == 0) {
+    return wire::Refusal{wire::RefusalReason::kNotReady, "no such log here"};
+  }
+  auto& served = log->served;
+  if (query.version == 0 && (!served || served->version != log->version)) {
+    served = Snapshot{log->version, log->follower->TakeSnapshot()};
+  }
+  const bool is_served =
+      served && (query.version == 0 || query.version == served->version) &&
+      query.offset <= served->bytes.size();
+  if (!is_served) {
+    return wire::Refusal{wire::RefusalReason::kNotReady,
+                         "the snapshot has been replaced by a newer one"};
+  }
+  return wire::SnapshotAnswer{
+      served->version, served->bytes.size(), query.offset,
+      served->bytes.substr(query.offset, options_.snapshot_chunk_bytes)};
+}
+
+}  // namespace lapishatch::membership
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -284,7 +284,6 @@
   void operator()(const Members& in) const {
     gen::Members value;
     value.records = ListToThrift<gen::MemberRecord>(in.records);
-    value.wants_newer = in.wants_newer;
     value.whole_domains = TextsOf(in.whole_domains);
     out.__set_members(value);
   }
@@ -324,7 +323,6 @@
                            FromThrift(it.generation), FromThrift(it.refutation),
                            EnumFromThrift<MemberState>(it.state)});
   }
-  out.wants_newer = in.wants_newer;
   out.whole_domains = IdsOf<base::DomainName>(std::move(in.whole_domains));
   return out;
 }
--- a/src/wire/gen/lapishatch_types.cpp
+++ b/src/wire/gen/lapishatch_types.cpp
@@ -1590,10 +1590,6 @@
   this->records = val;
 }
 
-void Members::__set_wants_newer(const bool val) {
-  this->wants_newer = val;
-}
-
 void Members::__set_whole_domains(const std::vector<std::string> & val) {
   this->whole_domains = val;
 }
@@ -1640,14 +1636,6 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wants_newer);
-          this->__isset.wants_newer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->whole_domains.clear();
@@ -1696,11 +1684,7 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wants_newer", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->wants_newer);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("whole_domains", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("whole_domains", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->whole_domains.size()));
     std::vector<std::string> ::const_iterator _iter85;
@@ -1720,33 +1704,28 @@
 void swap(Members &a, Members &b) {
   using ::std::swap;
   swap(a.records, b.records);
-  swap(a.wants_newer, b.wants_newer);
   swap(a.whole_domains, b.whole_domains);
   swap(a.__isset, b.__isset);
 }
 
 Members::Members(const Members& other86) {
   records = other86.records;
-  wants_newer = other86.wants_newer;
   whole_domains = other86.whole_domains;
   __isset = other86.__isset;
 }
 Members::Members(Members&& other87) noexcept {
   records = std::move(other87.records);
-  wants_newer = other87.wants_newer;
   whole_domains = std::move(other87.whole_domains);
   __isset = other87.__isset;
 }
 Members& Members::operator=(const Members& other88) {
   records = other88.records;
-  wants_newer = other88.wants_newer;
   whole_domains = other88.whole_domains;
   __isset = other88.__isset;
   return *this;
 }
 Members& Members::operator=(Members&& other89) noexcept {
   records = std::move(other89.records);
-  wants_newer = other89.wants_newer;
   whole_domains = std::move(other89.whole_domains);
   __isset = other89.__isset;
   return *this;
--- a/src/wire/gen/lapishatch_types.h
+++ b/src/wire/gen/lapishatch_types.h
@@ -714,9 +714,8 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _Members__isset {
-  _Members__isset() : records(false), wants_newer(false), whole_domains(false) {}
+  _Members__isset() : records(false), whole_domains(false) {}
   bool records :1;
-  bool wants_newer :1;
   bool whole_domains :1;
 } _Members__isset;
 
@@ -727,29 +726,23 @@
   Members(Members&&) noexcept;
   Members& operator=(const Members&);
   Members& operator=(Members&&) noexcept;
-  Members() noexcept
-          : wants_newer(0) {
+  Members() noexcept {
   }
 
   virtual ~Members() noexcept;
   std::vector<MemberRecord>  records;
-  bool wants_newer;
   std::vector<std::string>  whole_domains;
 
   _Members__isset __isset;
 
   void __set_records(const std::vector<MemberRecord> & val);
 
-  void __set_wants_newer(const bool val);
-
   void __set_whole_domains(const std::vector<std::string> & val);
 
   bool operator == (const Members & rhs) const
   {
     if (!(records == rhs.records))
       return false;
-    if (!(wants_newer == rhs.wants_newer))
-      return false;
     if (!(whole_domains == rhs.whole_domains))
       return false;
     return true;
--- a/src/wire/lapishatch.thrift
+++ b/src/wire/lapishatch.thrift
@@ -78,10 +78,8 @@
 
 struct Members {
   1: list<MemberRecord> records
-  // The sender wants the records that are newer at the receiver.
-  2: bool wants_newer
-  // The domains that `records` covers in whole.
-  3: list<string> whole_domains
+  // The failure domains of which `records` has every member that is not gone.
+  2: list<string> whole_domains
 }
 
 struct LogEntries {
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -118,11 +118,11 @@
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
 
+/// Member records that may be news. The receiver answers with those of its own
+/// that are newer, and with those of `whole_domains` that are missing.
 struct Members {
   std::vector<MemberRecord> records;
-  /// The sender wants back what is newer at the receiver.
-  bool wants_newer = false;
-  /// The failure domains of which `records` has every member.
+  /// The failure domains of which `records` has every member that is not gone.
   std::vector<base::DomainName> whole_domains;
 
   friend bool operator==(const Members&, const Members&) = default;
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -46,7 +46,6 @@
 
 Members AnyMembers() {
   Members out;
-  out.wants_newer = *rc::gen::arbitrary<bool>();
   for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
     out.records.push_back(
         {AnyIdentity(), *AnyNumber(), *AnyNumber(),
--- a/testing/fakes/fakes.h
+++ b/testing/fakes/fakes.h
@@ -4,6 +4,8 @@
 /// Umbrella header of the fakes package: virtual time and what stands behind
 /// the interfaces in tests.
 
+#include "fakes/fake_group.h"
+#include "fakes/fake_network.h"
 #include "fakes/fake_process.h"
 #include "fakes/fake_runners.h"
 #include "fakes/fake_table.h"
