--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,7 +5,7 @@
 set(LAPISHATCH_PACKAGES "" CACHE INTERNAL "")
 
 function(lapishatch_options target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wzero-as-null-pointer-constant -Wno-maybe-uninitialized
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wno-maybe-uninitialized
                          -Wno-stringop-overflow -Wno-stringop-overread -Wno-restrict -Wno-array-bounds)
   if(LAPISHATCH_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${LAPISHATCH_SANITIZE} -fno-omit-frame-pointer -g1)
@@ -27,7 +27,7 @@
 endfunction()
 
 function(lapishatch_pch_target target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wzero-as-null-pointer-constant -Wno-maybe-uninitialized
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror -Wshadow -Wno-maybe-uninitialized
                          -Wno-stringop-overflow -Wno-stringop-overread -Wno-restrict -Wno-array-bounds)
   if(LAPISHATCH_SANITIZE)
     target_compile_options(${target} PRIVATE -fsanitize=${LAPISHATCH_SANITIZE} -fno-omit-frame-pointer -g1)
@@ -68,7 +68,7 @@
   set(gen_files ${sources})
   list(FILTER gen_files INCLUDE REGEX "/gen/")
   if(gen_files)
-    set_source_files_properties(${gen_files} PROPERTIES COMPILE_OPTIONS "-Wno-all;-Wno-extra;-Wno-shadow;-Wno-zero-as-null-pointer-constant")
+    set_source_files_properties(${gen_files} PROPERTIES COMPILE_OPTIONS "-Wno-all;-Wno-extra;-Wno-shadow")
   endif()
   if(ARG_PROGRAM AND EXISTS ${main})
     add_executable(${ARG_PROGRAM} ${main})
