--- a/src/store/http_platform.cc
+++ b/src/store/http_platform.cc
@@ -123,7 +123,7 @@
   if (auto* failed = std::get_if<ReadFailed>(&response)) return *failed;
   const auto& found = std::get<Response>(response);
   if (found.status != kOk) return ReadFailed{Unexpected(found)};
-  auto vms = internal::ParseVms(found.body);
+  auto vms = ParseVms(found.body);
   if (!vms) return ReadFailed{"not a list of VMs"};
   return std::move(*vms);
 }
--- a/src/store/internal/table_json.h
+++ b/src/store/internal/table_json.h
@@ -6,7 +6,6 @@
 #include <string_view>
 
 #include "store/table.h"
-#include "store/vm_list.h"
 
 namespace lapishatch::store::internal {
 
@@ -26,7 +25,6 @@
 
 std::optional<Row> ParseRow(std::string_view body);
 std::optional<RowPage> ParseRowPage(std::string_view body);
-std::optional<std::vector<Vm>> ParseVms(std::string_view body);
 
 /// Percent-encodes everything but the unreserved characters of RFC 3986.
 std::string PercentEncode(std::string_view text);
--- a/src/store/table_json.cc
+++ b/src/store/table_json.cc
@@ -1,7 +1,6 @@
 #include "store/internal/table_json.h"
 
 #include <boost/json.hpp>
-#include <limits>
 #include <utility>
 
 namespace lapishatch::store::internal {
@@ -52,29 +51,6 @@
   return Row{std::move(*key), std::move(*value), *version};
 }
 
-std::optional<Vm> VmFrom(const json::object& object) {
-  const auto name = FindText(object, "name");
-  const auto kind = FindText(object, "kind");
-  const auto state = FindText(object, "state");
-  const auto domain = FindText(object, "failure_domain");
-  const auto address = FindText(object, "address");
-  const auto port = FindNumber(object, "port");
-  if (!name || !kind || !state || !domain || !address || !port) return {};
-  const auto parsed_kind = base::ParseEnum<VmKind>(*kind);
-  const auto parsed_state = base::ParseEnum<VmState>(*state);
-  const bool is_port = *port <= std::numeric_limits<std::uint16_t>::max();
-  if (!parsed_kind || !parsed_state || !is_port) return {};
-  Vm out;
-  out.name = *name;
-  out.kind = *parsed_kind;
-  out.state = *parsed_state;
-  out.domain = base::DomainName(*domain);
-  out.endpoint = {*address, static_cast<std::uint16_t>(*port)};
-  out.rack = base::RackName(FindText(object, "rack").value_or(""));
-  out.service = base::ServiceName(FindText(object, "service").value_or(""));
-  return out;
-}
-
 json::object ConditionObject(const Condition& condition) {
   return {{"key", condition.key}, {"version", condition.version}};
 }
@@ -157,21 +133,6 @@
   return out;
 }
 
-std::optional<std::vector<Vm>> ParseVms(std::string_view body) {
-  const auto object = ParseObject(body);
-  if (!object) return std::nullopt;
-  const auto* vms = FindArray(*object, "vms");
-  if (vms == nullptr) return std::nullopt;
-  std::vector<Vm> out;
-  for (const auto& it : *vms) {
-    if (!it.is_object()) return std::nullopt;
-    auto vm = VmFrom(it.as_object());
-    if (!vm) return std::nullopt;
-    out.push_back(std::move(*vm));
-  }
-  return out;
-}
-
 std::string PercentEncode(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string out;
--- a/src/store/vm_list.h
+++ b/src/store/vm_list.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -42,6 +43,12 @@
   virtual void List(std::function<void(VmListResult)> done) = 0;
 };
 
+/// The list in the platform's JSON, as docs/OUTSIDE.md gives it.
+std::string SerializeVms(const std::vector<Vm>& vms);
+
+/// Nothing when `body` is no such list.
+std::optional<std::vector<Vm>> ParseVms(std::string_view body);
+
 }  // namespace lapishatch::store
 
 namespace lapishatch::base {
