--- a/standins/runner/runner_server.cc
+++ b/standins/runner/runner_server.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "backends/backends.h"
+#include "common/common.h"
 
 namespace lapishatch::standins {
 namespace {
@@ -13,44 +14,33 @@
 namespace leaf = boost::leaf;
 
 constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kServerError = 500;
 
 constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
 
+http::ServerLimits Limits(std::size_t max_connections) {
+  http::ServerLimits out;
+  out.max_connections = max_connections;
+  out.max_body_bytes = kMaxBodyBytes;
+  return out;
+}
+
 }  // namespace
 
 class RunnerServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& io, const http::Endpoint& endpoint,
        RunnerModelOptions options, std::size_t max_connections, RunLog& log)
-      : io_(io),
-        loop_(base::MakeAsioEventLoop(io)),
-        endpoint_(endpoint),
-        max_connections_(max_connections),
+      : loop_(base::MakeAsioEventLoop(io)),
+        server_(io, *loop_, endpoint, Limits(max_connections),
+                [this](const http::ExchangePtr& it) { Receive(it); }),
         model_(std::move(options)),
         log_(log) {}
 
   /// Binds and begins to serve.
-  void Open() {
-    http::ServerLimits limits;
-    limits.max_connections = max_connections_;
-    limits.max_body_bytes = kMaxBodyBytes;
-    server_ = std::make_unique<http::Server>(
-        io_, endpoint_, limits,
-        [weak = weak_from_this()](http::ExchangePtr exchange) {
-          const auto self = weak.lock();
-          if (!self) return;
-          self->loop_->Post([weak, exchange = std::move(exchange)] {
-            if (const auto it = weak.lock()) it->Receive(exchange);
-          });
-        });
-    // A runner that comes back keeps its port; others read it meanwhile.
-    if (endpoint_.port == 0) endpoint_.port = server_->endpoint().port;
-    server_->Start();
-  }
+  void Open() { server_.Open(); }
 
-  const http::Endpoint& endpoint() const { return endpoint_; }
+  const http::Endpoint& endpoint() const { return server_.endpoint(); }
   const RunnerModelOptions& options() const { return model_.options(); }
 
   /// Runs `task` on the loop while the runner is there.
@@ -68,7 +58,7 @@
     }
     if (fault == RunnerFault::kReset) {
       Crash();
-      Open();
+      server_.Revive();
       return;
     }
     if (fault == RunnerFault::kKill) {
@@ -87,7 +77,7 @@
 
   json::object Stats() const {
     const auto load = model_.load();
-    return {{"runner", options().name}, {"port", endpoint_.port},
+    return {{"runner", options().name}, {"port", endpoint().port},
             {"requests", requests_},    {"refused", refused_},
             {"pings", pings_},          {"busy", load.busy_slots},
             {"waiting", load.waiting},  {"most_at_once", most_at_once_}};
@@ -96,16 +86,11 @@
   void Leave(std::function<void()> done) {
     model_.SetLeaving(true);
     held_.clear();
-    if (!server_) {
-      done();
-      return;
-    }
-    server_->Drain(std::move(done));
+    server_.Drain(std::move(done));
   }
 
-  /// Ends everything; the loop goes with the object.
+  /// Lets go of what would keep its connections.
   void Close() {
-    server_.reset();
     held_.clear();
     work_.clear();
   }
@@ -126,7 +111,6 @@
   }
 
   void Receive(const http::ExchangePtr& exchange) {
-    if (!server_) return;
     if (fault_ == RunnerFault::kSilent) {
       held_.push_back(exchange);
       return;
@@ -159,11 +143,11 @@
             backends::RunnerRequest request) {
     ++requests_;
     if (request.service != options().service) {
-      exchange->Respond(http::MakeProblem(
-          kNotFound, "service", "No such service", request.service.str()));
+      Refuse(exchange, request.id, "not its service");
       return;
     }
     if (fault_ == RunnerFault::kCrashBefore) {
+      held_.push_back(exchange);
       Crash();
       return;
     }
@@ -182,13 +166,14 @@
     const auto now = loop_->Now();
     // Slots that are free by now come first, so that none seems taken.
     Finish(model_.Advance(now));
-    if (!server_) return;
+    if (!server_.is_open()) return;
     std::optional<WorkId> id;
     if (fault_ != RunnerFault::kRefuse) {
       id = model_.Accept(behaviour.service_time + delay_, now);
     }
     if (!id) {
-      Refuse(exchange, request.id);
+      Refuse(exchange, request.id,
+             model_.load().leaving ? "leaving" : "no slot");
       return;
     }
     most_at_once_ = std::max(most_at_once_, model_.load().busy_slots);
@@ -196,18 +181,18 @@
     Step();
   }
 
-  void Refuse(const http::ExchangePtr& exchange, const base::RequestId& id) {
+  void Refuse(const http::ExchangePtr& exchange, const base::RequestId& id,
+              std::string reason) {
     ++refused_;
-    const auto load = model_.load();
-    exchange->Respond(backends::EncodeRunnerRefusal(
-        id, {load.leaving ? "leaving" : "no slot", load}));
+    exchange->Respond(
+        backends::EncodeRunnerRefusal(id, {std::move(reason), model_.load()}));
   }
 
   /// Ends the work that is due and sets the timer for the next.
   void Step() {
     const auto now = loop_->Now();
     Finish(model_.Advance(now));
-    if (!server_) return;
+    if (!server_.is_open()) return;
     loop_->Cancel(step_timer_);
     const auto next = model_.NextChange();
     if (!next) return;
@@ -223,6 +208,7 @@
       auto work = std::move(it->second);
       work_.erase(it);
       if (fault_ == RunnerFault::kCrashAfter) {
+        held_.push_back(work.exchange);
         Crash();
         return;
       }
@@ -257,9 +243,11 @@
   /// Every connection breaks and all work is gone. The port stays closed until
   /// the fault ends.
   void Crash() {
-    server_.reset();
-    work_.clear();
-    held_.clear();
+    auto unanswered = std::exchange(held_, {});
+    for (auto& [id, work] : std::exchange(work_, {})) {
+      unanswered.push_back(std::move(work.exchange));
+    }
+    server_.Crash(std::move(unanswered));
     model_.Clear();
   }
 
@@ -269,16 +257,13 @@
     delay_ = base::Duration(0);
     model_.SetLeaving(false);
     held_.clear();
-    if (!server_) Open();
+    server_.Revive();
   }
 
-  boost::asio::io_context& io_;
   std::unique_ptr<base::EventLoop> loop_;
-  http::Endpoint endpoint_;
-  std::size_t max_connections_;
+  BackendServer server_;
   RunnerModel model_;
   RunLog& log_;
-  std::unique_ptr<http::Server> server_;
   std::unordered_map<WorkId, Work> work_;
   /// Requests that get no answer while a fault lasts.
   std::vector<http::ExchangePtr> held_;
--- a/standins/worker/worker_server.cc
+++ b/standins/worker/worker_server.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "backends/backends.h"
+#include "common/common.h"
 
 namespace lapishatch::standins {
 namespace {
@@ -20,6 +21,12 @@
 /// Room for an order with a large gang's payloads.
 constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
 
+http::ServerLimits Limits() {
+  http::ServerLimits out;
+  out.max_body_bytes = kMaxBodyBytes;
+  return out;
+}
+
 std::string CheckpointText(base::Duration done) {
   return json::serialize(json::object{{"done_ms", done.count()}});
 }
@@ -50,32 +57,17 @@
  public:
   Impl(boost::asio::io_context& io, const http::Endpoint& endpoint,
        WorkerModelOptions options, store::ObjectStore& objects)
-      : io_(io),
-        loop_(base::MakeAsioEventLoop(io)),
+      : loop_(base::MakeAsioEventLoop(io)),
+        server_(io, *loop_, endpoint, Limits(),
+                [this](const http::ExchangePtr& it) { Receive(it); }),
         name_(options.name),
-        endpoint_(endpoint),
         model_(std::move(options)),
         objects_(objects) {}
 
   /// Binds and begins to serve.
-  void Open() {
-    http::ServerLimits limits;
-    limits.max_body_bytes = kMaxBodyBytes;
-    server_ = std::make_unique<http::Server>(
-        io_, endpoint_, limits,
-        [weak = weak_from_this()](http::ExchangePtr exchange) {
-          const auto self = weak.lock();
-          if (!self) return;
-          self->loop_->Post([weak, exchange = std::move(exchange)] {
-            if (const auto it = weak.lock()) it->Receive(exchange);
-          });
-        });
-    // A worker that comes back keeps its port; others read it meanwhile.
-    if (endpoint_.port == 0) endpoint_.port = server_->endpoint().port;
-    server_->Start();
-  }
+  void Open() { server_.Open(); }
 
-  const http::Endpoint& endpoint() const { return endpoint_; }
+  const http::Endpoint& endpoint() const { return server_.endpoint(); }
   const base::WorkerName& name() const { return name_; }
 
   /// Runs `task` on the loop while the worker is there.
@@ -93,7 +85,7 @@
     }
     if (fault == WorkerFault::kRestart) {
       Kill();
-      Revive();
+      server_.Revive();
       return;
     }
     if (fault == WorkerFault::kKill) Kill();
@@ -121,7 +113,7 @@
     json::object starts;
     for (const auto& [job, n] : model_.starts()) starts[job.str()] = n;
     return {{"worker", name_.str()},
-            {"port", endpoint_.port},
+            {"port", endpoint().port},
             {"incarnation", model_.incarnation().str()},
             {"epoch_seen", model_.epoch_seen()},
             {"sequence", model_.sequence()},
@@ -136,9 +128,8 @@
     AwaitTasks(loop_->Now() + limit, std::move(done));
   }
 
-  /// Ends everything; the loop and the server go with the object.
+  /// Lets go of what would keep its connections.
   void Close() {
-    server_.reset();
     held_.clear();
     polls_.clear();
   }
@@ -159,7 +150,6 @@
   }
 
   void Receive(const http::ExchangePtr& exchange) {
-    if (!server_) return;
     if (paused_at_ || silent_) {
       held_.push_back(exchange);
       return;
@@ -230,7 +220,7 @@
   /// Brings the model up to the present time, answers what is due and sets the
   /// timer for what comes next.
   void Step() {
-    if (!server_ || paused_at_) return;
+    if (!server_.is_open() || paused_at_) return;
     const auto now = loop_->Now();
     model_.Advance(now);
     StoreCheckpoints();
@@ -287,18 +277,17 @@
     Step();
   }
 
+  /// All connections break, all tasks are gone.
   void Kill() {
-    server_.reset();
-    polls_.clear();
-    held_.clear();
+    auto unanswered = std::exchange(held_, {});
+    for (auto& poll : std::exchange(polls_, {})) {
+      unanswered.push_back(std::move(poll.exchange));
+    }
+    server_.Crash(std::move(unanswered));
     paused_at_.reset();
     model_.Restart();
   }
 
-  void Revive() {
-    if (!server_) Open();
-  }
-
   void Pause() {
     if (!paused_at_) paused_at_ = loop_->Now();
   }
@@ -310,7 +299,7 @@
     loses_answers_ = false;
     silent_ = false;
     delay_ = base::Duration(0);
-    Revive();
+    server_.Revive();
     const auto held = std::exchange(held_, {});
     if (const auto began = std::exchange(paused_at_, std::nullopt)) {
       model_.Resume(*began, loop_->Now());
@@ -329,20 +318,14 @@
     }
     for (auto& poll : polls_) poll.until = loop_->Now();
     Step();
-    if (!server_) {
-      done();
-      return;
-    }
-    server_->Drain(std::move(done));
+    server_.Drain(std::move(done));
   }
 
-  boost::asio::io_context& io_;
   std::unique_ptr<base::EventLoop> loop_;
+  BackendServer server_;
   base::WorkerName name_;
-  http::Endpoint endpoint_;
   WorkerModel model_;
   store::ObjectStore& objects_;
-  std::unique_ptr<http::Server> server_;
   std::vector<Poll> polls_;
   /// Requests that get no answer for now: received while paused or silent, or
   /// carried out with the answer lost.
