--- /dev/null
+++ b/src/lifecycle/cell_lease.cc
@@ -0,0 +1,485 @@
+#include "lifecycle/cell_lease.h"
+
+#include <algorithm>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+#include <utility>
+
+namespace lapishatch::lifecycle {
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+using msm::front::none;
+using msm::front::Row;
+
+// What the machine sees: conclusions from the rows and the time.
+struct LooksExpired {};
+struct HolderLives {};
+struct Free {};
+struct Took {};
+struct TakeFailed {};
+struct Gone {};
+struct StopAsked {};
+struct Freed {};
+
+enum class LeasePhase : std::uint8_t {
+  kWatching,
+  kAsking,
+  kTaking,
+  kHolding,
+  kReleasing,
+  kReleased,
+};
+
+/// Everything the machine's actions work on.
+struct LeaseBook {
+  base::Incarnation self;
+  std::string endpoint;
+  LeaseTimes times;
+  base::TimePoint now;
+  base::TimePoint last_handled;
+  base::TimePoint next_step;
+  LeasePhase phase = LeasePhase::kWatching;
+
+  // The row as last read or written.
+  HolderRow row;
+  std::uint64_t row_version = 0;
+  std::uint64_t fence_version = 0;
+
+  // Calls in progress; each has exactly one answer.
+  bool reading = false;
+  bool writing = false;
+  base::TimePoint read_sent;
+  HolderRow written;
+  base::TimePoint write_sent;
+
+  // As candidate: the row has not changed since then, without a failed read.
+  std::optional<base::TimePoint> unchanged_since;
+  base::TimePoint last_good_read;
+  /// The version whose holder said that it only misses the table.
+  std::uint64_t spared_version = 0;
+  Epoch highest_epoch_seen = 0;
+
+  // As holder.
+  Epoch epoch = 0;
+  base::TimePoint valid_until;
+  /// The table failed under our eyes at this time.
+  std::optional<base::TimePoint> table_failed_at;
+  bool release_wanted = false;
+  std::string lost_reason;
+
+  std::vector<LeaseCommand> out;
+
+  void Read() {
+    if (reading) return;
+    reading = true;
+    read_sent = now;
+    out.push_back(ReadRow{});
+  }
+
+  void WriteOwnRow(const base::Incarnation& holder, Epoch of, bool take) {
+    written.holder = holder;
+    written.endpoint = endpoint;
+    written.epoch = of;
+    written.attempt = base::AttemptId(base::MakeUniqueText("lease-"));
+    writing = true;
+    write_sent = now;
+    out.push_back(WriteRow{written, row_version, take});
+  }
+
+  bool IsOurs(const HolderRow& it) const {
+    return it.holder == self && it.epoch == epoch;
+  }
+};
+
+struct EmitAsk {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    auto& book = *fsm.book;
+    book.out.push_back(AskHolder{book.row.endpoint, book.row.holder});
+  }
+};
+
+struct EmitTake {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    auto& book = *fsm.book;
+    const auto highest = std::max(book.row.epoch, book.highest_epoch_seen);
+    book.WriteOwnRow(book.self, highest + 1, true);
+  }
+};
+
+struct EmitGranted {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    auto& book = *fsm.book;
+    book.out.push_back(LeaseGranted{book.epoch, book.fence_version});
+  }
+};
+
+struct EmitLost {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    auto& book = *fsm.book;
+    book.out.push_back(LeaseLost{book.lost_reason});
+  }
+};
+
+struct EmitReleased {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    fsm.book->out.push_back(LeaseReleased{});
+  }
+};
+
+/// A candidate begins to watch anew: what it had observed counts no longer.
+struct WatchAnew {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event&, Fsm& fsm, From&, To&) {
+    auto& book = *fsm.book;
+    book.unchanged_since.reset();
+    book.next_step = book.now + book.times.read_every;
+  }
+};
+
+struct LoseAndWatch {
+  template <typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event& event, Fsm& fsm, From& from, To& to) {
+    EmitLost()(event, fsm, from, to);
+    WatchAnew()(event, fsm, from, to);
+  }
+};
+
+template <LeasePhase kPhase>
+struct InPhase : msm::front::state<> {
+  template <typename Event, typename Fsm>
+  void on_entry(const Event&, Fsm& fsm) {
+    fsm.book->phase = kPhase;
+  }
+};
+
+struct LeaseDef : msm::front::state_machine_def<LeaseDef> {
+  using Watching = InPhase<LeasePhase::kWatching>;
+  using Asking = InPhase<LeasePhase::kAsking>;
+  using Taking = InPhase<LeasePhase::kTaking>;
+  using Holding = InPhase<LeasePhase::kHolding>;
+  using Releasing = InPhase<LeasePhase::kReleasing>;
+  using Released = InPhase<LeasePhase::kReleased>;
+  using initial_state = Watching;
+
+  // clang-format off
+  struct transition_table : mpl::vector<
+    Row<Watching,  Free,         Taking,    EmitTake,     none>,
+    Row<Watching,  LooksExpired, Asking,    EmitAsk,      none>,
+    Row<Watching,  StopAsked,    Released,  EmitReleased, none>,
+    Row<Asking,    HolderLives,  Watching,  WatchAnew,    none>,
+    Row<Asking,    Free,         Taking,    EmitTake,     none>,
+    Row<Asking,    StopAsked,    Released,  EmitReleased, none>,
+    Row<Taking,    Took,         Holding,   EmitGranted,  none>,
+    Row<Taking,    TakeFailed,   Watching,  WatchAnew,    none>,
+    Row<Holding,   Gone,         Watching,  LoseAndWatch, none>,
+    Row<Holding,   StopAsked,    Releasing, none,         none>,
+    Row<Releasing, Gone,         Released,  EmitReleased, none>,
+    Row<Releasing, Freed,        Released,  EmitReleased, none>
+  > {};
+  // clang-format on
+
+  template <typename Event, typename Fsm>
+  void no_transition(const Event&, Fsm&, int) {}
+
+  LeaseBook* book = nullptr;
+};
+
+using Machine = msm::back::state_machine<LeaseDef>;
+
+}  // namespace
+
+struct CellLease::Impl {
+  Impl(base::Incarnation self, std::string endpoint, LeaseTimes times) {
+    book.self = std::move(self);
+    book.endpoint = std::move(endpoint);
+    book.times = times;
+    machine.book = &book;
+    machine.start();
+  }
+
+  template <typename Event>
+  void Feed(const Event& event) {
+    machine.process_event(event);
+  }
+
+  bool Is(LeasePhase phase) const { return book.phase == phase; }
+
+  void Lose(std::string reason) {
+    book.lost_reason = std::move(reason);
+    Feed(Gone{});
+  }
+
+  void NoteTableFailure() {
+    book.table_failed_at = book.now;
+    book.unchanged_since.reset();
+    book.next_step = book.now + book.times.read_every;
+  }
+
+  // Each Note writes one event into the book and feeds what follows from it.
+
+  void Note(const RowRead& event) {
+    book.reading = false;
+    switch (book.phase) {
+      case LeasePhase::kWatching:
+        return Observe(event);
+      case LeasePhase::kTaking:
+        return ResolveTake(event);
+      case LeasePhase::kHolding:
+        return ResolveRenewal(event);
+      case LeasePhase::kReleasing:
+        return ResolveRelease(event);
+      case LeasePhase::kAsking:
+      case LeasePhase::kReleased:
+        return;
+    }
+  }
+
+  void Note(const RowReadFailed&) {
+    book.reading = false;
+    NoteTableFailure();
+    const bool lapsed = book.now - book.write_sent > book.times.length;
+    if (Is(LeasePhase::kTaking) && lapsed) Feed(TakeFailed{});
+  }
+
+  void Note(const LeaseWritten& event) {
+    book.writing = false;
+    book.table_failed_at.reset();
+    switch (book.phase) {
+      case LeasePhase::kTaking:
+        book.row_version = event.row_version;
+        book.fence_version = event.fence_version;
+        return Grant();
+      case LeasePhase::kHolding:
+        book.row = book.written;
+        book.row_version = event.row_version;
+        return Renewed();
+      case LeasePhase::kReleasing:
+        // The answer may be that of a renewal sent before the release.
+        book.row_version = event.row_version;
+        if (!book.written.holder.empty()) return WriteRelease();
+        return Feed(Freed{});
+      case LeasePhase::kWatching:
+      case LeasePhase::kAsking:
+      case LeasePhase::kReleased:
+        return;
+    }
+  }
+
+  void Note(const LeaseConflict&) {
+    book.writing = false;
+    if (Is(LeasePhase::kTaking)) return Feed(TakeFailed{});
+    if (Is(LeasePhase::kHolding) || Is(LeasePhase::kReleasing)) book.Read();
+  }
+
+  void Note(const LeaseNotWritten&) {
+    book.writing = false;
+    NoteTableFailure();
+    if (Is(LeasePhase::kTaking)) Feed(TakeFailed{});
+  }
+
+  void Note(const LeaseUnknown&) {
+    book.writing = false;
+    NoteTableFailure();
+    if (Is(LeasePhase::kWatching) || Is(LeasePhase::kAsking)) return;
+    book.Read();
+  }
+
+  void Note(const HolderAnswered& event) {
+    if (!Is(LeasePhase::kAsking)) return;
+    switch (event.state) {
+      case HolderState::kHolding:
+        return Feed(HolderLives{});
+      case HolderState::kNotHolding:
+        return Feed(Free{});
+      case HolderState::kHoldingWithoutTable:
+        // It renews first when the table has come back. If the row is still
+        // unchanged after one more lease, only its own way is cut.
+        if (book.spared_version == book.row_version) return Feed(Free{});
+        book.spared_version = book.row_version;
+        return Feed(HolderLives{});
+    }
+  }
+
+  void Note(const HolderSilent&) {
+    if (Is(LeasePhase::kAsking)) Feed(Free{});
+  }
+
+  void Note(const EpochRefused& event) {
+    book.highest_epoch_seen =
+        std::max(book.highest_epoch_seen, event.epoch_seen);
+    if (Is(LeasePhase::kHolding)) Lose("a later owner has been seen");
+  }
+
+  void Note(const ReleaseAsked&) {
+    book.release_wanted = true;
+    Feed(StopAsked{});
+    if (Is(LeasePhase::kReleasing) && !book.writing) WriteRelease();
+  }
+
+  void Note(const LookAsked&) {
+    if (Is(LeasePhase::kWatching)) book.Read();
+  }
+
+  void Note(const LeaseTime&) {
+    if (book.now < book.next_step) return;
+    book.next_step = book.now + book.times.read_every;
+    if (book.reading || book.writing) return;
+    switch (book.phase) {
+      case LeasePhase::kWatching:
+      case LeasePhase::kTaking:
+        return book.Read();
+      case LeasePhase::kHolding:
+        return book.WriteOwnRow(book.self, book.epoch, false);
+      case LeasePhase::kReleasing:
+        return WriteRelease();
+      case LeasePhase::kAsking:
+      case LeasePhase::kReleased:
+        return;
+    }
+  }
+
+  /// A candidate has seen the row.
+  void Observe(const RowRead& event) {
+    const auto max_gap = book.times.length / 2;
+    const bool gap = book.now - book.last_good_read > max_gap;
+    const bool changed = event.row_version != book.row_version;
+    if (gap || changed || !book.unchanged_since) {
+      book.unchanged_since = book.now;
+    }
+    book.last_good_read = book.now;
+    book.row = event.row.value_or(HolderRow());
+    book.row_version = event.row_version;
+    if (book.writing) return;
+    const auto& holder = book.row.holder;
+    if (holder.empty() || holder == book.self) return Feed(Free{});
+    // Unchanged at least until the read was sent.
+    const auto unchanged_for = book.read_sent - *book.unchanged_since;
+    if (unchanged_for < book.times.length + book.times.margin) return;
+    Feed(LooksExpired{});
+  }
+
+  void ResolveTake(const RowRead& event) {
+    const bool ours = event.row && event.row->attempt == book.written.attempt;
+    if (!ours) {
+      Feed(TakeFailed{});
+      return;
+    }
+    book.row_version = event.row_version;
+    book.fence_version = event.fence_version;
+    book.table_failed_at.reset();
+    Grant();
+  }
+
+  void Grant() {
+    book.row = book.written;
+    book.epoch = book.written.epoch;
+    book.valid_until = book.write_sent + book.times.length;
+    if (book.now >= book.valid_until) return Feed(TakeFailed{});
+    book.next_step = book.write_sent + book.times.renew_every;
+    Feed(Took{});
+    if (!book.release_wanted) return;
+    Feed(StopAsked{});
+    WriteRelease();
+  }
+
+  void Renewed() {
+    book.valid_until = book.write_sent + book.times.length;
+    book.table_failed_at.reset();
+    book.next_step = book.write_sent + book.times.renew_every;
+  }
+
+  void ResolveRenewal(const RowRead& event) {
+    if (!event.row || !book.IsOurs(*event.row)) {
+      return Lose("another process has taken the cell");
+    }
+    book.row_version = event.row_version;
+    if (event.row->attempt == book.written.attempt) return Renewed();
+    book.WriteOwnRow(book.self, book.epoch, false);
+  }
+
+  void ResolveRelease(const RowRead& event) {
+    if (!event.row || !book.IsOurs(*event.row)) return Feed(Freed{});
+    book.row_version = event.row_version;
+    WriteRelease();
+  }
+
+  void WriteRelease() {
+    book.WriteOwnRow(base::Incarnation(), book.epoch, false);
+  }
+
+  bool MayAct(base::TimePoint now) const {
+    if (!Is(LeasePhase::kHolding)) return false;
+    if (now - book.last_handled > book.times.length) return false;
+    if (now < book.valid_until) return true;
+    return book.table_failed_at &&
+           now - *book.table_failed_at <= book.times.length;
+  }
+
+  /// A holder that was paused, or whose calls hang, finds out first of all.
+  void CheckLapse() {
+    const bool holds = Is(LeasePhase::kHolding);
+    if (holds && !MayAct(book.now)) return Lose("the lease has lapsed");
+    const bool releasing = Is(LeasePhase::kReleasing);
+    if (releasing && book.now >= book.valid_until) Feed(Freed{});
+  }
+
+  std::vector<LeaseCommand> Handle(const LeaseEvent& event,
+                                   base::TimePoint now) {
+    book.now = now;
+    CheckLapse();
+    book.last_handled = now;
+    std::visit([this](const auto& it) { Note(it); }, event);
+    return std::exchange(book.out, {});
+  }
+
+  LeaseBook book;
+  Machine machine;
+};
+
+CellLease::CellLease(base::Incarnation self, std::string endpoint,
+                     LeaseTimes times)
+    : impl_(std::make_unique<Impl>(std::move(self), std::move(endpoint),
+                                   times)) {}
+CellLease::~CellLease() = default;
+CellLease::CellLease(CellLease&&) noexcept = default;
+CellLease& CellLease::operator=(CellLease&&) noexcept = default;
+
+std::vector<LeaseCommand> CellLease::Begin(base::TimePoint now) {
+  impl_->book.next_step = now;
+  return impl_->Handle(LeaseTime{}, now);
+}
+
+std::vector<LeaseCommand> CellLease::Handle(const LeaseEvent& event,
+                                            base::TimePoint now) {
+  return impl_->Handle(event, now);
+}
+
+base::TimePoint CellLease::wake_at() const { return impl_->book.next_step; }
+
+bool CellLease::MayAct(base::TimePoint now) const { return impl_->MayAct(now); }
+
+bool CellLease::WithoutTable(base::TimePoint now) const {
+  return impl_->MayAct(now) && impl_->book.table_failed_at.has_value();
+}
+
+HolderState CellLease::state(base::TimePoint now) const {
+  if (!impl_->MayAct(now)) return HolderState::kNotHolding;
+  return WithoutTable(now) ? HolderState::kHoldingWithoutTable
+                           : HolderState::kHolding;
+}
+
+Epoch CellLease::epoch() const { return impl_->book.epoch; }
+
+const base::Incarnation& CellLease::holder() const {
+  return impl_->book.row.holder;
+}
+
+}  // namespace lapishatch::lifecycle
--- a/src/lifecycle/cell_lease.h
+++ b/src/lifecycle/cell_lease.h
@@ -28,8 +28,8 @@
   base::Duration margin{500};
   /// Between the holder's renewals.
   base::Duration renew_every{3'000};
-  /// Between a candidate's reads.
-  base::Duration read_every{1'000};
+  /// Between a candidate's reads, and between tries when the table fails.
+  base::Duration read_every{2'000};
 };
 
 /// A cell's row: who holds the cell.
@@ -45,14 +45,15 @@
 
 // What happens to a lease.
 
-/// The rows were read. The fence is the row that changes only with the owner.
+/// The row was read, and the fence (the row that changes only with the owner)
+/// when the row names this process.
 struct RowRead {
   std::optional<HolderRow> row;
   std::uint64_t row_version = 0;
   std::uint64_t fence_version = 0;
 };
 struct RowReadFailed {};
-/// The last write took effect.
+/// The last write took effect. `fence_version` counts when it was a take.
 struct LeaseWritten {
   std::uint64_t row_version = 0;
   std::uint64_t fence_version = 0;
@@ -68,7 +69,9 @@
 };
 struct HolderSilent {};
 /// A worker or the table has seen a later owner.
-struct EpochRefused {};
+struct EpochRefused {
+  Epoch epoch_seen = 0;
+};
 /// Planned stop.
 struct ReleaseAsked {};
 /// Look at the row at once.
@@ -84,11 +87,11 @@
 
 /// Read the cell's row and its fence. Answer: RowRead or RowReadFailed.
 struct ReadRow {};
-/// Write `row` on condition of both versions; the fence too when `take`.
+/// Write `row` on condition that it has `row_version`; the fence too, in the
+/// same transaction, when `take`.
 struct WriteRow {
   HolderRow row;
   std::uint64_t row_version = 0;
-  std::uint64_t fence_version = 0;
   bool take = false;
 };
 struct AskHolder {
--- a/src/lifecycle/gang_machine.h
+++ b/src/lifecycle/gang_machine.h
@@ -148,9 +148,9 @@
   /// A new attempt.
   std::vector<GangCommand> Begin(base::TimePoint now);
 
-  /// An attempt of an earlier owner, with what its workers say of each member.
-  /// Goes on when every member runs, has finished, or is not yet known
-  /// (kStartSent); otherwise the whole gang stops.
+  /// An attempt of an earlier owner, with what its workers say of each member
+  /// (kRunning for one whose worker is not reached yet: it may run). Goes on
+  /// when every member runs or has finished; otherwise the whole gang stops.
   std::vector<GangCommand> Adopt(std::vector<MemberState> members,
                                  base::TimePoint now);
 
--- a/src/scheduler/owner_options.h
+++ b/src/scheduler/owner_options.h
@@ -22,8 +22,9 @@
   lifecycle::GangTimes gang;
   placement::PlannerOptions planner;
 
-  /// A reservation lapses after this unless started.
-  base::Duration reservation{6'000};
+  /// A reservation lapses after this unless started: longer than a gang may
+  /// take to reserve and to record.
+  base::Duration reservation{8'000};
   /// Lease of a started task until every member of its gang is confirmed.
   base::Duration start_lease{6'000};
   /// Lease of a confirmed task: longer than a failover.
@@ -34,7 +35,10 @@
 
   /// How long a worker may hold back a report without news.
   base::Duration poll_wait{20'000};
-  /// Pause after a failed report before the next.
+  /// Pause between reports, so that changes close together come in one.
+  base::Duration poll_spacing{100};
+  /// Pause after a failed report, and between reports while the end of a task
+  /// waits to be recorded.
   base::Duration poll_retry{1'000};
   /// A worker not reached for this long counts as lost: its gangs stop.
   base::Duration lost_after{15'000};
--- /dev/null
+++ b/test/scheduler/owner_rig.h
@@ -0,0 +1,165 @@
+#ifndef LAPISHATCH_TEST_SCHEDULER_OWNER_RIG_H_
+#define LAPISHATCH_TEST_SCHEDULER_OWNER_RIG_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/fakes.h"
+#include "scheduler/rows.h"
+#include "scheduler/scheduler.h"
+
+namespace lapishatch::scheduler {
+
+/// One process that takes part in the cell.
+struct RigProcess {
+  RigProcess(OwnerOptions options, fakes::VirtualTime& time,
+             fakes::FakeTable& table, fakes::FakeWorkers& workers,
+             fakes::FakeOwners& owners, fakes::FakeJobFeed& feed)
+      : endpoint(options.endpoint),
+        loop(time),
+        table_view(table, loop),
+        workers_view(workers, loop),
+        probe(owners, loop),
+        owner(std::make_unique<CellOwner>(
+            std::move(options),
+            OwnerPorts{loop, table_view, workers_view, probe, feed, nullptr})) {
+    owners.Add(endpoint, loop, [this](const base::Incarnation& holder) {
+      return owner->AnswerProbe(holder);
+    });
+  }
+
+  http::Endpoint endpoint;
+  fakes::FakeProcess loop;
+  fakes::FakeTableView table_view;
+  fakes::FakeWorkersView workers_view;
+  fakes::FakeOwnerProbe probe;
+  std::unique_ptr<CellOwner> owner;
+};
+
+/// A cell in virtual time: workers of 8 accelerators, 4 to a rack, a table, and
+/// as many processes as a test starts.
+class OwnerRig {
+ public:
+  explicit OwnerRig(int worker_count)
+      : table(time), workers(time), owners(time), feed(time) {
+    std::vector<CellWorker> list;
+    for (int i = 0; i < worker_count; ++i) list.push_back(AddWorker(i));
+    feed.SetWorkers(list);
+    time.RunFor(base::Duration(1));
+  }
+
+  static http::Endpoint EndpointOf(int worker) {
+    return {"10.0.0.1", static_cast<std::uint16_t>(7'000 + worker)};
+  }
+
+  /// Options of a new process.
+  OwnerOptions Options() {
+    const int n = ++processes_;
+    OwnerOptions options;
+    options.cell = cell;
+    options.domain = base::DomainName("mixco");
+    options.incarnation = base::Incarnation("process-" + std::to_string(n));
+    options.endpoint = {"10.0.1.1", static_cast<std::uint16_t>(9'000 + n)};
+    return options;
+  }
+
+  std::unique_ptr<RigProcess> StartProcess() { return StartProcess(Options()); }
+
+  std::unique_ptr<RigProcess> StartProcess(OwnerOptions options) {
+    auto process = std::make_unique<RigProcess>(std::move(options), time, table,
+                                                workers, owners, feed);
+    process->owner->Start();
+    return process;
+  }
+
+  /// The process dies: its object is gone and nothing of it runs any more.
+  void Kill(std::unique_ptr<RigProcess>& process) {
+    owners.Remove(process->endpoint);
+    process.reset();
+  }
+
+  AcceptedJob Job(const std::string& name, int tasks, int accelerators,
+                  bool idempotent = true) const {
+    AcceptedJob job;
+    job.name = base::JobName(name);
+    job.spec.organisation = base::OrganisationName("bertolini");
+    job.spec.tasks = tasks;
+    job.spec.needs = {accelerators, 4, 1'024};
+    job.spec.adjacency = placement::Adjacency::kDomain;
+    job.spec.idempotent = idempotent;
+    job.spec.payload = R"({"run_ms":60000})";
+    return job;
+  }
+
+  std::optional<config::JobStatus> StatusOf(const std::string& job) const {
+    const auto row = table.Peek(StatusKey(base::JobName(job)));
+    if (!row) return std::nullopt;
+    const auto status = DecodeStatusRow(row->value);
+    if (!status) return std::nullopt;
+    return status->status;
+  }
+
+  bool HasPhase(const std::string& job, config::JobPhase phase) const {
+    const auto status = StatusOf(job);
+    return status && status->phase == phase;
+  }
+
+  bool RunUntilPhase(const std::string& job, config::JobPhase phase,
+                     base::Duration limit) {
+    return time.RunUntil([&] { return HasPhase(job, phase); }, limit);
+  }
+
+  bool RunUntilOwning(const RigProcess& process, base::Duration limit) {
+    return time.RunUntil(
+        [&] { return process.owner->Status().phase == OwnerPhase::kOwning; },
+        limit);
+  }
+
+  std::optional<Intent> IntentOf(const std::string& job) const {
+    const auto row = table.Peek(IntentKey(base::JobName(job)));
+    return row ? DecodeIntent(row->value) : std::nullopt;
+  }
+
+  int RunningTasksOf(const std::string& job) {
+    return workers.RunningTasksOf(base::JobName(job));
+  }
+
+  /// Starts of tasks of `job` at all workers since the beginning.
+  int StartsOf(const std::string& job) {
+    int n = 0;
+    for (const auto& it : workers.endpoints()) {
+      n += workers.model(it).StartsOf(base::JobName(job));
+    }
+    return n;
+  }
+
+  /// The worker of a running job's task.
+  http::Endpoint WorkerOf(const std::string& job, std::size_t task) const {
+    const auto name = IntentOf(job)->members.at(task).worker.str();
+    return EndpointOf(std::stoi(name.substr(1)));
+  }
+
+  const base::CellName cell{"mixco-1"};
+  fakes::VirtualTime time;
+  fakes::FakeTable table;
+  fakes::FakeWorkers workers;
+  fakes::FakeOwners owners;
+  fakes::FakeJobFeed feed;
+
+ private:
+  CellWorker AddWorker(int i) {
+    standins::WorkerModelOptions options;
+    options.name = base::WorkerName("w" + std::to_string(i));
+    options.rack = base::RackName("r" + std::to_string(i / 4));
+    workers.Add(EndpointOf(i), options);
+    return {options.name, EndpointOf(i), options.rack, false};
+  }
+
+  int processes_ = 0;
+};
+
+}  // namespace lapishatch::scheduler
+
+#endif  // LAPISHATCH_TEST_SCHEDULER_OWNER_RIG_H_
