--- a/src/membership/spreader.cc
+++ b/src/membership/spreader.cc
@@ -29,9 +29,13 @@
                        std::vector<std::string> entries) {
   auto* it = Find(log);
   if (it == nullptr) return;
-  const auto before = it->version;
-  Accept(*it, first_version, std::move(entries));
-  if (it->version > before) SchedulePush(*it, before + 1);
+  auto version = first_version;
+  for (const auto& entry : entries) {
+    if (IsNew(*it, version)) it->to_push.try_emplace(version, entry);
+    ++version;
+  }
+  Accept(*it, first_version, entries);
+  SchedulePush(*it);
 }
 
 void Spreader::SkipTo(const LogName& log, LogVersion version) {
@@ -41,10 +45,7 @@
   it->heard = std::max(it->heard, version);
   it->recent.clear();
   it->recent_bytes = 0;
-  it->push_from.reset();
-  const auto before = it->version;
-  Accept(*it, version + 1, {});
-  if (it->version > before) SchedulePush(*it, before + 1);
+  ApplyPending(*it);
 }
 
 LogVersion Spreader::version(const LogName& log) const {
@@ -80,22 +81,26 @@
   auto* log = Find(message.log);
   if (log == nullptr) return;
   const auto peer = PeerOf(from);
+  log->heard = std::max(log->heard, message.head);
   if (message.entries.empty()) {
     if (message.first_version > log->version + 1) StartTransfer(*log, peer);
     return;
   }
   const auto before = log->version;
-  Accept(*log, message.first_version, std::move(message.entries));
-  if (log->version > before) {
-    log->pull_until = base::TimePoint();
-    if (message.pass_on) PassOn(*log, before + 1, from);
+  const bool is_news = Accept(*log, message.first_version, message.entries);
+  if (log->version > before) log->pull_until = base::TimePoint();
+  const auto head = message.head;
+  if (is_news && message.pass_on) {
+    message.pass_on = false;
+    message.head = log->version;
+    SendInDomain(message, from.name);
   }
-  const bool has_gap = log->version < log->heard;
-  if (!has_gap || log->transfer || loop_.Now() < log->pull_until) return;
+  if (head <= log->version || log->transfer) return;
+  if (loop_.Now() < log->pull_until) return;
   if (log->version == before) {
-    base::Log(base::events::kLogGap, {{"log", log->name.str()},
-                                      {"version", log->version},
-                                      {"heard", log->heard}});
+    base::Log(
+        base::events::kLogGap,
+        {{"log", log->name.str()}, {"version", log->version}, {"head", head}});
   }
   Pull(*log, peer);
 }
@@ -107,39 +112,57 @@
   const auto* log = Find(pull.log);
   if (log == nullptr || pull.first_version > log->version) return;
   const auto oldest = log->version - log->recent.size() + 1;
-  if (pull.first_version < oldest) {
-    transport_.Send(PeerOf(from),
-                    wire::LogEntries{log->name, log->version + 1, {}, false});
-    return;
+  wire::LogEntries message{
+      log->name, log->version + 1, {}, false, log->version};
+  if (pull.first_version >= oldest) {
+    message.first_version = pull.first_version;
+    std::size_t bytes = 0;
+    for (auto v = pull.first_version; v <= log->version; ++v) {
+      const auto& entry = log->recent[v - oldest];
+      if (!Fits(message, v, bytes, entry)) break;
+      message.entries.push_back(entry);
+      bytes += entry.size();
+    }
   }
-  const auto chunks = Chunks(*log, pull.first_version, log->version);
-  transport_.Send(PeerOf(from), chunks.front());
+  transport_.Send(PeerOf(from), message);
+}
+
+/// Whether a change was neither applied nor is it waiting for earlier ones.
+bool Spreader::IsNew(const Log& log, LogVersion version) {
+  return version > log.version && !log.pending.contains(version);
 }
 
 /// Applies what follows the present version and keeps what comes after a gap.
-/// Returns the version that is now reached.
-LogVersion Spreader::Accept(Log& log, LogVersion first,
-                            std::vector<std::string> items) {
-  for (auto& it : items) {
-    const auto version = first++;
-    if (version <= log.version) {
+/// Whether any of it was new.
+bool Spreader::Accept(Log& log, LogVersion first,
+                      const std::vector<std::string>& items) {
+  bool is_news = false;
+  auto version = first;
+  for (const auto& it : items) {
+    const auto present = version++;
+    if (!IsNew(log, present)) {
       ++counts_.entries_repeated;
       continue;
     }
-    log.heard = std::max(log.heard, version);
-    if (version == log.version + 1) {
-      Apply(log, std::move(it));
+    is_news = true;
+    log.heard = std::max(log.heard, present);
+    if (present == log.version + 1) {
+      Apply(log, it);
     } else if (log.pending.size() < options_.max_pending) {
-      log.pending.try_emplace(version, std::move(it));
+      log.pending.emplace(present, it);
     }
   }
+  ApplyPending(log);
+  return is_news;
+}
+
+void Spreader::ApplyPending(Log& log) {
   while (!log.pending.empty()) {
     const auto it = log.pending.begin();
-    if (it->first > log.version + 1) break;
+    if (it->first > log.version + 1) return;
     if (it->first == log.version + 1) Apply(log, std::move(it->second));
     log.pending.erase(it);
   }
-  return log.version;
 }
 
 void Spreader::Apply(Log& log, std::string entry) {
@@ -160,68 +183,66 @@
   }
 }
 
-void Spreader::SchedulePush(Log& log, LogVersion from) {
-  if (log.push_from) return;
-  log.push_from = from;
+void Spreader::SchedulePush(Log& log) {
+  if (log.to_push.empty() || log.push_due) return;
+  log.push_due = true;
   loop_.After(options_.spread_delay, [alive = alive_, this, name = log.name] {
-    if (!*alive) return;
-    auto* it = Find(name);
-    if (it->push_from) Push(*it);
+    if (*alive) Push(*Find(name));
   });
 }
 
+/// Sends what was published here, in as few messages as fit.
+void Spreader::Push(Log& log) {
+  log.push_due = false;
+  const auto to_push = std::exchange(log.to_push, {});
+  wire::LogEntries message{log.name, 0, {}, false, log.version};
+  std::size_t bytes = 0;
+  for (const auto& [version, entry] : to_push) {
+    if (!message.entries.empty() && !Fits(message, version, bytes, entry)) {
+      PushMessage(std::exchange(
+          message, wire::LogEntries{log.name, 0, {}, false, log.version}));
+      bytes = 0;
+    }
+    if (message.entries.empty()) message.first_version = version;
+    message.entries.push_back(entry);
+    bytes += entry.size();
+  }
+  PushMessage(std::move(message));
+}
+
 /// To all of the own domain, and to one member of each other, which passes it
 /// on. Who that is differs from change to change, so that no process carries
 /// the load of its domain.
-void Spreader::Push(Log& log) {
-  const auto from = *std::exchange(log.push_from, std::nullopt);
-  const auto& self = group_.self();
-  for (auto& it : Chunks(log, from, log.version)) {
-    for (const auto* member : group_.table().PresentIn(self.domain)) {
-      if (member->identity.name == self.name) continue;
-      transport_.Send(PeerOf(member->identity), it);
-    }
-    it.pass_on = true;
-    const auto key = log.name.str() + std::to_string(it.first_version);
-    for (const auto& domain : group_.table().Domains()) {
-      if (domain == self.domain || !group_.IsReachable(domain)) continue;
-      for (const auto* member : group_.table().Choose(domain, key, 1)) {
-        transport_.Send(PeerOf(member->identity), it);
-      }
+void Spreader::PushMessage(wire::LogEntries message) {
+  SendInDomain(message, group_.self().name);
+  message.pass_on = true;
+  const auto key = message.log.str() + std::to_string(message.first_version);
+  for (const auto& domain : group_.table().Domains()) {
+    if (domain == group_.self().domain) continue;
+    if (!group_.IsReachable(domain)) continue;
+    for (const auto* it : group_.table().Choose(domain, key, 1)) {
+      transport_.Send(PeerOf(it->identity), message);
     }
   }
 }
 
-void Spreader::PassOn(Log& log, LogVersion from, const wire::Identity& sender) {
+void Spreader::SendInDomain(const wire::LogEntries& message,
+                            const ProcessName& except) {
   const auto& self = group_.self();
-  for (const auto& it : Chunks(log, from, log.version)) {
-    for (const auto* member : group_.table().PresentIn(self.domain)) {
-      const auto& name = member->identity.name;
-      if (name == self.name || name == sender.name) continue;
-      transport_.Send(PeerOf(member->identity), it);
-    }
+  for (const auto* it : group_.table().PresentIn(self.domain)) {
+    const auto& name = it->identity.name;
+    if (name == self.name || name == except) continue;
+    transport_.Send(PeerOf(it->identity), message);
   }
 }
 
-/// The kept changes of a range, in messages of bounded size.
-std::vector<wire::LogEntries> Spreader::Chunks(const Log& log, LogVersion from,
-                                               LogVersion to) const {
-  std::vector<wire::LogEntries> chunks;
-  const auto oldest = log.version - log.recent.size() + 1;
-  std::size_t bytes = 0;
-  for (auto v = std::max(from, oldest); v <= to; ++v) {
-    const auto& entry = log.recent[v - oldest];
-    const bool is_full = !chunks.empty() &&
-                         (bytes + entry.size() > options_.max_message_bytes ||
-                          chunks.back().entries.size() >= wire::kMaxListItems);
-    if (chunks.empty() || is_full) {
-      chunks.push_back(wire::LogEntries{log.name, v, {}, false});
-      bytes = 0;
-    }
-    chunks.back().entries.push_back(entry);
-    bytes += entry.size();
-  }
-  return chunks;
+/// Whether `entry` may go into the message as its next one.
+bool Spreader::Fits(const wire::LogEntries& message, LogVersion version,
+                    std::size_t bytes, const std::string& entry) const {
+  const auto n = message.entries.size();
+  if (n == 0) return true;
+  return version == message.first_version + n && n < wire::kMaxListItems &&
+         bytes + entry.size() <= options_.max_message_bytes;
 }
 
 void Spreader::Pull(Log& log, const wire::Peer& peer) {
--- a/src/membership/spreader.h
+++ b/src/membership/spreader.h
@@ -109,6 +109,7 @@
     LogVersion version = 0;
     std::uint64_t total_bytes = 0;
     std::string bytes;
+    int failures = 0;
   };
   struct Snapshot {
     LogVersion version = 0;
@@ -123,8 +124,10 @@
     std::deque<std::string> recent;
     std::size_t recent_bytes = 0;
     std::map<LogVersion, std::string> pending;
-    /// The first change that was not pushed yet, while a push is due.
-    std::optional<LogVersion> push_from;
+    /// Changes published here that are to be pushed soon; some may come after
+    /// a gap that somebody else will close.
+    std::map<LogVersion, std::string> to_push;
+    bool push_due = false;
     base::TimePoint pull_until;
     std::optional<Transfer> transfer;
     std::optional<Snapshot> served;
@@ -132,14 +135,18 @@
 
   Log* Find(const LogName& name);
   const Log* Find(const LogName& name) const;
-  LogVersion Accept(Log& log, LogVersion first, std::vector<std::string> items);
+  static bool IsNew(const Log& log, LogVersion version);
+  bool Accept(Log& log, LogVersion first,
+              const std::vector<std::string>& items);
+  void ApplyPending(Log& log);
   void Apply(Log& log, std::string entry);
   void Trim(Log& log);
-  void SchedulePush(Log& log, LogVersion from);
+  void SchedulePush(Log& log);
   void Push(Log& log);
-  void PassOn(Log& log, LogVersion from, const wire::Identity& sender);
-  std::vector<wire::LogEntries> Chunks(const Log& log, LogVersion from,
-                                       LogVersion to) const;
+  void PushMessage(wire::LogEntries message);
+  void SendInDomain(const wire::LogEntries& message, const ProcessName& except);
+  bool Fits(const wire::LogEntries& message, LogVersion version,
+            std::size_t bytes, const std::string& entry) const;
   void Pull(Log& log, const wire::Peer& peer);
   void StartTransfer(Log& log, const wire::Peer& peer);
   void AskChunk(Log& log);
--- a/src/membership/spreader_snapshot.cc
+++ b/src/membership/spreader_snapshot.cc
@@ -9,7 +9,11 @@
 namespace {
 
 /// Wait for the answer to one chunk.
-constexpr base::Duration kChunkTimeout{2'000};
+constexpr base::Duration kChunkTimeout{1'000};
+
+/// Times in a row that a chunk is asked for in vain before the peer is given
+/// up.
+constexpr int kChunkTries = 4;
 
 }  // namespace
 
@@ -30,16 +34,23 @@
       });
 }
 
-/// Adds a chunk. Anything unexpected ends the transfer; the next head that is
-/// heard begins another, from whoever tells of it.
+/// Adds a chunk, or asks for it again when no answer came. Anything unexpected
+/// ends the transfer; the next head that is heard begins another, from whoever
+/// tells of it.
 void Spreader::OnChunk(const LogName& name, wire::AskResult result) {
   auto& log = *Find(name);
   if (!log.transfer) return;
   auto& transfer = *log.transfer;
   auto* answered = std::get_if<wire::Answered>(&result);
-  auto* chunk = answered == nullptr
-                    ? nullptr
-                    : std::get_if<wire::SnapshotAnswer>(&answered->answer);
+  if (answered == nullptr) {
+    if (++transfer.failures < kChunkTries) {
+      AskChunk(log);
+    } else {
+      log.transfer.reset();
+    }
+    return;
+  }
+  const auto* chunk = std::get_if<wire::SnapshotAnswer>(&answered->answer);
   const bool fits = chunk != nullptr &&
                     chunk->offset == transfer.bytes.size() &&
                     chunk->total_bytes <= options_.max_snapshot_bytes &&
@@ -48,6 +59,7 @@
     log.transfer.reset();
     return;
   }
+  transfer.failures = 0;
   transfer.version = chunk->version;
   transfer.total_bytes = chunk->total_bytes;
   transfer.bytes += chunk->bytes;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -293,6 +293,7 @@
     value.first_version = ToThrift(in.first_version);
     value.entries = in.entries;
     value.pass_on = in.pass_on;
+    value.head = ToThrift(in.head);
     out.__set_log_entries(value);
   }
   void operator()(const PullEntries& in) const {
@@ -363,7 +364,7 @@
     auto& value = in.log_entries;
     return LogEntries{LogName(std::move(value.log)),
                       FromThrift(value.first_version), std::move(value.entries),
-                      value.pass_on};
+                      value.pass_on, FromThrift(value.head)};
   }
   if (has.pull_entries) {
     return PullEntries{LogName(std::move(in.pull_entries.log)),
--- a/src/wire/gen/lapishatch_types.cpp
+++ b/src/wire/gen/lapishatch_types.cpp
@@ -1751,6 +1751,10 @@
   this->pass_on = val;
 }
 
+void LogEntries::__set_head(const int64_t val) {
+  this->head = val;
+}
+
 uint32_t LogEntries::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -1816,6 +1820,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->head);
+          this->__isset.head = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1857,6 +1869,10 @@
   xfer += oprot->writeBool(this->pass_on);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("head", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->head);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1868,6 +1884,7 @@
   swap(a.first_version, b.first_version);
   swap(a.entries, b.entries);
   swap(a.pass_on, b.pass_on);
+  swap(a.head, b.head);
   swap(a.__isset, b.__isset);
 }
 
@@ -1876,6 +1893,7 @@
   first_version = other96.first_version;
   entries = other96.entries;
   pass_on = other96.pass_on;
+  head = other96.head;
   __isset = other96.__isset;
 }
 LogEntries::LogEntries(LogEntries&& other97) noexcept {
@@ -1883,6 +1901,7 @@
   first_version = other97.first_version;
   entries = std::move(other97.entries);
   pass_on = other97.pass_on;
+  head = other97.head;
   __isset = other97.__isset;
 }
 LogEntries& LogEntries::operator=(const LogEntries& other98) {
@@ -1890,6 +1909,7 @@
   first_version = other98.first_version;
   entries = other98.entries;
   pass_on = other98.pass_on;
+  head = other98.head;
   __isset = other98.__isset;
   return *this;
 }
@@ -1898,6 +1918,7 @@
   first_version = other99.first_version;
   entries = std::move(other99.entries);
   pass_on = other99.pass_on;
+  head = other99.head;
   __isset = other99.__isset;
   return *this;
 }
--- a/src/wire/gen/lapishatch_types.h
+++ b/src/wire/gen/lapishatch_types.h
@@ -763,11 +763,12 @@
 std::ostream& operator<<(std::ostream& out, const Members& obj);
 
 typedef struct _LogEntries__isset {
-  _LogEntries__isset() : log(false), first_version(false), entries(false), pass_on(false) {}
+  _LogEntries__isset() : log(false), first_version(false), entries(false), pass_on(false), head(false) {}
   bool log :1;
   bool first_version :1;
   bool entries :1;
   bool pass_on :1;
+  bool head :1;
 } _LogEntries__isset;
 
 class LogEntries : public virtual ::apache::thrift::TBase {
@@ -780,7 +781,8 @@
   LogEntries() noexcept
              : log(),
                first_version(0),
-               pass_on(0) {
+               pass_on(0),
+               head(0) {
   }
 
   virtual ~LogEntries() noexcept;
@@ -788,6 +790,7 @@
   int64_t first_version;
   std::vector<std::string>  entries;
   bool pass_on;
+  int64_t head;
 
   _LogEntries__isset __isset;
 
@@ -799,6 +802,8 @@
 
   void __set_pass_on(const bool val);
 
+  void __set_head(const int64_t val);
+
   bool operator == (const LogEntries & rhs) const
   {
     if (!(log == rhs.log))
@@ -809,6 +814,8 @@
       return false;
     if (!(pass_on == rhs.pass_on))
       return false;
+    if (!(head == rhs.head))
+      return false;
     return true;
   }
   bool operator != (const LogEntries &rhs) const {
--- a/src/wire/lapishatch.thrift
+++ b/src/wire/lapishatch.thrift
@@ -88,6 +88,8 @@
   3: list<binary> entries
   // The receiver passes them on in its failure domain.
   4: bool pass_on
+  // Up to which the sender has the log without a gap.
+  5: i64 head
 }
 
 struct PullEntries {
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -135,6 +135,8 @@
   std::vector<std::string> entries;
   /// The receiver passes them on in its failure domain.
   bool pass_on = false;
+  /// Version up to which the sender has the log without a gap.
+  LogVersion head = 0;
 
   friend bool operator==(const LogEntries&, const LogEntries&) = default;
 };
--- a/test/wire/asio_transport_test.cc
+++ b/test/wire/asio_transport_test.cc
@@ -98,7 +98,7 @@
   constexpr std::uint64_t kCount = 300;
   for (std::uint64_t i = 0; i < kCount; ++i) {
     const LogEntries entries{
-        LogName("jobs"), i, {std::string(i * 20, 'x')}, false};
+        LogName("jobs"), i, {std::string(i * 20, 'x')}, false, 0};
     REQUIRE(a.transport->Send(PeerOf(b.identity), entries));
   }
   REQUIRE(RunUntil(io, [&] { return b.received.size() == kCount; }));
@@ -116,7 +116,7 @@
   for (int i = 0; i < 3; ++i) CHECK(a.transport->Send(nobody, Ping{}));
   CHECK_FALSE(a.transport->Send(nobody, Ping{}));
   const LogEntries large{
-      LogName("jobs"), 1, {std::string(kMaxMessageBytes, 'x')}, false};
+      LogName("jobs"), 1, {std::string(kMaxMessageBytes, 'x')}, false, 0};
   CHECK_FALSE(a.transport->Send(Peer{Endpoint{"127.0.0.1", 10}, {}}, large));
   CHECK(a.transport->counts().messages_dropped == 2);
 }
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -106,7 +106,7 @@
     case 7:
       return LogEntries{*AnyId<LogName>(), *AnyNumber(),
                         *rc::gen::arbitrary<std::vector<std::string>>(),
-                        *rc::gen::arbitrary<bool>()};
+                        *rc::gen::arbitrary<bool>(), *AnyNumber()};
     case 8:
       return PullEntries{*AnyId<LogName>(), *AnyNumber()};
     case 9:
