--- a/testing/fakes/fakes.h
+++ b/testing/fakes/fakes.h
@@ -8,6 +8,7 @@
 #include "fakes/fake_job_feed.h"
 #include "fakes/fake_network.h"
 #include "fakes/fake_owner_probe.h"
+#include "fakes/fake_objects.h"
 #include "fakes/fake_process.h"
 #include "fakes/fake_runners.h"
 #include "fakes/fake_table.h"
