--- a/src/placement/cell.cc
+++ b/src/placement/cell.cc
@@ -68,23 +68,33 @@
 }
 
 WorkerIndex Cell::Put(const WorkerSpec& spec) {
-  auto [it, added] = by_name_.try_emplace(spec.name, size());
-  if (added) workers_.emplace_back();
-  auto& worker = workers_[it->second];
-  auto [rack, new_rack] = racks_by_name_.try_emplace(spec.rack, racks());
+  const auto [it, added] = by_name_.try_emplace(spec.name, size());
+  const auto index = it->second;
+  if (added) {
+    workers_.emplace_back();
+    specs_.emplace_back();
+  }
+  const auto [rack, new_rack] = racks_by_name_.try_emplace(spec.rack, racks());
   if (new_rack) rack_workers_.emplace_back();
+  auto& worker = workers_[index];
   if (worker.rack != rack->second) {
-    if (worker.rack != kNone)
-      std::erase(rack_workers_[worker.rack], it->second);
+    if (worker.rack != kNone) std::erase(rack_workers_[worker.rack], index);
     auto& members = rack_workers_[rack->second];
-    members.insert(std::lower_bound(members.begin(), members.end(), it->second),
-                   it->second);
+    members.insert(std::lower_bound(members.begin(), members.end(), index),
+                   index);
   }
-  worker.spec = spec;
+  specs_[index] = spec;
   worker.rack = rack->second;
   worker.type = TypeOf(spec);
+  worker.capacity = spec.accelerators;
   worker.present = true;
-  return it->second;
+  return index;
+}
+
+int Cell::largest() const {
+  int largest = 0;
+  for (const auto& it : types_) largest = std::max(largest, it.accelerators);
+  return largest;
 }
 
 WorkerIndex Cell::Find(const base::WorkerName& name) const {
--- a/src/placement/cell_facts.cc
+++ b/src/placement/cell_facts.cc
@@ -40,6 +40,25 @@
     return internal::ChargeOn(it->second->spec, gang.gang.needs);
   }
 
+  static bool Open(const WorkerFact& it) {
+    return it.present && it.health == WorkerHealth::kHealthy;
+  }
+
+  /// What an organisation runs on a worker as its own, in accelerators.
+  int OwnOn(const base::OrganisationName& organisation,
+            const base::WorkerName& worker) const {
+    int own = 0;
+    for (const auto& it : facts_->gangs) {
+      if (it.placement.borrowed || it.gang.organisation != organisation) {
+        continue;
+      }
+      for (const auto& task : it.placement.tasks) {
+        if (task.worker == worker) own += ChargeOf(it, task);
+      }
+    }
+    return own;
+  }
+
   /// Whole, and as close together as it asked.
   void CheckGang(const GangFact& it) {
     const auto& name = it.gang.job.str();
@@ -108,6 +127,11 @@
         continue;
       }
       racks.insert(worker->second->spec.rack);
+      if (it.intact && !Open(*worker->second) &&
+          OwnOn(it.organisation, part.worker) < part.accelerators) {
+        Fail("a block of " + it.organisation.str() +
+             " is on a worker that takes nothing new");
+      }
       if (part.accelerators < worker->second->spec.accelerators) {
         ++broken_workers;
       }
@@ -157,16 +181,6 @@
       Fail("work of " + key.first.str() + " on worker " + key.second.str() +
            " is neither borrowed nor in a guaranteed block");
     }
-    // What a block has free on a worker that takes no new work is not there.
-    for (const auto& [key, count] : claimed) {
-      const auto worker = workers_.find(key.second);
-      if (worker == workers_.end()) continue;
-      if (worker->second->present &&
-          worker->second->health == WorkerHealth::kHealthy) {
-        continue;
-      }
-      if (own[key] < count) lost_.insert(key);
-    }
   }
 
   /// Every guarantee has its blocks, and those without a place are no more
@@ -188,7 +202,6 @@
 
   const CellFacts* facts_;
   std::map<base::WorkerName, const WorkerFact*> workers_;
-  std::set<OrganisationOnWorker> lost_;
   std::string problem_;
 };
 
--- a/src/placement/cell_facts.h
+++ b/src/placement/cell_facts.h
@@ -39,6 +39,11 @@
   base::OrganisationName organisation;
   Shape shape;
   bool guaranteed = true;
+  /// Whole: what no gang uses of it is on workers that take new work. One that
+  /// is not counts as a shortfall.
+  bool intact = true;
+  /// Gangs that run in it, or wait for evictions in it.
+  int gangs = 0;
   std::vector<BlockPart> parts = {};
 };
 
--- /dev/null
+++ b/src/placement/fragmentation.h
@@ -0,0 +1,26 @@
+#ifndef LAPISHATCH_PLACEMENT_FRAGMENTATION_H_
+#define LAPISHATCH_PLACEMENT_FRAGMENTATION_H_
+
+#include <vector>
+
+#include "placement/shape.h"
+
+namespace lapishatch::placement {
+
+/// What is free on one healthy worker.
+struct FreeWorker {
+  /// Number of its rack, from 0.
+  int rack = 0;
+  int accelerators = 0;
+  int free = 0;
+};
+
+/// Share, from 0 to 1, of the free accelerators that can't serve `shape`: the
+/// free ones less those in as many disjoint blocks of the shape as fit. Blocks
+/// beyond one worker take whole workers. 0 when nothing is free.
+double FragmentationOf(const std::vector<FreeWorker>& workers,
+                       const Shape& shape);
+
+}  // namespace lapishatch::placement
+
+#endif  // LAPISHATCH_PLACEMENT_FRAGMENTATION_H_
--- a/src/placement/gang_queue.cc
+++ b/src/placement/gang_queue.cc
@@ -1,6 +1,7 @@
 #include "placement/internal/gang_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "placement/internal/gang_state.h"
 
@@ -18,16 +19,16 @@
 }
 
 void GangQueue::Add(const Gang& gang) {
-  const bool added =
-      kinds_[KindOf(gang)].insert({gang.submitted, gang.job}).second;
-  if (added) ++size_;
+  auto& line = lines_[KindOf(gang)];
+  if (!line.gangs.insert({gang.submitted, gang.job}).second) return;
+  ++size_;
 }
 
 void GangQueue::Remove(const Gang& gang) {
-  const auto it = kinds_.find(KindOf(gang));
-  if (it == kinds_.end()) return;
-  size_ -= it->second.erase({gang.submitted, gang.job});
-  if (it->second.empty()) kinds_.erase(it);
+  const auto it = lines_.find(KindOf(gang));
+  if (it == lines_.end()) return;
+  size_ -= it->second.gangs.erase({gang.submitted, gang.job});
+  if (it->second.gangs.empty()) lines_.erase(it);
 }
 
 int GangQueue::ClassOf(base::WorkClass work_class, base::TimePoint submitted,
@@ -37,46 +38,69 @@
   return static_cast<int>(std::max<std::int64_t>(0, own - aged));
 }
 
-void GangQueue::Visit(
-    base::TimePoint now,
-    const std::function<double(const base::OrganisationName&)>& share,
-    const std::function<bool(const base::JobName&)>& visit) const {
-  struct Head {
-    Turn turn;
-    GangKind kind;
-
-    auto operator<=>(const Head&) const = default;
-  };
-  std::set<Head> heads;
-  const auto push = [&](const GangKind& kind) {
-    const auto it = kinds_.find(kind);
-    if (it == kinds_.end()) return;
-    const auto& oldest = *it->second.begin();
-    heads.insert(
-        {{.work_class = ClassOf(kind.work_class, oldest.submitted, now),
+GangQueue::Turn GangQueue::TurnOf(const GangKind& kind, const Waiting& waiting,
+                                  base::TimePoint now,
+                                  const ShareOf& share) const {
+  return {.work_class = ClassOf(kind.work_class, waiting.submitted, now),
           .share = share(kind.organisation),
-          .submitted = oldest.submitted,
-          .job = oldest.job},
-         kind});
-  };
-  for (const auto& it : kinds_) push(it.first);
-  while (!heads.empty()) {
-    auto head = *heads.begin();
-    heads.erase(heads.begin());
-    const double now_share = share(head.kind.organisation);
-    if (now_share != head.turn.share) {
-      head.turn.share = now_share;
-      heads.insert(std::move(head));
+          .oldest = waiting,
+          .kind = kind};
+}
+
+void GangQueue::Visit(base::TimePoint now, Generation generation,
+                      const ShareOf& share, const Visitor& visit) {
+  std::set<Turn> turns;
+  for (const auto& [kind, line] : lines_) {
+    if (line.failed == generation) continue;
+    turns.insert(TurnOf(kind, *line.gangs.begin(), now, share));
+  }
+  while (!turns.empty()) {
+    auto turn = std::move(turns.extract(turns.begin()).value());
+    const double present_share = share(turn.kind.organisation);
+    if (present_share != turn.share) {
+      turn.share = present_share;
+      turns.insert(std::move(turn));
       continue;
     }
-    if (visit(head.turn.job)) push(head.kind);
+    const bool taken = visit(turn.oldest.job);
+    const auto it = lines_.find(turn.kind);
+    if (it == lines_.end()) continue;
+    if (taken) {
+      turns.insert(TurnOf(turn.kind, *it->second.gangs.begin(), now, share));
+    } else {
+      it->second.failed = generation;
+    }
+  }
+}
+
+int GangQueue::PositionOf(const Gang& gang, base::TimePoint now,
+                          const ShareOf& share) const {
+  const auto kind = KindOf(gang);
+  const Waiting waiting{gang.submitted, gang.job};
+  const auto own = TurnOf(kind, waiting, now, share);
+  int before = 0;
+  for (const auto& [other, line] : lines_) {
+    for (const auto& it : line.gangs) {
+      if (TurnOf(other, it, now, share) < own) ++before;
+    }
+  }
+  const auto it = lines_.find(kind);
+  if (it == lines_.end() || !it->second.gangs.contains(waiting)) return 0;
+  return before + 1;
+}
+
+std::vector<base::JobName> GangQueue::Heads() const {
+  std::vector<base::JobName> heads;
+  for (const auto& it : lines_) {
+    heads.push_back(it.second.gangs.begin()->job);
   }
+  return heads;
 }
 
 std::vector<Waiting> GangQueue::All() const {
   std::vector<Waiting> all;
-  for (const auto& it : kinds_) {
-    all.insert(all.end(), it.second.begin(), it.second.end());
+  for (const auto& it : lines_) {
+    all.insert(all.end(), it.second.gangs.begin(), it.second.gangs.end());
   }
   return all;
 }
--- a/src/placement/guarantee_book.cc
+++ b/src/placement/guarantee_book.cc
@@ -8,18 +8,6 @@
 namespace lapishatch::placement::internal {
 namespace {
 
-/// Orders shapes so that greedy packing does best: the hardest to place first.
-/// With sizes that divide each other this order is exact.
-bool HarderThan(const Shape& a, const Shape& b) {
-  const bool a_domain = a.adjacency == Adjacency::kDomain;
-  const bool b_domain = b.adjacency == Adjacency::kDomain;
-  if (a.accelerators != b.accelerators && a_domain == b_domain) {
-    return a.accelerators > b.accelerators;
-  }
-  return std::tuple(a_domain, a.adjacency, -a.accelerators) <
-         std::tuple(b_domain, b.adjacency, -b.accelerators);
-}
-
 bool SameKind(const Block& block, const Guarantee& guarantee) {
   return block.organisation == guarantee.organisation &&
          block.shape == guarantee.shape;
@@ -27,18 +15,39 @@
 
 }  // namespace
 
+bool ShapeHolds(const Cell& cell, const Shape& shape, const Gang& gang) {
+  const WorkerSpec* largest = nullptr;
+  for (const auto& it : cell.types()) {
+    if (largest == nullptr || it.accelerators > largest->accelerators) {
+      largest = &it;
+    }
+  }
+  if (largest == nullptr || largest->accelerators == 0) return false;
+  const int size = largest->accelerators;
+  const int charge = ChargeOn(*largest, gang.needs);
+  const int whole = shape.accelerators / size;
+  const int rest = shape.accelerators % size;
+  // On one worker, which every shape has at least one piece of.
+  const int one = whole > 0 ? size : rest;
+  if (gang.tasks * charge <= one) return true;
+  if (shape.adjacency == Adjacency::kWorker) return false;
+  if (shape.adjacency > gang.adjacency) return false;
+  return whole * (size / charge) + rest / charge >= gang.tasks;
+}
+
 void GuaranteeBook::Set(const std::vector<Guarantee>& guarantees) {
   std::vector<int> wanted;
-  for (const auto& it : guarantees) wanted.push_back(it.count);
+  for (const auto& it : guarantees) wanted.push_back(std::max(0, it.count));
   std::vector<BlockIndex> order(blocks_.size());
   std::iota(order.begin(), order.end(), 0);
+  // Those in use are kept first, then those that have a place.
   std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) {
     return std::tuple(!blocks_[a].in_use(), !blocks_[a].placed()) <
            std::tuple(!blocks_[b].in_use(), !blocks_[b].placed());
   });
   for (const auto index : order) {
     auto& block = blocks_[index];
-    if (block.dead) continue;
+    if (block.dead || block.loose) continue;
     bool kept = false;
     for (std::size_t i = 0; i < guarantees.size(); ++i) {
       if (wanted[i] == 0 || !SameKind(block, guarantees[i])) continue;
@@ -50,6 +59,7 @@
       block.retiring = false;
     } else if (block.in_use()) {
       block.retiring = true;
+      block.loose = true;
     } else {
       Drop(index);
     }
@@ -64,84 +74,193 @@
   }
 }
 
-bool GuaranteeBook::Repair() {
+void GuaranteeBook::Repair() {
+  on_worker_.resize(cell_->size());
+  if (!workers_changed_ && !unplaced_) return;
+  workers_changed_ = false;
   std::vector<BlockIndex> todo;
-  for (std::size_t i = 0; i < blocks_.size(); ++i) {
-    auto& block = blocks_[i];
-    if (block.dead || block.in_use()) continue;
-    if (block.placed() && Intact(block)) continue;
-    Unplace(block);
-    todo.push_back(static_cast<BlockIndex>(i));
+  for (const auto index : Unused()) {
+    if (blocks_[index].placed() && Intact(blocks_[index])) continue;
+    Unplace(index);
+    todo.push_back(index);
+  }
+  unplaced_ = false;
+  if (todo.empty() || PlaceAll(todo)) return;
+  // Anew, all that can move; those that found room before keep theirs if that
+  // is no better.
+  const auto all = Unused();
+  std::vector<std::vector<Piece>> before;
+  int placed_before = 0;
+  for (const auto index : all) {
+    before.push_back(blocks_[index].pieces);
+    placed_before += blocks_[index].placed() ? 1 : 0;
+    Unplace(index);
+  }
+  if (PlaceAll(all)) return;
+  unplaced_ = true;
+  const auto placed =
+      std::count_if(all.begin(), all.end(),
+                    [&](const auto index) { return blocks_[index].placed(); });
+  if (placed >= placed_before) return;
+  for (const auto index : all) Unplace(index);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (!before[i].empty()) Put(all[i], before[i]);
   }
-  if (todo.empty()) return true;
-  if (PlaceAll(todo)) return true;
-  return Repack();
 }
 
-bool GuaranteeBook::PlaceAll(std::vector<BlockIndex> todo) {
-  std::stable_sort(todo.begin(), todo.end(), [&](auto a, auto b) {
-    return HarderThan(blocks_[a].shape, blocks_[b].shape);
-  });
-  bool all = true;
-  for (const auto index : todo) {
-    auto pieces = FindSlack(blocks_[index].shape);
-    if (pieces.empty()) {
-      all = false;
-      continue;
-    }
-    Place(blocks_[index], std::move(pieces));
+std::vector<BlockIndex> GuaranteeBook::Broken() {
+  std::vector<BlockIndex> broken;
+  for (std::size_t i = 0; i < blocks_.size(); ++i) {
+    const auto& block = blocks_[i];
+    if (block.dead || block.retiring || !block.in_use()) continue;
+    if (Intact(block)) continue;
+    if (MoveFreeParts(static_cast<BlockIndex>(i))) continue;
+    broken.push_back(static_cast<BlockIndex>(i));
   }
-  return all;
+  return broken;
 }
 
-bool GuaranteeBook::Repack() {
-  std::vector<BlockIndex> todo;
-  for (std::size_t i = 0; i < blocks_.size(); ++i) {
-    auto& block = blocks_[i];
-    if (block.dead || block.in_use()) continue;
-    Unplace(block);
-    todo.push_back(static_cast<BlockIndex>(i));
+bool GuaranteeBook::MoveFreeParts(BlockIndex index) {
+  auto& block = blocks_[index];
+  if (block.shape.adjacency == Adjacency::kWorker) return false;
+  const auto before = block.pieces;
+  RackIndex rack = kNone;
+  for (const auto& it : block.pieces) {
+    if (it.in_use > 0) rack = cell_->at(it.worker).rack;
+  }
+  for (auto& it : block.pieces) {
+    if (cell_->at(it.worker).open() || it.in_use == it.count) continue;
+    if (it.in_use > 0) return false;
+    std::vector<WorkerIndex> among;
+    for (WorkerIndex i = 0; i < cell_->size(); ++i) {
+      const auto& worker = cell_->at(i);
+      if (block.shape.adjacency == Adjacency::kRack && worker.rack != rack) {
+        continue;
+      }
+      // Whole workers for whole workers.
+      if (it.count >= cell_->at(it.worker).capacity &&
+          worker.capacity != it.count) {
+        continue;
+      }
+      among.push_back(i);
+    }
+    const auto to = FindOne(among, it.count, block.pieces);
+    if (to == kNone) return false;
+    cell_->at(it.worker).pinned -= it.count;
+    std::erase(on_worker_[it.worker], index);
+    it.worker = to;
+    cell_->at(to).pinned += it.count;
+    on_worker_[to].push_back(index);
   }
-  return PlaceAll(std::move(todo));
+  return true;
 }
 
-bool GuaranteeBook::Move(BlockIndex index, const std::vector<Piece>& pieces) {
-  const auto before = blocks_;
+bool GuaranteeBook::MoveOnto(BlockIndex index, const Place& place) {
+  on_worker_.resize(cell_->size());
+  const auto pieces_before = blocks_[index].pieces;
+  Unplace(index);
+  const auto pieces = Cover(blocks_[index].shape, place);
   std::vector<BlockIndex> displaced;
-  Unplace(blocks_[index]);
-  for (const auto& it : pieces) {
-    auto& worker = cell_->at(it.worker);
-    if (worker.unpinned() < it.count) displaced.push_back(kNone);
+  std::vector<std::vector<Piece>> before;
+  bool moved = false;
+  if (!pieces.empty()) {
+    displaced = InTheWay(pieces);
+    for (const auto it : displaced) {
+      before.push_back(blocks_[it].pieces);
+      Unplace(it);
+    }
+    if (Fits(pieces)) {
+      Put(index, pieces);
+      moved = PlaceAll(displaced);
+    }
   }
-  const bool possible = displaced.empty();
-  if (possible) {
-    for (std::size_t i = 0; i < blocks_.size(); ++i) {
-      auto& other = blocks_[i];
-      if (other.dead || other.in_use() || !other.placed()) continue;
-      const bool in_the_way = std::any_of(
-          other.pieces.begin(), other.pieces.end(), [&](const Piece& piece) {
-            for (const auto& it : pieces) {
-              if (it.worker != piece.worker) continue;
-              return cell_->at(it.worker).slack() < it.count;
-            }
-            return false;
-          });
-      if (!in_the_way) continue;
-      Unplace(other);
-      displaced.push_back(static_cast<BlockIndex>(i));
+  if (moved) return true;
+  Unplace(index);
+  for (const auto it : displaced) Unplace(it);
+  for (std::size_t i = 0; i < displaced.size(); ++i) {
+    Put(displaced[i], before[i]);
+  }
+  Put(index, pieces_before);
+  return false;
+}
+
+bool GuaranteeBook::ExtendOnto(BlockIndex index, const Place& place) {
+  auto& block = blocks_[index];
+  if (block.shape.adjacency == Adjacency::kWorker) return false;
+  auto pieces = block.pieces;
+  for (const auto& slot : place) {
+    const auto same = std::find_if(pieces.begin(), pieces.end(), [&](auto& it) {
+      return it.worker == slot.worker;
+    });
+    if (same != pieces.end()) {
+      if (same->count - same->in_use < slot.total()) return false;
+      continue;
     }
-    Place(blocks_[index], pieces);
-    if (PlaceAll(displaced)) return true;
+    const auto& worker = cell_->at(slot.worker);
+    const auto free =
+        std::find_if(pieces.begin(), pieces.end(), [&](const Piece& it) {
+          const bool near = block.shape.adjacency == Adjacency::kDomain ||
+                            cell_->at(it.worker).rack == worker.rack;
+          return near && it.in_use == 0 && it.count >= slot.total() &&
+                 it.count <= worker.unpinned() &&
+                 (it.count == worker.capacity ||
+                  it.count < cell_->at(it.worker).capacity);
+        });
+    if (free == pieces.end()) return false;
+    free->worker = slot.worker;
   }
-  // Undo: take everything unused off and put it back where it was.
-  for (auto& it : blocks_) {
-    if (!it.dead && !it.in_use()) Unplace(it);
+  std::vector<Piece> moved;
+  for (std::size_t i = 0; i < pieces.size(); ++i) {
+    if (pieces[i].worker != block.pieces[i].worker) moved.push_back(pieces[i]);
   }
-  for (std::size_t i = 0; i < blocks_.size(); ++i) {
-    if (before[i].dead || before[i].in_use() || !before[i].placed()) continue;
-    Place(blocks_[i], before[i].pieces);
+  for (const auto& it : block.pieces) {
+    cell_->at(it.worker).pinned -= it.count;
+    std::erase(on_worker_[it.worker], index);
   }
-  return false;
+  for (const auto it : InTheWay(moved)) {
+    Unplace(it);
+    unplaced_ = true;
+  }
+  block.pieces = std::move(pieces);
+  for (const auto& it : block.pieces) {
+    cell_->at(it.worker).pinned += it.count;
+    on_worker_[it.worker].push_back(index);
+  }
+  return true;
+}
+
+std::vector<BlockIndex> GuaranteeBook::InTheWay(
+    const std::vector<Piece>& pieces) const {
+  std::vector<BlockIndex> found;
+  for (const auto& piece : pieces) {
+    int slack = cell_->at(piece.worker).slack();
+    // What was found for other pieces leaves this worker too.
+    for (const auto it : found) {
+      for (const auto& other : blocks_[it].pieces) {
+        if (other.worker == piece.worker) slack += other.count;
+      }
+    }
+    auto here = on_worker_[piece.worker];
+    std::stable_sort(here.begin(), here.end(), [&](auto a, auto b) {
+      return blocks_[a].shape.accelerators < blocks_[b].shape.accelerators;
+    });
+    for (const auto it : here) {
+      if (slack >= piece.count) break;
+      if (blocks_[it].in_use()) continue;
+      if (std::find(found.begin(), found.end(), it) != found.end()) continue;
+      found.push_back(it);
+      for (const auto& other : blocks_[it].pieces) {
+        if (other.worker == piece.worker) slack += other.count;
+      }
+    }
+  }
+  return found;
+}
+
+bool GuaranteeBook::Fits(const std::vector<Piece>& pieces) const {
+  return std::all_of(pieces.begin(), pieces.end(), [&](const Piece& it) {
+    return cell_->at(it.worker).slack() >= it.count;
+  });
 }
 
 void GuaranteeBook::Use(const std::vector<BlockUse>& uses) {
@@ -150,7 +269,8 @@
     auto& block = blocks_[it.block];
     if (std::find(seen.begin(), seen.end(), it.block) == seen.end()) {
       seen.push_back(it.block);
-      if (block.gangs++ == 0) {
+      ++block.gangs;
+      if (block.gangs == 1) {
         for (const auto& piece : block.pieces) {
           cell_->at(piece.worker).reserved -= piece.count;
           cell_->at(piece.worker).pinned += piece.count;
@@ -166,8 +286,7 @@
 void GuaranteeBook::Release(const std::vector<BlockUse>& uses) {
   std::vector<BlockIndex> seen;
   for (const auto& it : uses) {
-    auto& block = blocks_[it.block];
-    for (auto& piece : block.pieces) {
+    for (auto& piece : blocks_[it.block].pieces) {
       if (piece.worker == it.worker) piece.in_use -= it.count;
     }
     if (std::find(seen.begin(), seen.end(), it.block) == seen.end()) {
@@ -176,39 +295,83 @@
   }
   for (const auto index : seen) {
     auto& block = blocks_[index];
-    if (--block.gangs > 0) continue;
+    --block.gangs;
+    if (block.gangs > 0) continue;
     for (const auto& piece : block.pieces) {
       cell_->at(piece.worker).pinned -= piece.count;
       cell_->at(piece.worker).reserved += piece.count;
     }
-    if (block.retiring) Drop(index);
+    if (block.retiring) {
+      Drop(index);
+    } else if (!Intact(block)) {
+      workers_changed_ = true;
+    }
   }
 }
 
 BlockIndex GuaranteeBook::AddRetiring(
-    const base::OrganisationName& organisation, std::vector<Piece> pieces) {
+    const base::OrganisationName& organisation, const Place& place) {
+  on_worker_.resize(cell_->size());
   Block block;
   block.organisation = organisation;
-  block.retiring = true;
-  for (const auto& it : pieces) block.shape.accelerators += it.count;
   block.shape.adjacency = Adjacency::kDomain;
+  block.retiring = true;
+  block.loose = true;
+  std::vector<Piece> pieces;
+  for (const auto& it : place) {
+    block.shape.accelerators += it.total();
+    pieces.push_back({.worker = it.worker, .count = it.total()});
+  }
+  for (const auto it : InTheWay(pieces)) Unplace(it);
   const auto index = NewBlock(std::move(block));
-  Place(blocks_[index], std::move(pieces));
+  Put(index, std::move(pieces));
   return index;
 }
 
-std::vector<BlockIndex> GuaranteeBook::Of(
-    const base::OrganisationName& organisation) const {
-  std::vector<BlockIndex> found;
-  for (std::size_t i = 0; i < blocks_.size(); ++i) {
-    const auto& block = blocks_[i];
-    if (block.dead || block.organisation != organisation) continue;
-    found.push_back(static_cast<BlockIndex>(i));
+void GuaranteeBook::Reissue(BlockIndex index) {
+  Block again;
+  again.organisation = blocks_[index].organisation;
+  again.shape = blocks_[index].shape;
+  auto& block = blocks_[index];
+  block.retiring = true;
+  block.loose = true;
+  for (auto& it : block.pieces) {
+    cell_->at(it.worker).pinned -= it.count - it.in_use;
+    it.count = it.in_use;
+    if (it.count == 0) std::erase(on_worker_[it.worker], index);
   }
-  std::stable_sort(found.begin(), found.end(), [&](auto a, auto b) {
-    return blocks_[a].shape.accelerators < blocks_[b].shape.accelerators;
-  });
-  return found;
+  std::erase_if(block.pieces, [](const Piece& it) { return it.count == 0; });
+  NewBlock(std::move(again));
+}
+
+std::vector<BlockIndex> GuaranteeBook::ConflictsWith(const Place& place) const {
+  std::vector<BlockIndex> conflicts;
+  for (const auto& slot : place) {
+    const auto& worker = cell_->at(slot.worker);
+    if (worker.capacity - worker.pinned >= slot.total()) continue;
+    for (const auto it : on_worker_[slot.worker]) {
+      if (!blocks_[it].in_use() || blocks_[it].retiring) continue;
+      if (std::find(conflicts.begin(), conflicts.end(), it) ==
+          conflicts.end()) {
+        conflicts.push_back(it);
+      }
+    }
+  }
+  return conflicts;
+}
+
+const std::vector<BlockIndex>& GuaranteeBook::Of(
+    const base::OrganisationName& organisation) const {
+  static const std::vector<BlockIndex> kNothing;
+  const auto it = of_.find(organisation);
+  return it == of_.end() ? kNothing : it->second;
+}
+
+bool GuaranteeBook::Intact(const Block& block) const {
+  return std::all_of(
+      block.pieces.begin(), block.pieces.end(), [&](const Piece& it) {
+        return cell_->at(it.worker).open() || it.in_use == it.count;
+      });
 }
 
 std::vector<Shortfall> GuaranteeBook::Shortfalls() const {
@@ -230,138 +393,63 @@
   return shortfalls;
 }
 
-bool GuaranteeBook::Intact(const Block& block) const {
-  return std::all_of(
-      block.pieces.begin(), block.pieces.end(), [&](const Piece& it) {
-        return cell_->at(it.worker).open() || it.in_use == it.count;
-      });
-}
-
-std::vector<Piece> GuaranteeBook::FindSlack(const Shape& shape) const {
-  // On one worker is as close together as can be, whatever is asked for.
-  const auto one = FindOne(nullptr, shape.accelerators);
-  if (one != kNone) return {{.worker = one, .count = shape.accelerators}};
-  if (shape.adjacency == Adjacency::kWorker) return {};
-  return FindWhole(shape);
-}
-
-std::vector<Piece> GuaranteeBook::FindWhole(const Shape& shape) const {
-  if (shape.adjacency == Adjacency::kDomain) {
-    return FillDomain(shape.accelerators);
-  }
-  std::vector<Piece> best;
-  int best_left = 0;
-  for (RackIndex rack = 0; rack < cell_->racks(); ++rack) {
-    int left = -shape.accelerators;
-    for (const auto it : cell_->InRack(rack)) {
-      if (cell_->at(it).slack() == cell_->at(it).spec.accelerators) {
-        left += cell_->at(it).spec.accelerators;
-      }
-    }
-    if (!best.empty() && left >= best_left) continue;
-    auto pieces = FillRack(rack, shape.accelerators);
-    if (pieces.empty()) continue;
-    best = std::move(pieces);
-    best_left = left;
+Shape GuaranteeBook::largest() const {
+  Shape largest;
+  for (const auto& it : blocks_) {
+    if (it.dead || it.retiring) continue;
+    if (it.shape.accelerators > largest.accelerators) largest = it.shape;
   }
-  return best;
+  return largest;
 }
 
-std::vector<Piece> GuaranteeBook::FillRack(RackIndex rack,
-                                           int accelerators) const {
-  std::vector<WorkerIndex> empty;
-  for (const auto it : cell_->InRack(rack)) {
-    const auto& worker = cell_->at(it);
-    if (worker.open() && worker.slack() == worker.spec.accelerators) {
-      empty.push_back(it);
-    }
-  }
-  return Fill(std::move(empty), cell_->InRack(rack), accelerators);
-}
-
-std::vector<Piece> GuaranteeBook::FillDomain(int accelerators) const {
-  std::vector<WorkerIndex> empty;
-  std::vector<WorkerIndex> all;
-  for (RackIndex rack = 0; rack < cell_->racks(); ++rack) {
-    for (const auto it : cell_->InRack(rack)) {
-      const auto& worker = cell_->at(it);
-      if (!worker.open()) continue;
-      all.push_back(it);
-      if (worker.slack() == worker.spec.accelerators) empty.push_back(it);
-    }
-  }
-  return Fill(std::move(empty), all, accelerators);
-}
-
-std::vector<Piece> GuaranteeBook::Fill(std::vector<WorkerIndex> empty,
-                                       const std::vector<WorkerIndex>& all,
-                                       int accelerators) const {
-  std::stable_sort(empty.begin(), empty.end(), [&](auto a, auto b) {
-    return cell_->at(a).spec.accelerators > cell_->at(b).spec.accelerators;
-  });
-  std::vector<Piece> pieces;
-  std::vector<WorkerIndex> rest = all;
-  int left = accelerators;
-  for (const auto it : empty) {
-    const int size = cell_->at(it).spec.accelerators;
-    if (size == 0 || size > left) continue;
-    pieces.push_back({.worker = it, .count = size});
-    std::erase(rest, it);
-    left -= size;
-  }
-  if (left == 0) return pieces;
-  // The rest goes to one worker, the one that it fills best.
-  const auto one = FindOne(&rest, left);
-  if (one == kNone) return {};
-  pieces.push_back({.worker = one, .count = left});
-  return pieces;
-}
-
-WorkerIndex GuaranteeBook::FindOne(const std::vector<WorkerIndex>* among,
-                                   int count) const {
-  WorkerIndex best = kNone;
-  int best_slack = 0;
-  const auto consider = [&](WorkerIndex it) {
-    const int slack = cell_->at(it).slack();
-    if (slack < count || (best != kNone && slack >= best_slack)) return;
-    best = it;
-    best_slack = slack;
-  };
-  if (among != nullptr) {
-    for (const auto it : *among) consider(it);
-  } else {
-    for (WorkerIndex it = 0; it < cell_->size(); ++it) consider(it);
+std::vector<BlockIndex> GuaranteeBook::Unused() const {
+  std::vector<BlockIndex> unused;
+  for (std::size_t i = 0; i < blocks_.size(); ++i) {
+    if (blocks_[i].dead || blocks_[i].in_use()) continue;
+    unused.push_back(static_cast<BlockIndex>(i));
   }
-  return best;
+  return unused;
 }
 
-void GuaranteeBook::Place(Block& block, std::vector<Piece> pieces) {
+void GuaranteeBook::Put(BlockIndex index, std::vector<Piece> pieces) {
+  auto& block = blocks_[index];
   block.pieces = std::move(pieces);
   for (const auto& it : block.pieces) {
     cell_->at(it.worker).reserved += it.count;
+    on_worker_[it.worker].push_back(index);
   }
 }
 
-void GuaranteeBook::Unplace(Block& block) {
+void GuaranteeBook::Unplace(BlockIndex index) {
+  auto& block = blocks_[index];
   for (const auto& it : block.pieces) {
     cell_->at(it.worker).reserved -= it.count;
+    std::erase(on_worker_[it.worker], index);
   }
   block.pieces.clear();
 }
 
 BlockIndex GuaranteeBook::NewBlock(Block block) {
+  BlockIndex index = static_cast<BlockIndex>(blocks_.size());
   if (free_.empty()) {
-    blocks_.push_back(std::move(block));
-    return static_cast<BlockIndex>(blocks_.size()) - 1;
+    blocks_.emplace_back();
+  } else {
+    index = free_.back();
+    free_.pop_back();
   }
-  const auto index = free_.back();
-  free_.pop_back();
+  auto& own = of_[block.organisation];
   blocks_[index] = std::move(block);
+  own.push_back(index);
+  std::stable_sort(own.begin(), own.end(), [&](auto a, auto b) {
+    return blocks_[a].shape.accelerators < blocks_[b].shape.accelerators;
+  });
+  unplaced_ = true;
   return index;
 }
 
 void GuaranteeBook::Drop(BlockIndex index) {
-  Unplace(blocks_[index]);
+  Unplace(index);
+  std::erase(of_[blocks_[index].organisation], index);
   blocks_[index] = Block();
   blocks_[index].dead = true;
   free_.push_back(index);
--- a/src/placement/internal/cell.h
+++ b/src/placement/internal/cell.h
@@ -17,14 +17,13 @@
 
 inline constexpr int kNone = -1;
 
-/// One worker and how much of it is spoken for, all in accelerators (each
-/// stands for its share of the worker's cores and memory).
+/// How much of one worker is spoken for, all in accelerators (each stands for
+/// its share of the worker's cores and memory). Kept small: most decisions read
+/// all workers of the cell once.
 struct WorkerState {
-  WorkerSpec spec;
   RackIndex rack = kNone;
   int type = kNone;
-  WorkerHealth health = WorkerHealth::kHealthy;
-  bool present = false;
+  int capacity = 0;
   /// Charged by gangs that hold places here.
   int used = 0;
   /// The part of `used` whose gangs are being evicted.
@@ -35,6 +34,8 @@
   int pinned = 0;
   /// In guaranteed blocks that are not in use.
   int reserved = 0;
+  WorkerHealth health = WorkerHealth::kHealthy;
+  bool present = false;
   /// Held back for a starving gang.
   bool held = false;
   /// Bit i: accelerator i is given to a task.
@@ -42,14 +43,16 @@
 
   bool open() const { return present && health == WorkerHealth::kHealthy; }
 
+  /// What is left once all evictions and arrivals under way are done.
+  int left() const { return capacity - used + evicting - arriving; }
+
   /// What a new gang can have now without evicting anything.
   int available() const {
-    if (!open()) return 0;
-    return spec.accelerators - std::max(used, used - evicting + arriving);
+    return open() ? std::min(capacity - used, left()) : 0;
   }
 
   /// What is in no guaranteed block that is in use.
-  int unpinned() const { return open() ? spec.accelerators - pinned : 0; }
+  int unpinned() const { return open() ? capacity - pinned : 0; }
 
   /// What is in no guaranteed block at all.
   int slack() const { return unpinned() - reserved; }
@@ -58,8 +61,7 @@
 /// The workers of one cell by index, name and rack.
 class Cell {
  public:
-  /// Adds a worker or one that was removed before; its size must be the same
-  /// as long as something holds a place there.
+  /// Adds a worker, or one that was there before.
   WorkerIndex Put(const WorkerSpec& spec);
 
   void Remove(WorkerIndex worker) { workers_[worker].present = false; }
@@ -69,10 +71,14 @@
 
   WorkerState& at(WorkerIndex worker) { return workers_[worker]; }
   const WorkerState& at(WorkerIndex worker) const { return workers_[worker]; }
+  const WorkerSpec& spec(WorkerIndex worker) const { return specs_[worker]; }
 
   int size() const { return static_cast<int>(workers_.size()); }
   int racks() const { return static_cast<int>(rack_workers_.size()); }
 
+  /// Size of the largest worker ever seen, 0 without workers.
+  int largest() const;
+
   /// The workers ever seen in a rack, in order of index.
   const std::vector<WorkerIndex>& InRack(RackIndex rack) const {
     return rack_workers_[rack];
@@ -80,6 +86,9 @@
 
   const std::vector<WorkerState>& workers() const { return workers_; }
 
+  /// Distinct sizes of workers; few in practice.
+  const std::vector<WorkerSpec>& types() const { return types_; }
+
   /// Accelerators that one task is charged on each type of worker, by type.
   /// Above the worker's size when the task does not fit.
   std::vector<int> ChargesOf(const TaskNeeds& needs) const;
@@ -88,10 +97,10 @@
   int TypeOf(const WorkerSpec& spec);
 
   std::vector<WorkerState> workers_;
+  std::vector<WorkerSpec> specs_;
   std::vector<std::vector<WorkerIndex>> rack_workers_;
   std::unordered_map<base::WorkerName, WorkerIndex> by_name_;
   std::unordered_map<base::RackName, RackIndex> racks_by_name_;
-  /// Distinct sizes of workers; few in practice.
   std::vector<WorkerSpec> types_;
 };
 
@@ -99,9 +108,9 @@
 /// of cores and memory covers what it needs, at least one.
 int ChargeOn(const WorkerSpec& worker, const TaskNeeds& needs);
 
-/// Picks `count` of a worker's accelerators that are not `taken`: an aligned
-/// group of the next power of two when one is free, so that tasks keep to one
-/// half of a worker where they can, else the lowest free ones.
+/// Picks `count` of a worker's accelerators that are not `taken`: from the
+/// fullest aligned group of the next power of two that has room, so that tasks
+/// keep to one half of a worker where they can, else the lowest free ones.
 std::uint64_t PickAccelerators(std::uint64_t taken, int accelerators,
                                int count);
 
--- a/src/placement/internal/gang_queue.h
+++ b/src/placement/internal/gang_queue.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_PLACEMENT_INTERNAL_GANG_QUEUE_H_
 
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -36,48 +37,66 @@
   friend auto operator<=>(const Waiting&, const Waiting&) = default;
 };
 
-/// What a gang's turn depends on: lower goes first.
-struct Turn {
-  int work_class = 0;
-  double share = 0;
-  base::TimePoint submitted;
-  base::JobName job;
-
-  friend auto operator<=>(const Turn&, const Turn&) = default;
-};
+/// Counts the events after which a gang that could not start may be able to.
+using Generation = std::uint64_t;
 
 /// The gangs that wait, by kind and age.
 class GangQueue {
  public:
+  using ShareOf = std::function<double(const base::OrganisationName&)>;
+  using Visitor = std::function<bool(const base::JobName&)>;
+
   /// After this much waiting a gang counts as of the next better class.
   explicit GangQueue(base::Duration ageing) : ageing_(ageing) {}
 
   void Add(const Gang& gang);
   void Remove(const Gang& gang);
-  bool empty() const { return kinds_.empty(); }
   std::size_t size() const { return size_; }
 
-  /// The class in which a gang waits, aged: 0 is urgent.
-  int ClassOf(base::WorkClass work_class, base::TimePoint submitted,
-              base::TimePoint now) const;
-
   /// Calls `visit` with the oldest gang of each kind, in order of class, share
-  /// of the organisation (`share`, may change between calls) and age. A visit
-  /// that returns true has taken the gang off the queue, and the next one of
-  /// its kind follows; false passes over the kind.
-  void Visit(base::TimePoint now,
-             const std::function<double(const base::OrganisationName&)>& share,
-             const std::function<bool(const base::JobName&)>& visit) const;
+  /// of the organisation (asked again as it changes) and age. A visit that
+  /// returns true has taken the gang off the queue, and the next one of its
+  /// kind follows; false passes over the kind until the generation changes.
+  void Visit(base::TimePoint now, Generation generation, const ShareOf& share,
+             const Visitor& visit);
+
+  /// Place of a gang in the queue, from 1; the gangs of one kind count as one
+  /// behind the other. 0 when it does not wait.
+  int PositionOf(const Gang& gang, base::TimePoint now,
+                 const ShareOf& share) const;
+
+  /// The oldest gang of each kind.
+  std::vector<base::JobName> Heads() const;
 
   /// All waiting gangs, by kind and age.
   std::vector<Waiting> All() const;
 
-  const std::map<GangKind, std::set<Waiting>>& kinds() const { return kinds_; }
-
  private:
+  struct Line {
+    std::set<Waiting> gangs;
+    /// When a gang of this kind last could not start.
+    Generation failed = 0;
+  };
+
+  /// What the turn of a kind depends on: lower goes first.
+  struct Turn {
+    int work_class = 0;
+    double share = 0;
+    Waiting oldest;
+    GangKind kind;
+
+    friend auto operator<=>(const Turn&, const Turn&) = default;
+  };
+
+  Turn TurnOf(const GangKind& kind, const Waiting& waiting, base::TimePoint now,
+              const ShareOf& share) const;
+  /// The class in which a gang waits, aged: 0 is urgent.
+  int ClassOf(base::WorkClass work_class, base::TimePoint submitted,
+              base::TimePoint now) const;
+
   base::Duration ageing_;
   std::size_t size_ = 0;
-  std::map<GangKind, std::set<Waiting>> kinds_;
+  std::map<GangKind, Line> lines_;
 };
 
 }  // namespace lapishatch::placement::internal
--- a/src/placement/internal/gang_state.h
+++ b/src/placement/internal/gang_state.h
@@ -23,15 +23,23 @@
 
 /// Everything the planner knows of one gang.
 struct GangState {
+  /// As submitted, but for needs that were raised by what it really used.
   Gang gang;
   GangPhase phase = GangPhase::kQueued;
   /// Empty while queued.
   Place place;
+  /// The accelerators of each task, in order of `place`; empty until it starts.
   std::vector<std::uint64_t> masks;
   /// The room it takes in its organisation's guaranteed blocks; empty while
   /// borrowed.
   std::vector<BlockUse> uses;
+  /// When it came into the queue this time.
+  base::TimePoint queued;
   base::TimePoint started;
+  /// Its last complete checkpoint; `started` when it has none.
+  base::TimePoint saved;
+  /// How often it was evicted before.
+  int evictions = 0;
   /// Why it is evicted.
   std::string reason;
 
@@ -42,6 +50,13 @@
     for (const auto& it : place) sum += it.total();
     return sum;
   }
+
+  int charge_on(WorkerIndex worker) const {
+    for (const auto& it : place) {
+      if (it.worker == worker) return it.total();
+    }
+    return 0;
+  }
 };
 
 /// Whether stopping the gang loses nothing for good.
--- a/src/placement/internal/place_finder.h
+++ b/src/placement/internal/place_finder.h
@@ -17,23 +17,66 @@
   int total() const { return tasks * charge; }
 };
 
-/// Where the tasks of a gang go; empty when there is no such place.
+/// Where the tasks of a gang go, each worker once; empty when there is no such
+/// place.
 using Place = std::vector<Slot>;
 
-/// Room on one worker that a place may use, and how costly it is to use it:
-/// lower goes first.
+/// What a place may use of one worker, and what that costs: lower goes first.
 struct Room {
-  WorkerIndex worker = kNone;
   int accelerators = 0;
   double cost = 0;
 };
 
-/// Finds a place for a gang within `rooms`, which must be grouped by rack and
-/// in order of index. Takes the cheapest workers, then those that it fills
-/// best, so that whole workers and whole racks stay free.
-Place FindPlace(const Cell& cell, const Gang& gang,
-                const std::vector<int>& charges,
-                const std::vector<Room>& rooms);
+/// By worker, for all workers of the cell.
+using Rooms = std::vector<Room>;
+
+/// Finds where gangs go, so that what stays free can serve the largest
+/// guaranteed shape.
+class PlaceFinder {
+ public:
+  /// `grain` is the shape that free capacity should stay able to serve.
+  PlaceFinder(const Cell& cell, const Shape& grain);
+
+  /// The place of least cost for `gang` within `rooms`; among equals the one
+  /// after which fewest free accelerators are useless to the grain, then the
+  /// best fit. `adjacency` may be closer than the gang's own.
+  Place Find(const Gang& gang, Adjacency adjacency, const Rooms& rooms) const;
+
+ private:
+  struct Score {
+    double cost = 0;
+    int stranded = 0;
+    int leftover = 0;
+
+    friend auto operator<=>(const Score&, const Score&) = default;
+  };
+
+  int ChargeAt(WorkerIndex worker, const std::vector<int>& charges) const {
+    return charges[cell_->at(worker).type];
+  }
+  Place OnOneWorker(int tasks, const std::vector<int>& charges,
+                    const Rooms& rooms) const;
+  Place InOneRack(int tasks, const std::vector<int>& charges,
+                  const Rooms& rooms) const;
+  Place AcrossRacks(int tasks, const std::vector<int>& charges,
+                    const Rooms& rooms) const;
+  Place Spread(int tasks, const std::vector<int>& charges, const Rooms& rooms,
+               std::vector<WorkerIndex> among) const;
+  /// Free accelerators that are of no use to the grain once `slots`, all in one
+  /// rack, are taken, less those before.
+  int Stranded(const Slot* begin, const Slot* end) const;
+  /// Of so many whole free workers in one rack, accelerators useless to the
+  /// grain.
+  int StrandedIn(int whole_workers) const;
+
+  const Cell* cell_;
+  int worker_size_;
+  /// The grain in whole workers, 0 when it is less than one worker.
+  int grain_workers_;
+  int grain_part_;
+  /// Whole free workers by rack.
+  std::vector<int> whole_;
+};
 
 }  // namespace lapishatch::placement::internal
 
--- a/src/placement/internal/planner_impl.h
+++ b/src/placement/internal/planner_impl.h
@@ -1,8 +1,8 @@
 #ifndef LAPISHATCH_PLACEMENT_INTERNAL_PLANNER_IMPL_H_
 #define LAPISHATCH_PLACEMENT_INTERNAL_PLANNER_IMPL_H_
 
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,12 +11,16 @@
 #include "placement/internal/gang_queue.h"
 #include "placement/internal/gang_state.h"
 #include "placement/internal/guarantee_book.h"
+#include "placement/internal/place_finder.h"
 #include "placement/planner.h"
 
 namespace lapishatch::placement {
 
-/// What stands behind Planner. Verbs are in planner.cc, the decisions in
-/// planner_decide.cc, what is said to people in planner_explain.cc.
+/// What stands behind Planner, by file: planner.cc the verbs,
+/// planner_places.cc what holds which place, planner_decide.cc the order of
+/// decisions and borrowed work, planner_own.cc guaranteed work,
+/// planner_evict.cc victims, planner_starving.cc reservations,
+/// planner_explain.cc what is said to people.
 class Planner::Impl {
  public:
   explicit Impl(PlannerOptions options);
@@ -32,16 +36,19 @@
              base::TimePoint started);
   void Cancel(const base::JobName& job);
   void Ended(const base::JobName& job, base::TimePoint now);
+  void Checkpointed(const base::JobName& job, base::TimePoint now);
   void ReportUsage(const base::WorkerName& worker, int cores,
                    std::int64_t memory_mb);
   std::vector<Decision> Decide(base::TimePoint now);
-  std::vector<Shortfall> Shortfalls() const { return book_.Shortfalls(); }
+  std::vector<Shortfall> Shortfalls() const;
   Explanation Explain(const base::JobName& job, base::TimePoint now) const;
   int free_accelerators() const;
   double Fragmentation(const Shape& shape) const;
   CellFacts Facts() const;
 
  private:
+  using GangState = internal::GangState;
+
   /// What an organisation has running, and may have.
   struct Account {
     OrganisationShare share;
@@ -49,10 +56,10 @@
     int borrowed = 0;
   };
 
-  /// Gangs to evict so that a place is free, and what that loses.
+  /// Gangs to stop so that a place is free, and what that loses.
   struct Clearing {
     bool possible = false;
-    std::vector<internal::GangState*> victims;
+    std::vector<GangState*> victims;
     double lost_work = 0;
   };
 
@@ -63,67 +70,138 @@
     Clearing clearing;
   };
 
-  internal::GangState* FindGang(const base::JobName& job);
-  const internal::GangState* FindGang(const base::JobName& job) const;
+  /// What is remembered of a gang that was evicted, until it runs to its end.
+  struct Past {
+    int evictions = 0;
+    /// Memory that a task was seen to need, 0 when nothing is known.
+    std::int64_t memory_mb = 0;
+  };
+
+  /// A worker that uses more than it has.
+  struct Overfill {
+    std::int64_t memory_mb = 0;
+    int cores = 0;
+    /// Reports in a row with too many cores in use.
+    int core_reports = 0;
+    bool reported = false;
+  };
+
+  /// Capacity held back for one starving gang.
+  struct Reservation {
+    base::JobName job;
+    internal::Place place;
+  };
+
+  GangState* FindGang(const base::JobName& job);
+  const GangState* FindGang(const base::JobName& job) const;
   Account& AccountOf(const base::OrganisationName& organisation);
+  void Changed() { ++generation_; }
 
-  // Taking and giving back places.
-  void HoldPlace(internal::GangState& gang);
-  void DropPlace(internal::GangState& gang);
-  void ClaimPlace(internal::GangState& gang);
-  void DropClaim(internal::GangState& gang);
-  void PickMasks(internal::GangState& gang);
-  void BackToQueue(internal::GangState& gang);
-  bool AdoptIntoBlock(internal::GangState& gang);
+  // planner_places.cc
+  void HoldPlace(GangState& gang);
+  void DropPlace(GangState& gang);
+  void ClaimPlace(GangState& gang);
+  void DropClaim(GangState& gang);
+  void PickMasks(GangState& gang);
+  void BackToQueue(GangState& gang);
+  void MakeBorrowed(GangState& gang);
+  bool AdoptIntoBlocks(GangState& gang);
+  bool CoverWithBlocks(const GangState& gang);
   void RepairBook();
-  /// Gangs whose guarantee was taken back run on as borrowed, if they can.
-  void LeaveRetiringBlocks();
-
-  // Deciding.
-  void RelieveWorkers(base::TimePoint now);
-  void StartArrivals(base::TimePoint now);
-  void RefuseImpossible();
-  void PlaceQueued(base::TimePoint now);
-  bool TryPlace(internal::GangState& gang, base::TimePoint now);
-  bool TryOwn(internal::GangState& gang, base::TimePoint now);
-  bool TryBorrow(internal::GangState& gang, base::TimePoint now);
-  OwnPlace FindOwnPlace(const internal::GangState& gang,
-                        const std::vector<internal::BlockIndex>& blocks,
-                        base::TimePoint now);
+  void DetachFromBroken();
+  /// Takes the gangs of a block in use off its guarantee, so that it can be
+  /// placed elsewhere: they run on as borrowed, or in a block of their own.
+  void LeaveBlock(internal::BlockIndex block);
+  std::vector<GangState*> GangsIn(internal::BlockIndex block) const;
   std::vector<internal::BlockUse> UsesFor(
       const internal::Place& place,
       const std::vector<internal::BlockIndex>& blocks) const;
-  Clearing Clear(const internal::Place& place, base::TimePoint now);
-  double LostWork(const internal::GangState& gang, base::TimePoint now) const;
-  void Start(internal::GangState& gang, base::TimePoint now);
-  void Evict(internal::GangState& gang, const base::JobName& for_job,
-             std::string reason);
+  /// Gangs that have to run on as borrowed when these guarantees come in force.
+  std::vector<GangState*> LeaversUnder(const internal::GuaranteeBook& book);
+  std::string WhyNotTogether(const std::vector<Guarantee>& guarantees);
+  GangPlacement PlacementOf(const GangState& gang) const;
+
+  // planner_decide.cc
+  void RefuseImpossible();
+  void StartArrivals(base::TimePoint now);
+  void PlaceQueued(base::TimePoint now);
+  bool TryPlace(GangState& gang, base::TimePoint now);
+  bool TryBorrow(GangState& gang, base::TimePoint now);
+  internal::Rooms RoomsToBorrow(const GangState& gang) const;
+  void Start(GangState& gang, base::TimePoint now);
+  void StartOrClaim(GangState& gang, const Clearing& clearing,
+                    const std::string& reason, base::TimePoint now);
   bool PhysicallyFree(const internal::Place& place) const;
-  bool WithinLimit(const internal::GangState& gang) const;
+  bool WithinLimit(const GangState& gang) const;
   double ShareOf(const base::OrganisationName& organisation) const;
-  GangPlacement PlacementOf(const internal::GangState& gang) const;
+  internal::PlaceFinder Finder() const;
+
+  // planner_own.cc
+  bool TryOwn(GangState& gang, bool may_evict, base::TimePoint now);
+  bool TryDemote(GangState& gang, base::TimePoint now);
+  void TakeOwn(GangState& gang, OwnPlace own, base::TimePoint now);
+  internal::BlockIndex SmallestUnused(const GangState& gang) const;
+  OwnPlace FindOwnPlace(const GangState& gang,
+                        const std::vector<internal::BlockIndex>& blocks,
+                        base::TimePoint now);
+  OwnPlace OwnPlaceAt(internal::Place place,
+                      const std::vector<internal::BlockIndex>& blocks,
+                      base::TimePoint now);
+  OwnPlace MoveWhereFree(const GangState& gang, internal::BlockIndex block,
+                         base::TimePoint now);
+  OwnPlace MoveWhereCheapest(const GangState& gang, internal::BlockIndex block,
+                             double limit, base::TimePoint now);
+  OwnPlace MoveTo(const GangState& gang, internal::BlockIndex block,
+                  internal::Rooms rooms, base::TimePoint now);
+
+  // planner_evict.cc
+  void RelieveWorkers(base::TimePoint now);
+  void Evict(GangState& gang, const base::JobName& for_job, std::string reason);
+  Clearing Clear(const internal::Place& place, base::TimePoint now) const;
+  double ClearingCost(internal::WorkerIndex worker, int need,
+                      base::TimePoint now) const;
+  double LostWork(const GangState& gang, base::TimePoint now) const;
+  void LearnMemory(const GangState& gang, internal::WorkerIndex worker,
+                   std::int64_t over_mb);
+
+  // planner_starving.cc
+  void ServeStarving(base::TimePoint now);
+  GangState* OldestStarving(base::TimePoint now);
+  bool Reserve(GangState& gang, base::TimePoint now);
+  void DropReservation();
+  bool ReservationStands() const;
+  bool HasRunItsTurn(const GangState& gang, base::TimePoint now) const;
 
-  // Saying why.
+  // planner_explain.cc
   std::string WhyNever(const Gang& gang) const;
   std::string WhyNotOnHardware(const Gang& gang) const;
   std::string WhyNotOwn(const Gang& gang) const;
-  std::string WhyWaits(const internal::GangState& gang) const;
+  std::string WhyWaits(const GangState& gang) const;
 
   PlannerOptions options_;
   internal::Cell cell_;
   internal::GuaranteeBook book_;
   std::vector<Guarantee> guarantees_;
+  /// The largest guaranteed shape, which free capacity should stay able to
+  /// serve.
+  Shape grain_;
   internal::GangQueue queue_;
-  std::unordered_map<base::JobName, internal::GangState> gangs_;
+  std::unordered_map<base::JobName, GangState> gangs_;
   /// Running, evicting and arriving gangs with a task on each worker.
-  std::vector<std::vector<internal::GangState*>> on_worker_;
+  std::vector<std::vector<GangState*>> on_worker_;
   /// Gangs that wait for evictions, in order of arrival.
-  std::vector<internal::GangState*> arriving_;
+  std::vector<GangState*> arriving_;
   std::map<base::OrganisationName, Account> accounts_;
-  /// Workers over their memory by the last report, and by how much.
-  std::map<internal::WorkerIndex, std::int64_t> overfilled_;
+  std::map<internal::WorkerIndex, Overfill> overfilled_;
+  std::unordered_map<base::JobName, Past> past_;
+  /// The jobs of `past_`, oldest first, to bound it.
+  std::deque<base::JobName> past_order_;
+  Reservation reservation_;
+  internal::Generation generation_ = 1;
   /// The cell's configuration changed: queued gangs may have become impossible.
   bool check_possible_ = false;
+  /// A block in use has a free part on a worker that takes nothing new.
+  bool broken_ = false;
   std::vector<Decision> decisions_;
 };
 
--- a/src/placement/place_finder.cc
+++ b/src/placement/place_finder.cc
@@ -1,94 +1,97 @@
 #include "placement/internal/place_finder.h"
 
 #include <algorithm>
-#include <map>
 #include <tuple>
+#include <utility>
 
 namespace lapishatch::placement::internal {
-namespace {
 
-int ChargeAt(const Cell& cell, const std::vector<int>& charges,
-             WorkerIndex worker) {
-  return charges[cell.at(worker).type];
-}
-
-Place OnOneWorker(const Cell& cell, const Gang& gang,
-                  const std::vector<int>& charges,
-                  const std::vector<Room>& rooms) {
-  const Room* best = nullptr;
-  for (const auto& it : rooms) {
-    const int need = gang.tasks * ChargeAt(cell, charges, it.worker);
-    if (it.accelerators < need) continue;
-    if (best != nullptr && std::tuple(best->cost, best->accelerators) <=
-                               std::tuple(it.cost, it.accelerators)) {
-      continue;
-    }
-    best = &it;
+PlaceFinder::PlaceFinder(const Cell& cell, const Shape& grain)
+    : cell_(&cell),
+      worker_size_(std::max(1, cell.largest())),
+      grain_workers_(0),
+      grain_part_(std::max(1, grain.accelerators)),
+      whole_(cell.racks(), 0) {
+  if (grain.accelerators > worker_size_) {
+    grain_workers_ = (grain.accelerators + worker_size_ - 1) / worker_size_;
+  }
+  for (const auto& it : cell.workers()) {
+    if (it.available() == it.capacity && it.capacity > 0) ++whole_[it.rack];
   }
-  if (best == nullptr) return {};
-  return {{best->worker, gang.tasks, ChargeAt(cell, charges, best->worker)}};
 }
 
-/// Spreads the tasks over rooms that together hold them.
-Place Spread(const Cell& cell, int tasks, const std::vector<int>& charges,
-             std::vector<Room> rooms) {
-  std::stable_sort(rooms.begin(), rooms.end(), [](auto& a, auto& b) {
-    return std::tuple(a.cost, a.accelerators) <
-           std::tuple(b.cost, b.accelerators);
-  });
-  Place place;
-  for (const auto& it : rooms) {
-    const int charge = ChargeAt(cell, charges, it.worker);
-    const int n = std::min(tasks, it.accelerators / charge);
-    if (n == 0) continue;
-    place.push_back({it.worker, n, charge});
-    tasks -= n;
-    if (tasks == 0) return place;
+Place PlaceFinder::Find(const Gang& gang, Adjacency adjacency,
+                        const Rooms& rooms) const {
+  const auto charges = cell_->ChargesOf(gang.needs);
+  switch (adjacency) {
+    case Adjacency::kWorker:
+      return OnOneWorker(gang.tasks, charges, rooms);
+    case Adjacency::kRack:
+      return InOneRack(gang.tasks, charges, rooms);
+    case Adjacency::kDomain:
+      return AcrossRacks(gang.tasks, charges, rooms);
   }
   return {};
 }
 
-/// What one rack offers to a gang.
-struct RackOffer {
-  std::vector<Room> rooms;
-  int tasks = 0;
-  int accelerators = 0;
-  double cost = 0;
-};
-
-std::map<RackIndex, RackOffer> ByRack(const Cell& cell,
-                                      const std::vector<int>& charges,
-                                      const std::vector<Room>& rooms) {
-  std::map<RackIndex, RackOffer> offers;
-  for (const auto& it : rooms) {
-    auto& offer = offers[cell.at(it.worker).rack];
-    offer.rooms.push_back(it);
-    offer.tasks += it.accelerators / ChargeAt(cell, charges, it.worker);
-    offer.accelerators += it.accelerators;
-    offer.cost += it.cost;
+Place PlaceFinder::OnOneWorker(int tasks, const std::vector<int>& charges,
+                               const Rooms& rooms) const {
+  Slot best;
+  Score best_score;
+  for (WorkerIndex it = 0; it < cell_->size(); ++it) {
+    const Slot slot{it, tasks, ChargeAt(it, charges)};
+    const auto& room = rooms[it];
+    if (room.accelerators < slot.total()) continue;
+    const Score score{room.cost, Stranded(&slot, &slot + 1),
+                      room.accelerators - slot.total()};
+    if (best.worker != kNone && best_score <= score) continue;
+    best = slot;
+    best_score = score;
   }
-  return offers;
+  if (best.worker == kNone) return {};
+  return {best};
 }
 
-double CostOf(const Place& place, const std::vector<Room>& rooms) {
-  double cost = 0;
-  for (const auto& slot : place) {
-    for (const auto& it : rooms) {
-      if (it.worker == slot.worker) cost += it.cost;
-    }
+Place PlaceFinder::Spread(int tasks, const std::vector<int>& charges,
+                          const Rooms& rooms,
+                          std::vector<WorkerIndex> among) const {
+  // The cheapest, then the smallest: whole workers are broken last.
+  std::stable_sort(among.begin(), among.end(), [&](auto a, auto b) {
+    return std::tuple(rooms[a].cost, rooms[a].accelerators) <
+           std::tuple(rooms[b].cost, rooms[b].accelerators);
+  });
+  Place place;
+  for (const auto it : among) {
+    const int charge = ChargeAt(it, charges);
+    const int n = std::min(tasks, rooms[it].accelerators / charge);
+    if (n <= 0) continue;
+    place.push_back({it, n, charge});
+    tasks -= n;
+    if (tasks == 0) return place;
   }
-  return cost;
+  return {};
 }
 
-Place InOneRack(const Cell& cell, const Gang& gang,
-                const std::vector<int>& charges,
-                const std::vector<Room>& rooms) {
+Place PlaceFinder::InOneRack(int tasks, const std::vector<int>& charges,
+                             const Rooms& rooms) const {
   Place best;
-  std::tuple<double, int> best_score;
-  for (const auto& [rack, offer] : ByRack(cell, charges, rooms)) {
-    if (offer.tasks < gang.tasks) continue;
-    auto place = Spread(cell, gang.tasks, charges, offer.rooms);
-    const std::tuple score(CostOf(place, offer.rooms), offer.accelerators);
+  Score best_score;
+  std::vector<WorkerIndex> among;
+  for (RackIndex rack = 0; rack < cell_->racks(); ++rack) {
+    int fitting = 0;
+    int free = 0;
+    among.clear();
+    for (const auto it : cell_->InRack(rack)) {
+      const int n = rooms[it].accelerators / ChargeAt(it, charges);
+      if (n <= 0) continue;
+      fitting += n;
+      free += rooms[it].accelerators;
+      among.push_back(it);
+    }
+    if (fitting < tasks) continue;
+    auto place = Spread(tasks, charges, rooms, among);
+    Score score{0, Stranded(place.data(), place.data() + place.size()), free};
+    for (const auto& it : place) score.cost += rooms[it.worker].cost;
     if (!best.empty() && best_score <= score) continue;
     best = std::move(place);
     best_score = score;
@@ -96,28 +99,55 @@
   return best;
 }
 
-Place AcrossRacks(const Cell& cell, const Gang& gang,
-                  const std::vector<int>& charges,
-                  const std::vector<Room>& rooms) {
-  auto place = InOneRack(cell, gang, charges, rooms);
+Place PlaceFinder::AcrossRacks(int tasks, const std::vector<int>& charges,
+                               const Rooms& rooms) const {
+  auto place = InOneRack(tasks, charges, rooms);
   if (!place.empty()) return place;
-  return Spread(cell, gang.tasks, charges, rooms);
+  // Racks that offer most go first, so that few racks are touched.
+  std::vector<std::pair<int, RackIndex>> offers;
+  for (RackIndex rack = 0; rack < cell_->racks(); ++rack) {
+    int fitting = 0;
+    for (const auto it : cell_->InRack(rack)) {
+      fitting += std::max(0, rooms[it].accelerators / ChargeAt(it, charges));
+    }
+    if (fitting > 0) offers.emplace_back(-fitting, rack);
+  }
+  std::sort(offers.begin(), offers.end());
+  int left = tasks;
+  for (const auto& [fitting, rack] : offers) {
+    const int n = std::min(left, -fitting);
+    const auto part = Spread(n, charges, rooms, cell_->InRack(rack));
+    place.insert(place.end(), part.begin(), part.end());
+    left -= n;
+    if (left == 0) return place;
+  }
+  return {};
 }
 
-}  // namespace
+int PlaceFinder::StrandedIn(int whole_workers) const {
+  if (grain_workers_ == 0) return 0;
+  return whole_workers % grain_workers_ * worker_size_;
+}
 
-Place FindPlace(const Cell& cell, const Gang& gang,
-                const std::vector<int>& charges,
-                const std::vector<Room>& rooms) {
-  switch (gang.adjacency) {
-    case Adjacency::kWorker:
-      return OnOneWorker(cell, gang, charges, rooms);
-    case Adjacency::kRack:
-      return InOneRack(cell, gang, charges, rooms);
-    case Adjacency::kDomain:
-      return AcrossRacks(cell, gang, charges, rooms);
+int PlaceFinder::Stranded(const Slot* begin, const Slot* end) const {
+  int change = 0;
+  int whole_taken = 0;
+  for (const auto* it = begin; it != end; ++it) {
+    const auto& worker = cell_->at(it->worker);
+    const int free = worker.available();
+    const int after = std::max(0, free - it->total());
+    if (grain_workers_ == 0) {
+      change += after % grain_part_ - free % grain_part_;
+    } else if (free == worker.capacity) {
+      ++whole_taken;
+      change += after;
+    } else {
+      change += after - free;
+    }
   }
-  return {};
+  if (whole_taken == 0) return change;
+  const int whole = whole_[cell_->at(begin->worker).rack];
+  return change + StrandedIn(whole - whole_taken) - StrandedIn(whole);
 }
 
 }  // namespace lapishatch::placement::internal
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -5,6 +5,7 @@
 /// capacity it is. Pure.
 
 #include "placement/cell_facts.h"
+#include "placement/fragmentation.h"
 #include "placement/gang.h"
 #include "placement/planner.h"
 #include "placement/shape.h"
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -13,35 +13,38 @@
 
 namespace {
 
-/// After this much waiting, in units of the starvation time, a gang counts as
-/// of the next better class.
-constexpr int kAgeingFactor = 6;
+/// A worker is relieved when it uses more than this share of its memory:
+/// reports lag, and what is full by the report is over by now.
+constexpr double kMemoryLimit = 0.95;
+
+/// Jobs of which the past is remembered, at most.
+constexpr std::size_t kMaxPast = 4096;
 
 }  // namespace
 
 Planner::Impl::Impl(PlannerOptions options)
-    : options_(options),
-      book_(cell_),
-      queue_(options.starvation_after * kAgeingFactor) {}
+    : options_(options), book_(cell_), queue_(options.ageing_after) {}
 
 void Planner::Impl::PutWorker(const WorkerSpec& spec) {
   const auto known = cell_.Find(spec.name);
-  if (known != kNone && cell_.at(known).present &&
-      cell_.at(known).spec == spec) {
+  if (known != kNone && cell_.at(known).present && cell_.spec(known) == spec) {
     return;
   }
   cell_.Put(spec);
   on_worker_.resize(cell_.size());
   check_possible_ = true;
+  book_.WorkersChanged();
   RepairBook();
 }
 
 void Planner::Impl::RemoveWorker(const base::WorkerName& name) {
   const auto worker = cell_.Find(name);
-  if (worker == kNone) return;
+  if (worker == kNone || !cell_.at(worker).present) return;
   cell_.Remove(worker);
   overfilled_.erase(worker);
   check_possible_ = true;
+  broken_ = true;
+  book_.WorkersChanged();
   RepairBook();
 }
 
@@ -50,71 +53,68 @@
   const auto worker = cell_.Find(name);
   if (worker == kNone || cell_.at(worker).health == health) return;
   cell_.at(worker).health = health;
+  broken_ = true;
+  book_.WorkersChanged();
   RepairBook();
 }
 
 std::string Planner::Impl::SetGuarantees(
     const std::vector<Guarantee>& guarantees) {
-  const auto before = guarantees_;
-  ForceGuarantees(guarantees);
-  const auto short_of = Shortfalls();
-  if (short_of.empty()) return {};
-  const auto& first = short_of.front();
-  auto reason = "organisation " + first.organisation.str() + ": " +
-                std::to_string(first.missing) + " of the blocks of " +
-                std::to_string(first.shape.accelerators) +
-                " accelerators (adjacency " +
-                std::string(base::NameOf(first.shape.adjacency)) +
-                ") cannot be placed on the healthy workers together with all "
-                "other guarantees";
-  ForceGuarantees(before);
+  auto reason = WhyNotTogether(guarantees);
+  if (reason.empty()) ForceGuarantees(guarantees);
   return reason;
 }
 
 void Planner::Impl::ForceGuarantees(const std::vector<Guarantee>& guarantees) {
   guarantees_ = guarantees;
   book_.Set(guarantees);
-  check_possible_ = true;
-  LeaveRetiringBlocks();
-  RepairBook();
-}
-
-void Planner::Impl::LeaveRetiringBlocks() {
-  std::vector<GangState*> leaving;
-  for (auto& [job, gang] : gangs_) {
-    const bool retiring = std::any_of(
-        gang.uses.begin(), gang.uses.end(),
-        [&](const auto& it) { return book_.blocks()[it.block].retiring; });
-    if (retiring && internal::Evictable(gang.gang)) leaving.push_back(&gang);
-  }
-  for (auto* it : leaving) {
+  for (auto* it : LeaversUnder(book_)) {
     if (it->phase == GangPhase::kArriving) {
       BackToQueue(*it);
-      continue;
+    } else {
+      MakeBorrowed(*it);
     }
-    book_.Release(it->uses);
-    it->uses.clear();
-    AccountOf(it->gang.organisation).borrowed += it->charge();
   }
+  grain_ = book_.largest();
+  check_possible_ = true;
+  RepairBook();
 }
 
 void Planner::Impl::SetOrganisations(
     const std::vector<OrganisationShare>& shares) {
   for (auto& [name, account] : accounts_) {
-    account.share = {.organisation = name};
+    account.share = OrganisationShare();
+    account.share.organisation = name;
   }
   for (const auto& it : shares) AccountOf(it.organisation).share = it;
   check_possible_ = true;
+  Changed();
 }
 
 std::string Planner::Impl::Submit(const Gang& gang, base::TimePoint now) {
   if (FindGang(gang.job) != nullptr) return {};
-  auto reason = WhyNever(gang);
-  if (!reason.empty()) return reason;
-  auto& state = gangs_[gang.job];
+  GangState state;
   state.gang = gang;
   state.gang.submitted = std::min(gang.submitted, now);
+  if (state.gang.submitted == base::TimePoint{}) state.gang.submitted = now;
+  state.queued = now;
+  const auto past = past_.find(gang.job);
+  if (past != past_.end()) {
+    state.evictions = past->second.evictions;
+    state.gang.needs.memory_mb =
+        std::max(gang.needs.memory_mb, past->second.memory_mb);
+  }
+  auto reason = WhyNever(state.gang);
+  if (!reason.empty()) {
+    if (state.gang.needs.memory_mb > gang.needs.memory_mb) {
+      reason = "in its last run a task used " +
+               std::to_string(state.gang.needs.memory_mb) + " MB, not the " +
+               std::to_string(gang.needs.memory_mb) + " MB declared: " + reason;
+    }
+    return reason;
+  }
   queue_.Add(state.gang);
+  gangs_.emplace(gang.job, std::move(state));
   return {};
 }
 
@@ -125,6 +125,8 @@
   auto& state = gangs_[gang.job];
   state.gang = gang;
   state.started = started;
+  state.saved = started;
+  state.queued = started;
   state.phase = GangPhase::kRunning;
   auto tasks = placement.tasks;
   std::stable_sort(tasks.begin(), tasks.end(),
@@ -137,51 +139,28 @@
       ++state.place.back().tasks;
       continue;
     }
-    const int charge = internal::ChargeOn(cell_.at(worker).spec, gang.needs);
+    const int charge = internal::ChargeOn(cell_.spec(worker), gang.needs);
     state.place.push_back({worker, 1, charge});
   }
   HoldPlace(state);
   if (placement.borrowed && internal::Evictable(gang)) return;
-  if (AdoptIntoBlock(state) || internal::Evictable(gang)) return;
+  if (AdoptIntoBlocks(state) || internal::Evictable(gang)) return RepairBook();
   // It can't be evicted, and no guarantee covers it: its place is out of reach
   // of all guarantees until it ends.
-  std::vector<internal::Piece> pieces;
-  for (const auto& it : state.place) {
-    pieces.push_back({.worker = it.worker, .count = it.total()});
-  }
-  const auto block = book_.AddRetiring(gang.organisation, pieces);
+  for (const auto it : book_.ConflictsWith(state.place)) LeaveBlock(it);
+  if (AdoptIntoBlocks(state)) return RepairBook();
+  const auto block = book_.AddRetiring(gang.organisation, state.place);
   for (const auto& it : state.place) {
     state.uses.push_back({block, it.worker, it.total()});
   }
   book_.Use(state.uses);
   AccountOf(gang.organisation).borrowed -= state.charge();
+  book_.WorkersChanged();
   RepairBook();
 }
 
-bool Planner::Impl::AdoptIntoBlock(GangState& gang) {
-  std::vector<internal::Piece> wanted;
-  int total = 0;
-  for (const auto& it : gang.place) {
-    total += it.total();
-    wanted.push_back({.worker = it.worker, .count = it.total()});
-  }
-  const auto blocks = book_.Of(gang.gang.organisation);
-  auto uses = UsesFor(gang.place, blocks);
-  for (const auto index : blocks) {
-    if (!uses.empty()) break;
-    const auto& block = book_.blocks()[index];
-    if (block.in_use() || block.shape.accelerators != total) continue;
-    if (!book_.Move(index, wanted)) continue;
-    uses = UsesFor(gang.place, {index});
-  }
-  if (uses.empty()) return false;
-  gang.uses = std::move(uses);
-  book_.Use(gang.uses);
-  AccountOf(gang.gang.organisation).borrowed -= gang.charge();
-  return true;
-}
-
 void Planner::Impl::Cancel(const base::JobName& job) {
+  past_.erase(job);
   auto* gang = FindGang(job);
   if (gang == nullptr) return;
   if (gang->phase == GangPhase::kQueued) {
@@ -201,21 +180,46 @@
       gang->phase == GangPhase::kArriving) {
     return;
   }
+  if (gang->phase == GangPhase::kEvicting) {
+    const auto [past, added] = past_.try_emplace(job);
+    past->second.evictions = gang->evictions + 1;
+    if (added) past_order_.push_back(job);
+    while (past_order_.size() > kMaxPast) {
+      past_.erase(past_order_.front());
+      past_order_.pop_front();
+    }
+  } else {
+    past_.erase(job);
+  }
   DropPlace(*gang);
   gangs_.erase(job);
   RepairBook();
 }
 
-void Planner::Impl::ReportUsage(const base::WorkerName& name, int,
+void Planner::Impl::Checkpointed(const base::JobName& job,
+                                 base::TimePoint now) {
+  auto* gang = FindGang(job);
+  if (gang != nullptr) gang->saved = std::max(gang->saved, now);
+}
+
+void Planner::Impl::ReportUsage(const base::WorkerName& name, int cores,
                                 std::int64_t memory_mb) {
   const auto worker = cell_.Find(name);
   if (worker == kNone) return;
-  const auto over = memory_mb - cell_.at(worker).spec.memory_mb;
-  if (over > 0) {
-    overfilled_[worker] = over;
-  } else {
+  const auto& spec = cell_.spec(worker);
+  const auto limit = static_cast<std::int64_t>(
+      kMemoryLimit * static_cast<double>(spec.memory_mb));
+  const auto over_memory = std::max<std::int64_t>(0, memory_mb - limit);
+  const int over_cores = std::max(0, cores - spec.cores);
+  if (over_memory == 0 && over_cores == 0) {
     overfilled_.erase(worker);
+    return;
   }
+  auto& overfill = overfilled_[worker];
+  overfill.memory_mb = over_memory;
+  overfill.cores = over_cores;
+  overfill.core_reports = over_cores > 0 ? overfill.core_reports + 1 : 0;
+  overfill.reported = true;
 }
 
 GangState* Planner::Impl::FindGang(const base::JobName& job) {
@@ -235,93 +239,6 @@
   return it->second;
 }
 
-void Planner::Impl::HoldPlace(GangState& gang) {
-  for (std::size_t i = 0; i < gang.place.size(); ++i) {
-    const auto& slot = gang.place[i];
-    cell_.at(slot.worker).used += slot.total();
-    auto& here = on_worker_[slot.worker];
-    if (std::find(here.begin(), here.end(), &gang) == here.end()) {
-      here.push_back(&gang);
-    }
-  }
-  PickMasks(gang);
-  auto& account = AccountOf(gang.gang.organisation);
-  account.running += gang.charge();
-  if (gang.borrowed()) account.borrowed += gang.charge();
-}
-
-void Planner::Impl::PickMasks(GangState& gang) {
-  const bool given = !gang.masks.empty();
-  std::size_t task = 0;
-  for (const auto& slot : gang.place) {
-    auto& worker = cell_.at(slot.worker);
-    for (int n = 0; n < slot.tasks; ++n, ++task) {
-      if (given) {
-        worker.taken |= gang.masks[task];
-        continue;
-      }
-      const auto mask = internal::PickAccelerators(
-          worker.taken, worker.spec.accelerators, gang.gang.needs.accelerators);
-      worker.taken |= mask;
-      gang.masks.push_back(mask);
-    }
-  }
-}
-
-void Planner::Impl::DropPlace(GangState& gang) {
-  std::size_t task = 0;
-  for (const auto& slot : gang.place) {
-    auto& worker = cell_.at(slot.worker);
-    worker.used -= slot.total();
-    if (gang.phase == GangPhase::kEvicting) worker.evicting -= slot.total();
-    for (int n = 0; n < slot.tasks; ++n) worker.taken &= ~gang.masks[task++];
-    std::erase(on_worker_[slot.worker], &gang);
-  }
-  auto& account = AccountOf(gang.gang.organisation);
-  account.running -= gang.charge();
-  if (gang.borrowed()) account.borrowed -= gang.charge();
-  book_.Release(gang.uses);
-  gang.uses.clear();
-}
-
-void Planner::Impl::ClaimPlace(GangState& gang) {
-  gang.phase = GangPhase::kArriving;
-  for (const auto& it : gang.place) {
-    cell_.at(it.worker).arriving += it.total();
-  }
-  AccountOf(gang.gang.organisation).running += gang.charge();
-  arriving_.push_back(&gang);
-}
-
-void Planner::Impl::DropClaim(GangState& gang) {
-  for (const auto& it : gang.place) {
-    cell_.at(it.worker).arriving -= it.total();
-  }
-  AccountOf(gang.gang.organisation).running -= gang.charge();
-  std::erase(arriving_, &gang);
-  book_.Release(gang.uses);
-  gang.uses.clear();
-}
-
-void Planner::Impl::BackToQueue(GangState& gang) {
-  DropClaim(gang);
-  gang.place.clear();
-  gang.phase = GangPhase::kQueued;
-  queue_.Add(gang.gang);
-}
-
-void Planner::Impl::RepairBook() {
-  // An arrival whose worker was lost on the way waits again.
-  const auto arriving = arriving_;
-  for (auto* it : arriving) {
-    const bool lost = std::any_of(
-        it->place.begin(), it->place.end(),
-        [&](const auto& slot) { return !cell_.at(slot.worker).open(); });
-    if (lost) BackToQueue(*it);
-  }
-  book_.Repair();
-}
-
 Planner::Planner(PlannerOptions options)
     : impl_(std::make_unique<Impl>(options)) {}
 Planner::~Planner() = default;
@@ -355,6 +272,9 @@
 void Planner::Ended(const base::JobName& job, base::TimePoint now) {
   impl_->Ended(job, now);
 }
+void Planner::Checkpointed(const base::JobName& job, base::TimePoint now) {
+  impl_->Checkpointed(job, now);
+}
 void Planner::ReportUsage(const base::WorkerName& worker, int cores,
                           std::int64_t memory_mb) {
   impl_->ReportUsage(worker, cores, memory_mb);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -74,6 +74,8 @@
   /// A gang that has waited so long gets a reservation: backfill may no longer
   /// take what it waits for.
   base::Duration starvation_after{600'000};
+  /// After so much waiting a gang counts as of the next better class.
+  base::Duration ageing_after{3'600'000};
   std::uint64_t seed = 1;
 };
 
@@ -128,6 +130,10 @@
   /// submission time.
   void Ended(const base::JobName& job, base::TimePoint now);
 
+  /// A running gang has a complete checkpoint as of `now`: evicting it loses
+  /// only what it did since.
+  void Checkpointed(const base::JobName& job, base::TimePoint now);
+
   /// Late usage reports: what the tasks on a worker really take. The planner
   /// answers with evictions from Decide when the worker is about to be
   /// overfilled.
--- /dev/null
+++ b/src/placement/planner_evict.cc
@@ -0,0 +1,188 @@
+// Victims: who has to stop so that a place is free, and what that loses.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "placement/internal/planner_impl.h"
+
+namespace lapishatch::placement {
+
+using internal::GangPhase;
+using internal::GangState;
+using internal::Place;
+using internal::WorkerIndex;
+
+namespace {
+
+/// Reports in a row with too many cores in use before a gang is moved: cores
+/// are shared out by the worker and only slow its tasks down.
+constexpr int kCoreReports = 3;
+
+/// Seconds that stopping and continuing a checkpointed gang costs it.
+constexpr double kCheckpointSeconds = 30;
+
+/// A checkpoint on the way out may fail: this share of the work since the last
+/// one counts as lost.
+constexpr double kCheckpointFailures = 0.02;
+
+bool CanBeVictim(const GangState& gang) {
+  return gang.borrowed() && (gang.phase == GangPhase::kRunning ||
+                             gang.phase == GangPhase::kArriving);
+}
+
+double Seconds(base::Duration span) {
+  return std::max(0.0, std::chrono::duration<double>(span).count());
+}
+
+}  // namespace
+
+double Planner::Impl::LostWork(const GangState& gang,
+                               base::TimePoint now) const {
+  if (gang.phase == GangPhase::kArriving) return 0;
+  const double ran = Seconds(now - gang.started);
+  if (!gang.gang.checkpoint) return ran * gang.charge();
+  const double unsaved = Seconds(now - gang.saved);
+  const double lost =
+      std::min(ran, kCheckpointSeconds) + kCheckpointFailures * unsaved;
+  return lost * gang.charge();
+}
+
+void Planner::Impl::Evict(GangState& gang, const base::JobName& for_job,
+                          std::string reason) {
+  if (!gang.borrowed()) MakeBorrowed(gang);
+  gang.phase = GangPhase::kEvicting;
+  gang.reason = reason;
+  for (const auto& it : gang.place) {
+    cell_.at(it.worker).evicting += it.total();
+  }
+  decisions_.push_back(EvictGang{gang.gang.job, for_job, std::move(reason)});
+}
+
+Planner::Impl::Clearing Planner::Impl::Clear(const Place& place,
+                                             base::TimePoint now) const {
+  Clearing clearing;
+  std::map<WorkerIndex, int> missing;
+  for (const auto& it : place) {
+    missing[it.worker] = it.total() - cell_.at(it.worker).left();
+  }
+  const auto chosen = [&](const GangState* it) {
+    return std::find(clearing.victims.begin(), clearing.victims.end(), it) !=
+           clearing.victims.end();
+  };
+  const auto take_from_missing = [&](const GangState& gang, int sign) {
+    for (const auto& slot : gang.place) {
+      const auto entry = missing.find(slot.worker);
+      if (entry != missing.end()) entry->second -= sign * slot.total();
+    }
+  };
+  while (true) {
+    // The gang that loses least for each accelerator it frees here.
+    GangState* best = nullptr;
+    double best_rate = 0;
+    for (const auto& [index, count] : missing) {
+      if (count <= 0) continue;
+      for (auto* it : on_worker_[index]) {
+        if (!CanBeVictim(*it) || chosen(it)) continue;
+        int frees = 0;
+        for (const auto& slot : it->place) {
+          const auto entry = missing.find(slot.worker);
+          if (entry == missing.end()) continue;
+          frees += std::min(slot.total(), std::max(0, entry->second));
+        }
+        const double rate = LostWork(*it, now) / frees;
+        if (best != nullptr && best_rate <= rate) continue;
+        best = it;
+        best_rate = rate;
+      }
+    }
+    if (best == nullptr) break;
+    clearing.victims.push_back(best);
+    take_from_missing(*best, 1);
+  }
+  clearing.possible =
+      std::all_of(missing.begin(), missing.end(),
+                  [](const auto& it) { return it.second <= 0; });
+  // Victims that later ones have made needless are spared.
+  auto& victims = clearing.victims;
+  for (std::size_t i = 0; i < victims.size();) {
+    take_from_missing(*victims[i], -1);
+    const bool needless =
+        std::all_of(missing.begin(), missing.end(),
+                    [](const auto& it) { return it.second <= 0; });
+    if (needless) {
+      victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(i));
+    } else {
+      take_from_missing(*victims[i], 1);
+      ++i;
+    }
+  }
+  for (const auto* it : victims) clearing.lost_work += LostWork(*it, now);
+  return clearing;
+}
+
+double Planner::Impl::ClearingCost(WorkerIndex index, int need,
+                                   base::TimePoint now) const {
+  int missing = need - cell_.at(index).left();
+  if (missing <= 0) return 0;
+  std::vector<std::pair<double, int>> candidates;
+  for (const auto* it : on_worker_[index]) {
+    if (!CanBeVictim(*it)) continue;
+    const int frees = it->charge_on(index);
+    candidates.emplace_back(LostWork(*it, now) / frees, frees);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  double cost = 0;
+  for (const auto& [rate, frees] : candidates) {
+    if (missing <= 0) break;
+    cost += rate * frees;
+    missing -= frees;
+  }
+  return cost;
+}
+
+void Planner::Impl::RelieveWorkers(base::TimePoint now) {
+  for (auto& [index, overfill] : overfilled_) {
+    // One step for each report: the next one tells whether it was enough.
+    if (!std::exchange(overfill.reported, false)) continue;
+    const bool memory = overfill.memory_mb > 0;
+    if (!memory && overfill.core_reports < kCoreReports) continue;
+    if (cell_.at(index).evicting > 0) continue;
+    GangState* victim = nullptr;
+    const auto cost = [&](const GangState& gang) {
+      return std::pair(!gang.borrowed(), LostWork(gang, now));
+    };
+    for (auto* it : on_worker_[index]) {
+      if (it->phase != GangPhase::kRunning) continue;
+      if (!internal::Evictable(it->gang)) continue;
+      if (victim != nullptr && cost(*victim) <= cost(*it)) continue;
+      victim = it;
+    }
+    if (victim == nullptr) continue;
+    if (memory) LearnMemory(*victim, index, overfill.memory_mb);
+    const auto& name = cell_.spec(index).name.str();
+    Evict(*victim, victim->gang.job,
+          memory ? "worker " + name +
+                       " is about to run out of memory: its tasks use more "
+                       "than they declared, and this gang is moved first"
+                 : "worker " + name +
+                       " is short of cores: its tasks use more than they "
+                       "declared, and this gang is moved first");
+  }
+}
+
+void Planner::Impl::LearnMemory(const GangState& gang, WorkerIndex index,
+                                std::int64_t over_mb) {
+  int tasks = 1;
+  for (const auto& it : gang.place) {
+    if (it.worker == index) tasks = it.tasks;
+  }
+  // The report is of the whole worker. Whoever is moved is taken to be the
+  // cause: charged too much it only gets more room than it needs.
+  const auto need = gang.gang.needs.memory_mb + over_mb / tasks;
+  const auto [past, added] = past_.try_emplace(gang.gang.job);
+  if (added) past_order_.push_back(gang.gang.job);
+  past->second.memory_mb = std::min(need, cell_.spec(index).memory_mb);
+}
+
+}  // namespace lapishatch::placement
--- a/src/placement/planner_explain.cc
+++ b/src/placement/planner_explain.cc
@@ -2,13 +2,13 @@
 #include <string>
 #include <utility>
 
+#include "placement/fragmentation.h"
 #include "placement/internal/planner_impl.h"
 
 namespace lapishatch::placement {
 
 using internal::GangPhase;
 using internal::GangState;
-using internal::Room;
 
 namespace {
 
@@ -57,17 +57,18 @@
 
 std::string Planner::Impl::WhyNotOnHardware(const Gang& gang) const {
   const auto charges = cell_.ChargesOf(gang.needs);
-  std::vector<Room> rooms;
+  internal::Rooms rooms(cell_.size());
   const WorkerSpec* largest = nullptr;
   bool task_fits = false;
+  int workers = 0;
   for (internal::WorkerIndex it = 0; it < cell_.size(); ++it) {
     const auto& worker = cell_.at(it);
     if (!worker.present) continue;
-    rooms.push_back({it, worker.spec.accelerators, 0});
-    task_fits |= charges[worker.type] <= worker.spec.accelerators;
-    if (largest == nullptr ||
-        worker.spec.accelerators > largest->accelerators) {
-      largest = &worker.spec;
+    ++workers;
+    rooms[it].accelerators = worker.capacity;
+    task_fits |= charges[worker.type] <= worker.capacity;
+    if (largest == nullptr || worker.capacity > largest->accelerators) {
+      largest = &cell_.spec(it);
     }
   }
   if (largest == nullptr) return "this cell has no workers";
@@ -80,12 +81,11 @@
            Plural(largest->cores, "core") + " and " +
            std::to_string(largest->memory_mb) + " MB";
   }
-  if (!internal::FindPlace(cell_, gang, charges, rooms).empty()) return {};
+  if (!Finder().Find(gang, gang.adjacency, rooms).empty()) return {};
   return "needs " + NeedText(gang) +
          ", and even without any other work there is no room for that: the "
          "cell has " +
-         Plural(static_cast<int>(rooms.size()), "worker") + " in " +
-         Plural(cell_.racks(), "rack");
+         Plural(workers, "worker") + " in " + Plural(cell_.racks(), "rack");
 }
 
 std::string Planner::Impl::WhyNotOwn(const Gang& gang) const {
@@ -96,28 +96,24 @@
                   : "it is submitted with borrow = false";
   int largest = 0;
   int total = 0;
-  bool fits = false;
   for (const auto& it : guarantees_) {
-    if (it.organisation != gang.organisation || it.count == 0) continue;
+    if (it.organisation != gang.organisation || it.count <= 0) continue;
+    if (internal::ShapeHolds(cell_, it.shape, gang)) return {};
     largest = std::max(largest, it.shape.accelerators);
     total += it.shape.accelerators * it.count;
-    const bool close_enough = it.shape.adjacency <= gang.adjacency;
-    const bool one_worker = gang.adjacency == Adjacency::kWorker;
-    if (it.shape.accelerators >= gang.accelerators() &&
-        (close_enough || !one_worker || it.shape.accelerators <= 8)) {
-      fits = true;
-    }
-  }
-  if (gang.adjacency == Adjacency::kDomain && total >= gang.accelerators()) {
-    fits = true;
   }
-  if (fits) return {};
   if (largest == 0) {
     return "organisation " + gang.organisation.str() +
            " has no guarantee here, and " + why_not_borrow;
   }
-  return "needs " + NeedText(gang) + ", more than the largest guarantee of " +
-         "organisation " + gang.organisation.str() + " (" +
+  // Several blocks together can hold a gang that need not be close together.
+  const Shape together{total, Adjacency::kDomain};
+  if (gang.adjacency == Adjacency::kDomain &&
+      internal::ShapeHolds(cell_, together, gang)) {
+    return {};
+  }
+  return "needs " + NeedText(gang) + ", which no guarantee of organisation " +
+         gang.organisation.str() + " holds (its largest is of " +
          Plural(largest, "accelerator") + "), and " + why_not_borrow;
 }
 
@@ -144,16 +140,10 @@
             "stopped",
             0};
   }
-  int position = 0;
-  int at = 0;
-  queue_.Visit(
-      now, [&](const auto& organisation) { return ShareOf(organisation); },
-      [&](const base::JobName& it) {
-        ++at;
-        if (it == job) position = at;
-        return false;
-      });
-  return {"queued", WhyWaits(*gang), std::max(position, 1)};
+  const int position = queue_.PositionOf(
+      gang->gang, now,
+      [&](const auto& organisation) { return ShareOf(organisation); });
+  return {"queued", WhyWaits(*gang), position};
 }
 
 std::string Planner::Impl::WhyWaits(const GangState& gang) const {
@@ -176,43 +166,27 @@
 int Planner::Impl::free_accelerators() const {
   int sum = 0;
   for (const auto& it : cell_.workers()) {
-    if (it.open()) sum += it.spec.accelerators - it.used;
+    if (it.open()) sum += it.capacity - it.used;
   }
   return sum;
 }
 
 double Planner::Impl::Fragmentation(const Shape& shape) const {
-  int free = 0;
-  int serving = 0;
-  int spare = 0;
-  std::vector<int> by_rack(cell_.racks(), 0);
-  const int size = std::max(shape.accelerators, 1);
+  std::vector<FreeWorker> workers;
   for (const auto& it : cell_.workers()) {
     if (!it.open()) continue;
-    const int here = it.spec.accelerators - it.used;
-    free += here;
-    // Larger blocks take whole workers and one part of another.
-    const bool whole = here == it.spec.accelerators;
-    if (size <= it.spec.accelerators) {
-      serving += here / size * size;
-    } else if (whole) {
-      by_rack[it.rack] += here;
-      spare += here;
-    }
+    workers.push_back({.rack = it.rack,
+                       .accelerators = it.capacity,
+                       .free = it.capacity - it.used});
   }
-  if (free == 0) return 0;
-  if (shape.adjacency == Adjacency::kRack) {
-    for (const auto it : by_rack) serving += it / size * size;
-  } else if (shape.adjacency == Adjacency::kDomain) {
-    serving += spare / size * size;
-  }
-  return 1.0 - static_cast<double>(serving) / free;
+  return FragmentationOf(workers, shape);
 }
 
 CellFacts Planner::Impl::Facts() const {
   CellFacts facts;
-  for (const auto& it : cell_.workers()) {
-    facts.workers.push_back({it.spec, it.health, it.present});
+  for (internal::WorkerIndex it = 0; it < cell_.size(); ++it) {
+    const auto& worker = cell_.at(it);
+    facts.workers.push_back({cell_.spec(it), worker.health, worker.present});
   }
   facts.guarantees = guarantees_;
   for (const auto& [job, gang] : gangs_) {
@@ -228,9 +202,11 @@
     if (it.dead) continue;
     BlockFact block{.organisation = it.organisation,
                     .shape = it.shape,
-                    .guaranteed = !it.retiring};
+                    .guaranteed = !it.retiring,
+                    .intact = it.placed() && book_.Intact(it),
+                    .gangs = it.gangs};
     for (const auto& piece : it.pieces) {
-      block.parts.push_back({cell_.at(piece.worker).spec.name, piece.count});
+      block.parts.push_back({cell_.spec(piece.worker).name, piece.count});
     }
     facts.blocks.push_back(std::move(block));
   }
--- /dev/null
+++ b/src/placement/planner_places.cc
@@ -0,0 +1,298 @@
+// What holds which place, in the planner: charges, blocks, adoption and what
+// follows from lost workers.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "placement/internal/planner_impl.h"
+
+namespace lapishatch::placement {
+
+using internal::BlockIndex;
+using internal::BlockUse;
+using internal::GangPhase;
+using internal::GangState;
+using internal::Place;
+
+void Planner::Impl::HoldPlace(GangState& gang) {
+  for (const auto& it : gang.place) {
+    cell_.at(it.worker).used += it.total();
+    on_worker_[it.worker].push_back(&gang);
+  }
+  PickMasks(gang);
+  auto& account = AccountOf(gang.gang.organisation);
+  account.running += gang.charge();
+  if (gang.borrowed()) account.borrowed += gang.charge();
+}
+
+void Planner::Impl::PickMasks(GangState& gang) {
+  const bool given = !gang.masks.empty();
+  std::size_t task = 0;
+  for (const auto& slot : gang.place) {
+    auto& worker = cell_.at(slot.worker);
+    for (int n = 0; n < slot.tasks; ++n, ++task) {
+      if (given) {
+        worker.taken |= gang.masks[task];
+        continue;
+      }
+      const auto mask = internal::PickAccelerators(
+          worker.taken, worker.capacity, gang.gang.needs.accelerators);
+      worker.taken |= mask;
+      gang.masks.push_back(mask);
+    }
+  }
+}
+
+void Planner::Impl::DropPlace(GangState& gang) {
+  std::size_t task = 0;
+  for (const auto& slot : gang.place) {
+    auto& worker = cell_.at(slot.worker);
+    worker.used -= slot.total();
+    if (gang.phase == GangPhase::kEvicting) worker.evicting -= slot.total();
+    for (int n = 0; n < slot.tasks; ++n) worker.taken &= ~gang.masks[task++];
+    std::erase(on_worker_[slot.worker], &gang);
+  }
+  auto& account = AccountOf(gang.gang.organisation);
+  account.running -= gang.charge();
+  if (gang.borrowed()) account.borrowed -= gang.charge();
+  book_.Release(gang.uses);
+  gang.uses.clear();
+  Changed();
+}
+
+void Planner::Impl::ClaimPlace(GangState& gang) {
+  gang.phase = GangPhase::kArriving;
+  for (const auto& it : gang.place) {
+    cell_.at(it.worker).arriving += it.total();
+    on_worker_[it.worker].push_back(&gang);
+  }
+  AccountOf(gang.gang.organisation).running += gang.charge();
+  arriving_.push_back(&gang);
+}
+
+void Planner::Impl::DropClaim(GangState& gang) {
+  for (const auto& it : gang.place) {
+    cell_.at(it.worker).arriving -= it.total();
+    std::erase(on_worker_[it.worker], &gang);
+  }
+  AccountOf(gang.gang.organisation).running -= gang.charge();
+  std::erase(arriving_, &gang);
+  book_.Release(gang.uses);
+  gang.uses.clear();
+  Changed();
+}
+
+void Planner::Impl::BackToQueue(GangState& gang) {
+  DropClaim(gang);
+  gang.place.clear();
+  gang.phase = GangPhase::kQueued;
+  queue_.Add(gang.gang);
+}
+
+void Planner::Impl::MakeBorrowed(GangState& gang) {
+  book_.Release(gang.uses);
+  gang.uses.clear();
+  AccountOf(gang.gang.organisation).borrowed += gang.charge();
+  Changed();
+}
+
+bool Planner::Impl::AdoptIntoBlocks(GangState& gang) {
+  const auto& blocks = book_.Of(gang.gang.organisation);
+  gang.uses = UsesFor(gang.place, blocks);
+  if (gang.uses.empty() && CoverWithBlocks(gang)) {
+    gang.uses = UsesFor(gang.place, blocks);
+  }
+  if (gang.uses.empty()) return false;
+  book_.Use(gang.uses);
+  AccountOf(gang.gang.organisation).borrowed -= gang.charge();
+  return true;
+}
+
+bool Planner::Impl::CoverWithBlocks(const GangState& gang) {
+  const auto blocks = book_.Of(gang.gang.organisation);
+  // Whole in one block: the smallest that can take it, or the free part of one
+  // that is in use.
+  for (const auto index : blocks) {
+    const auto& block = book_.blocks()[index];
+    if (block.retiring || !block.placed()) continue;
+    if (block.shape.accelerators < gang.charge()) continue;
+    if (block.in_use() ? book_.ExtendOnto(index, gang.place)
+                       : book_.MoveOnto(index, gang.place)) {
+      return true;
+    }
+  }
+  // Worker by worker, over several blocks.
+  auto rest = gang.place;
+  for (auto it = blocks.rbegin(); it != blocks.rend(); ++it) {
+    const auto& block = book_.blocks()[*it];
+    if (block.retiring || block.in_use() || !block.placed()) continue;
+    Place part;
+    int left = block.shape.accelerators;
+    for (const auto& slot : rest) {
+      if (slot.total() > left) continue;
+      const bool other_rack =
+          !part.empty() && block.shape.adjacency != Adjacency::kDomain &&
+          cell_.at(part.front().worker).rack != cell_.at(slot.worker).rack;
+      if (other_rack) continue;
+      part.push_back(slot);
+      left -= slot.total();
+    }
+    if (part.empty() || !book_.MoveOnto(*it, part)) continue;
+    std::erase_if(rest, [&](const auto& slot) {
+      return std::any_of(part.begin(), part.end(), [&](const auto& other) {
+        return other.worker == slot.worker;
+      });
+    });
+    if (rest.empty()) return true;
+  }
+  return false;
+}
+
+std::vector<BlockUse> Planner::Impl::UsesFor(
+    const Place& place, const std::vector<BlockIndex>& blocks) const {
+  std::vector<BlockUse> uses;
+  for (const auto& slot : place) {
+    int need = slot.total();
+    for (const auto index : blocks) {
+      const auto& block = book_.blocks()[index];
+      if (block.retiring) continue;
+      for (const auto& piece : block.pieces) {
+        if (piece.worker != slot.worker) continue;
+        const int n = std::min(need, piece.count - piece.in_use);
+        if (n <= 0) continue;
+        uses.push_back({index, slot.worker, n});
+        need -= n;
+      }
+    }
+    if (need > 0) return {};
+  }
+  return uses;
+}
+
+void Planner::Impl::RepairBook() {
+  Changed();
+  // An arrival whose worker was lost on the way waits again.
+  const auto arriving = arriving_;
+  for (auto* it : arriving) {
+    const bool lost = std::any_of(
+        it->place.begin(), it->place.end(),
+        [&](const auto& slot) { return !cell_.at(slot.worker).open(); });
+    if (lost) BackToQueue(*it);
+  }
+  book_.Repair();
+  if (broken_) DetachFromBroken();
+}
+
+void Planner::Impl::DetachFromBroken() {
+  broken_ = false;
+  for (const auto index : book_.Broken()) {
+    broken_ = true;
+    // Only if the guarantee can then be honoured elsewhere: else its gangs
+    // would lose what is left of it for nothing.
+    auto cell = cell_;
+    auto book = book_;
+    book.Rebind(cell);
+    const auto missing = [](const internal::GuaranteeBook& it) {
+      int sum = 0;
+      for (const auto& shortfall : it.Shortfalls()) sum += shortfall.missing;
+      return sum;
+    };
+    const int before = missing(book);
+    for (const auto* it : GangsIn(index)) {
+      if (internal::Evictable(it->gang)) book.Release(it->uses);
+    }
+    if (book.blocks()[index].in_use()) book.Reissue(index);
+    book.Repair();
+    if (missing(book) >= before) continue;
+    LeaveBlock(index);
+    book_.Repair();
+  }
+}
+
+void Planner::Impl::LeaveBlock(BlockIndex block) {
+  for (auto* it : GangsIn(block)) {
+    if (internal::Evictable(it->gang)) MakeBorrowed(*it);
+  }
+  if (book_.blocks()[block].in_use()) book_.Reissue(block);
+}
+
+std::vector<GangState*> Planner::Impl::GangsIn(BlockIndex block) const {
+  std::vector<GangState*> found;
+  for (const auto& piece : book_.blocks()[block].pieces) {
+    for (auto* it : on_worker_[piece.worker]) {
+      const bool uses =
+          std::any_of(it->uses.begin(), it->uses.end(),
+                      [&](const BlockUse& use) { return use.block == block; });
+      if (!uses) continue;
+      if (std::find(found.begin(), found.end(), it) != found.end()) continue;
+      found.push_back(it);
+    }
+  }
+  return found;
+}
+
+std::vector<GangState*> Planner::Impl::LeaversUnder(
+    const internal::GuaranteeBook& book) {
+  std::vector<GangState*> leavers;
+  for (std::size_t i = 0; i < book.blocks().size(); ++i) {
+    const auto& block = book.blocks()[i];
+    if (block.dead || !block.retiring) continue;
+    for (auto* it : GangsIn(static_cast<BlockIndex>(i))) {
+      if (it->phase != GangPhase::kArriving && !internal::Evictable(it->gang)) {
+        continue;
+      }
+      if (std::find(leavers.begin(), leavers.end(), it) != leavers.end()) {
+        continue;
+      }
+      leavers.push_back(it);
+    }
+  }
+  return leavers;
+}
+
+std::string Planner::Impl::WhyNotTogether(
+    const std::vector<Guarantee>& guarantees) {
+  auto cell = cell_;
+  auto book = book_;
+  book.Rebind(cell);
+  book.Set(guarantees);
+  for (auto* it : LeaversUnder(book)) book.Release(it->uses);
+  book.Repair();
+  auto shortfalls = book.Shortfalls();
+  // What was short before through lost hardware is no reason against a change.
+  for (const auto& known : Shortfalls()) {
+    std::erase_if(shortfalls, [&](const Shortfall& it) {
+      return it.organisation == known.organisation && it.shape == known.shape &&
+             it.missing <= known.missing;
+    });
+  }
+  if (shortfalls.empty()) return {};
+  const auto& first = shortfalls.front();
+  return "organisation " + first.organisation.str() + ": " +
+         std::to_string(first.missing) + " of its blocks of " +
+         std::to_string(first.shape.accelerators) +
+         " accelerators (adjacency " +
+         std::string(base::NameOf(first.shape.adjacency)) +
+         ") cannot be placed on the healthy workers together with all other "
+         "guarantees and the work that cannot be moved";
+}
+
+GangPlacement Planner::Impl::PlacementOf(const GangState& gang) const {
+  GangPlacement placement;
+  placement.borrowed = gang.borrowed();
+  int task = 0;
+  for (const auto& slot : gang.place) {
+    for (int n = 0; n < slot.tasks; ++n, ++task) {
+      const auto mask = gang.masks.empty() ? 0 : gang.masks[task];
+      placement.tasks.push_back({task, cell_.spec(slot.worker).name, mask});
+    }
+  }
+  return placement;
+}
+
+std::vector<Shortfall> Planner::Impl::Shortfalls() const {
+  return book_.Shortfalls();
+}
+
+}  // namespace lapishatch::placement
--- /dev/null
+++ b/test/placement/history.h
@@ -0,0 +1,84 @@
+#ifndef LAPISHATCH_TEST_PLACEMENT_HISTORY_H_
+#define LAPISHATCH_TEST_PLACEMENT_HISTORY_H_
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "placement/placement.h"
+
+namespace lapishatch::placement {
+
+/// What can happen to a cell.
+enum class StepKind : std::uint8_t {
+  kSubmit,
+  kEnd,
+  kCancel,
+  kWait,
+  kConfigure,
+  kUsage,
+  kSetHealth,
+  kToggleWorker,
+  kForce,
+  kNewOwner,
+};
+
+/// One step of a history; the numbers choose among what is there, so that any
+/// numbers make sense and shrinking works.
+struct Step {
+  StepKind kind = StepKind::kSubmit;
+  int a = 0;
+  int b = 0;
+  int c = 0;
+
+  friend std::ostream& operator<<(std::ostream& out, const Step& it);
+};
+
+/// Plays steps against a planner as a scheduler would, and checks the planner
+/// after each.
+class History {
+ public:
+  /// Three racks of `per_rack` workers with `accelerators` each.
+  History(int per_rack, int accelerators);
+
+  /// Returns what is broken after this step, or an empty text.
+  std::string Play(const Step& step);
+
+  const Planner& planner() const { return planner_; }
+
+ private:
+  struct Running {
+    Gang gang;
+    GangPlacement placement;
+    base::TimePoint started;
+    bool evicting = false;
+  };
+
+  void Submit(const Step& step);
+  void End(const Step& step);
+  void Cancel(const Step& step);
+  void SetHealth(const Step& step);
+  void ToggleWorker(const Step& step);
+  void NewOwner();
+  std::vector<Guarantee> Guarantees(int variant) const;
+  std::string Carry(const std::vector<Decision>& decisions);
+  std::string Check() const;
+
+  int per_rack_;
+  int accelerators_;
+  Planner planner_;
+  base::TimePoint now_{base::Duration(1'000'000)};
+  int next_job_ = 0;
+  /// Hardware was lost, or guarantees were forced: shortfalls are allowed.
+  bool lost_ = false;
+  std::vector<Guarantee> guarantees_;
+  std::map<base::JobName, Gang> queued_;
+  std::map<base::JobName, Running> running_;
+  std::map<int, WorkerHealth> health_;
+  std::map<int, bool> removed_;
+};
+
+}  // namespace lapishatch::placement
+
+#endif  // LAPISHATCH_TEST_PLACEMENT_HISTORY_H_
