Prove starts that never began, and test owners and gangs under faults

Cause: a reservation that lapsed looks like a task that ran and was stopped, so a non-idempotent job whose owner died between its intent and its start ended as unknown though nothing had run (seen red: killed 32 to 36 ms after acceptance). Ruled out: taking a lapsed reservation for proof by its age (the start may have come before the lapse); longer reservations (the failover is longer still). Change: a worker says of a stopped task that it never began; owner and recovery take only that word as proof. Codec and stand-in carry it.

--- a/src/backends/worker_codec.cc
+++ b/src/backends/worker_codec.cc
@@ -163,6 +163,7 @@
   if (!task.detail.empty()) out["detail"] = task.detail;
   if (!task.checkpoint.empty()) out["checkpoint"] = task.checkpoint;
   if (task.checkpoint_failed) out["checkpoint_failed"] = true;
+  if (task.never_started) out["never_started"] = true;
   return out;
 }
 
@@ -184,6 +185,7 @@
   out.detail = reader.OptionalString("detail");
   out.checkpoint = reader.OptionalString("checkpoint");
   out.checkpoint_failed = reader.OptionalBool("checkpoint_failed");
+  out.never_started = reader.OptionalBool("never_started");
   return out;
 }
 
--- a/src/lifecycle/gang_machine.cc
+++ b/src/lifecycle/gang_machine.cc
@@ -331,6 +331,8 @@
   void Note(const MemberGone& event) {
     auto& member = MemberOf(event.task);
     if (Ended(member)) return;
+    const bool sure = event.never_started && !HasStarted(member);
+    if (sure) member.may_have_run = false;
     member.state = MemberState::kGone;
     book.Blame(GangEnd::kBroken, "a member stopped by itself", event.task);
     Feed(Broken{});
--- a/src/lifecycle/gang_machine.h
+++ b/src/lifecycle/gang_machine.h
@@ -81,6 +81,8 @@
 /// The worker holds nothing of the member: stopped, or never there.
 struct MemberGone {
   int task = 0;
+  /// The worker's own word that it never began.
+  bool never_started = false;
 };
 struct MemberLost {
   int task = 0;
--- a/src/lifecycle/worker_protocol.h
+++ b/src/lifecycle/worker_protocol.h
@@ -111,6 +111,8 @@
   /// The last checkpoint that is complete in the object store, or empty.
   std::string checkpoint;
   bool checkpoint_failed = false;
+  /// The worker's own word, of a stopped task, that it was never begun.
+  bool never_started = false;
 
   friend bool operator==(const TaskReport&, const TaskReport&) = default;
 };
--- a/src/scheduler/gang_runner.cc
+++ b/src/scheduler/gang_runner.cc
@@ -9,6 +9,10 @@
 /// Pause before a command whose outcome is unknown is given again.
 constexpr base::Duration kCommandRetry{300};
 
+/// How long to wait for the report of a member that was stopped when it was not
+/// known whether it had begun.
+constexpr base::Duration kReportWait{1'000};
+
 /// How long finished members wait for the others before it is recorded that
 /// only some have finished.
 constexpr base::Duration kPartlyFinishedAfter{1'000};
@@ -234,7 +238,13 @@
 
 void GangRunner::OnStopped(int task, CommandEnd end, const std::string&) {
   if (end == CommandEnd::kDone || end == CommandEnd::kRefused) {
-    return Tell(lifecycle::MemberGone{task});
+    // The report tells whether a member whose start was unknown ever began.
+    const bool unsure = machine_.member(task) == MemberState::kStartSent;
+    if (!unsure) return Tell(lifecycle::MemberGone{task});
+    loop_.After(kReportWait, scope_.Guard([this, task] {
+      Tell(lifecycle::MemberGone{task});
+    }));
+    return;
   }
   // Until the worker is reached again or counts as lost.
   loop_.After(kCommandRetry, scope_.Guard([this, task] {
@@ -283,7 +293,7 @@
           task, "task " + std::to_string(task) + " failed with exit code " +
                     std::to_string(report.exit_code) + " " + report.detail});
     case lifecycle::TaskState::kStopped:
-      return Tell(lifecycle::MemberGone{task});
+      return Tell(lifecycle::MemberGone{task, report.never_started});
   }
 }
 
--- a/src/scheduler/recovery.cc
+++ b/src/scheduler/recovery.cc
@@ -161,9 +161,11 @@
       return MemberState::kReserved;
     case TaskState::kRunning:
       return MemberState::kRunning;
+    case TaskState::kStopped:
+      if (it->second.report.never_started) return MemberState::kGone;
+      [[fallthrough]];
     case TaskState::kFinished:
     case TaskState::kFailed:
-    case TaskState::kStopped:
       ends->push_back(it->second.report);
       return MemberState::kRunning;
   }
--- a/standins/worker/worker_model.cc
+++ b/standins/worker/worker_model.cc
@@ -446,6 +446,7 @@
 }
 
 void WorkerModel::End(Task& task, TaskState state, std::string detail) {
+  task.report.never_started = task.report.state == TaskState::kReserved;
   task.report.state = state;
   task.report.detail = std::move(detail);
   task.checkpoint_end.reset();
--- a/test/backends/codec_test.cc
+++ b/test/backends/codec_test.cc
@@ -86,6 +86,7 @@
   out.detail = AnyName();
   out.checkpoint = AnyName();
   out.checkpoint_failed = *rc::gen::arbitrary<bool>();
+  out.never_started = *rc::gen::arbitrary<bool>();
   return out;
 }
 
--- /dev/null
+++ b/test/lifecycle/cell_lease_test.cc
@@ -0,0 +1,253 @@
+#include <catch2/catch.hpp>
+
+#include "lifecycle/lifecycle.h"
+
+namespace lapishatch::lifecycle {
+namespace {
+
+using base::Duration;
+
+const base::Incarnation kSelf("self");
+const base::Incarnation kOther("other");
+
+template <typename Command>
+const Command* Find(const std::vector<LeaseCommand>& commands) {
+  for (const auto& it : commands) {
+    if (const auto* found = std::get_if<Command>(&it)) return found;
+  }
+  return nullptr;
+}
+
+/// A lease with its clock.
+struct Fixture {
+  CellLease lease{kSelf, "10.0.0.1:1", LeaseTimes()};
+  LeaseTimes times;
+  base::TimePoint now{Duration(100'000)};
+  std::uint64_t version = 0;
+
+  std::vector<LeaseCommand> Tell(const LeaseEvent& event) {
+    return lease.Handle(event, now);
+  }
+
+  /// The next step that is due in time.
+  std::vector<LeaseCommand> Wake() {
+    now = std::max(now, lease.wake_at());
+    return Tell(LeaseTime{});
+  }
+
+  RowRead RowOf(const base::Incarnation& holder, std::uint64_t at) const {
+    RowRead read;
+    read.row = HolderRow{holder, "10.0.0.2:1", 7, base::AttemptId("a")};
+    read.row_version = at;
+    return read;
+  }
+
+  /// Takes the cell, of which there was no row.
+  void Take() {
+    REQUIRE(Find<ReadRow>(lease.Begin(now)));
+    const auto out = Tell(RowRead{});
+    REQUIRE(Find<WriteRow>(out));
+    REQUIRE(Find<WriteRow>(out)->take);
+    version = 1;
+    const auto granted = Tell(LeaseWritten{1, 1});
+    REQUIRE(Find<LeaseGranted>(granted));
+  }
+
+  /// Reads the same row of another holder until the candidate does something
+  /// else; returns how long that took.
+  Duration WatchUnchanged(std::vector<LeaseCommand>* last) {
+    const auto from = now;
+    for (int i = 0; i < 100; ++i) {
+      *last = Tell(RowOf(kOther, 5));
+      if (!last->empty()) break;
+      REQUIRE(Find<ReadRow>(Wake()));
+    }
+    return std::chrono::duration_cast<Duration>(now - from);
+  }
+};
+
+TEST_CASE("a free cell is taken with the next epoch") {
+  Fixture it;
+  REQUIRE(Find<ReadRow>(it.lease.Begin(it.now)));
+  auto row = it.RowOf(base::Incarnation(), 4);
+  const auto out = it.Tell(row);
+  REQUIRE(Find<WriteRow>(out));
+  CHECK(Find<WriteRow>(out)->row.epoch == 8);
+  CHECK(Find<WriteRow>(out)->row_version == 4);
+}
+
+TEST_CASE("a candidate waits for a whole lease, then asks the holder") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  std::vector<LeaseCommand> out;
+  const auto waited = it.WatchUnchanged(&out);
+  CHECK(waited >= it.times.length + it.times.margin);
+  REQUIRE(Find<AskHolder>(out));
+  CHECK(Find<AskHolder>(out)->holder == kOther);
+  CHECK(Find<WriteRow>(it.Tell(HolderSilent{})));
+}
+
+TEST_CASE("a holder that answers keeps the cell") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  std::vector<LeaseCommand> out;
+  it.WatchUnchanged(&out);
+  REQUIRE(Find<AskHolder>(out));
+  CHECK(it.Tell(HolderAnswered{HolderState::kHolding}).empty());
+  REQUIRE(Find<ReadRow>(it.Wake()));
+  CHECK(it.WatchUnchanged(&out) >= it.times.length);
+}
+
+TEST_CASE("a holder that misses only the table is spared once") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  std::vector<LeaseCommand> out;
+  it.WatchUnchanged(&out);
+  CHECK(it.Tell(HolderAnswered{HolderState::kHoldingWithoutTable}).empty());
+  REQUIRE(Find<ReadRow>(it.Wake()));
+  it.WatchUnchanged(&out);
+  REQUIRE(Find<AskHolder>(out));
+  const auto second =
+      it.Tell(HolderAnswered{HolderState::kHoldingWithoutTable});
+  CHECK(Find<WriteRow>(second));
+}
+
+TEST_CASE("a failed read begins the wait anew") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  for (int i = 0; i < 4; ++i) {
+    it.Tell(it.RowOf(kOther, 5));
+    REQUIRE(Find<ReadRow>(it.Wake()));
+  }
+  it.Tell(RowReadFailed{});
+  REQUIRE(Find<ReadRow>(it.Wake()));
+  std::vector<LeaseCommand> out;
+  CHECK(it.WatchUnchanged(&out) >= it.times.length + it.times.margin);
+}
+
+TEST_CASE("a candidate that was paused begins the wait anew") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  it.Tell(it.RowOf(kOther, 5));
+  it.now += it.times.length * 3;
+  REQUIRE(Find<ReadRow>(it.Tell(LeaseTime{})));
+  CHECK(it.Tell(it.RowOf(kOther, 5)).empty());
+}
+
+TEST_CASE("a holder renews in time and may act") {
+  Fixture it;
+  it.Take();
+  for (int i = 0; i < 10; ++i) {
+    const auto out = it.Wake();
+    REQUIRE(Find<WriteRow>(out));
+    CHECK_FALSE(Find<WriteRow>(out)->take);
+    CHECK(Find<WriteRow>(out)->row_version == it.version);
+    it.Tell(LeaseWritten{++it.version, 0});
+    CHECK(it.lease.MayAct(it.now));
+  }
+}
+
+TEST_CASE("a holder that was paused past its lease may not act") {
+  Fixture it;
+  it.Take();
+  it.now += it.times.length + Duration(1);
+  CHECK_FALSE(it.lease.MayAct(it.now));
+  // Whatever it hears first.
+  CHECK(Find<LeaseLost>(it.Tell(LeaseUnknown{})));
+  CHECK(it.lease.state(it.now) == HolderState::kNotHolding);
+}
+
+TEST_CASE("a holder goes on while the table fails under its eyes") {
+  Fixture it;
+  it.Take();
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(Find<WriteRow>(it.Wake()));
+    CHECK(it.Tell(LeaseNotWritten{}).empty());
+    CHECK(it.lease.MayAct(it.now));
+    CHECK(it.lease.state(it.now) == HolderState::kHoldingWithoutTable);
+  }
+  // But not when it was paused meanwhile.
+  it.now += it.times.length + Duration(1);
+  CHECK_FALSE(it.lease.MayAct(it.now));
+}
+
+TEST_CASE("an unknown renewal is read back") {
+  Fixture it;
+  it.Take();
+  const auto renewal = it.Wake();
+  REQUIRE(Find<WriteRow>(renewal));
+  REQUIRE(Find<ReadRow>(it.Tell(LeaseUnknown{})));
+  RowRead read;
+  read.row = Find<WriteRow>(renewal)->row;
+  read.row_version = 2;
+  SECTION("it took effect") {
+    CHECK(it.Tell(read).empty());
+    CHECK(it.lease.state(it.now) == HolderState::kHolding);
+  }
+  SECTION("it did not: it is written again") {
+    read.row->attempt = base::AttemptId("earlier");
+    const auto again = it.Tell(read);
+    REQUIRE(Find<WriteRow>(again));
+    CHECK(Find<WriteRow>(again)->row_version == 2);
+  }
+  SECTION("another process has taken the cell") {
+    read.row->holder = kOther;
+    CHECK(Find<LeaseLost>(it.Tell(read)));
+  }
+}
+
+TEST_CASE("an unknown take is read back, and never guessed") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  const auto take = it.Tell(RowRead{});
+  REQUIRE(Find<WriteRow>(take));
+  REQUIRE(Find<ReadRow>(it.Tell(LeaseUnknown{})));
+  RowRead read;
+  read.row = Find<WriteRow>(take)->row;
+  read.row_version = 1;
+  read.fence_version = 3;
+  SECTION("it took effect") {
+    const auto out = it.Tell(read);
+    REQUIRE(Find<LeaseGranted>(out));
+    CHECK(Find<LeaseGranted>(out)->fence_version == 3);
+  }
+  SECTION("it had no effect") {
+    read.row.reset();
+    CHECK_FALSE(Find<LeaseGranted>(it.Tell(read)));
+    CHECK_FALSE(it.lease.MayAct(it.now));
+  }
+}
+
+TEST_CASE("a refused epoch ends the lease, and the next take goes above it") {
+  Fixture it;
+  it.Take();
+  CHECK(Find<LeaseLost>(it.Tell(EpochRefused{20})));
+  REQUIRE(Find<ReadRow>(it.Wake()));
+  const auto out = it.Tell(it.RowOf(base::Incarnation(), 9));
+  REQUIRE(Find<WriteRow>(out));
+  CHECK(Find<WriteRow>(out)->row.epoch == 21);
+}
+
+TEST_CASE("a planned stop empties the row") {
+  Fixture it;
+  it.Take();
+  const auto out = it.Tell(ReleaseAsked{});
+  REQUIRE(Find<WriteRow>(out));
+  CHECK(Find<WriteRow>(out)->row.holder.empty());
+  CHECK_FALSE(it.lease.MayAct(it.now));
+  CHECK(Find<LeaseReleased>(it.Tell(LeaseWritten{2, 0})));
+}
+
+TEST_CASE("a planned stop waits for the renewal under way") {
+  Fixture it;
+  it.Take();
+  REQUIRE(Find<WriteRow>(it.Wake()));
+  CHECK(it.Tell(ReleaseAsked{}).empty());
+  const auto out = it.Tell(LeaseWritten{2, 0});
+  REQUIRE(Find<WriteRow>(out));
+  CHECK(Find<WriteRow>(out)->row.holder.empty());
+  CHECK(Find<WriteRow>(out)->row_version == 2);
+}
+
+}  // namespace
+}  // namespace lapishatch::lifecycle
--- /dev/null
+++ b/test/lifecycle/gang_machine_test.cc
@@ -0,0 +1,203 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "lifecycle/lifecycle.h"
+
+namespace lapishatch::lifecycle {
+namespace {
+
+constexpr base::TimePoint kStart{base::Duration(1'000)};
+
+template <typename Command>
+const Command* Find(const std::vector<GangCommand>& commands) {
+  for (const auto& it : commands) {
+    if (const auto* found = std::get_if<Command>(&it)) return found;
+  }
+  return nullptr;
+}
+
+/// A machine of `tasks` members, driven up to the given phase.
+GangMachine MachineIn(GangPhase phase, int tasks, bool can_checkpoint = true) {
+  GangMachine machine(tasks, can_checkpoint, GangTimes());
+  machine.Begin(kStart);
+  if (phase == GangPhase::kReserving) return machine;
+  for (int i = 0; i < tasks; ++i) machine.Handle(MemberReserved{i}, kStart);
+  if (phase == GangPhase::kRecording) return machine;
+  machine.Handle(IntentRecorded{}, kStart);
+  if (phase == GangPhase::kStarting) return machine;
+  for (int i = 0; i < tasks; ++i) machine.Handle(MemberStarted{i}, kStart);
+  if (phase == GangPhase::kRunning) return machine;
+  machine.Handle(EvictAsked{"owed"}, kStart);
+  return machine;
+}
+
+TEST_CASE("a gang starts only when all are reserved and it is recorded") {
+  GangMachine machine(2, false, GangTimes());
+  CHECK(Find<ReserveMembers>(machine.Begin(kStart)));
+  CHECK(machine.Handle(MemberReserved{0}, kStart).empty());
+  CHECK(Find<RecordIntent>(machine.Handle(MemberReserved{1}, kStart)));
+  CHECK(Find<StartMembers>(machine.Handle(IntentRecorded{}, kStart)));
+  CHECK(machine.Handle(MemberStarted{1}, kStart).empty());
+  CHECK(Find<ConfirmMembers>(machine.Handle(MemberStarted{0}, kStart)));
+  CHECK(machine.phase() == GangPhase::kRunning);
+  machine.Handle(MemberFinished{0}, kStart);
+  const auto last = machine.Handle(MemberFinished{1}, kStart);
+  REQUIRE(Find<GangEnded>(last));
+  CHECK(Find<GangEnded>(last)->end == GangEnd::kFinished);
+}
+
+TEST_CASE("a missing reservation releases all, and the job was not run") {
+  auto machine = MachineIn(GangPhase::kReserving, 3);
+  machine.Handle(MemberReserved{0}, kStart);
+  CHECK(Find<StopMembers>(machine.Handle(MemberRefused{1, "held"}, kStart)));
+  machine.Handle(MemberGone{0}, kStart);
+  const auto last = machine.Handle(MemberGone{2}, kStart);
+  REQUIRE(Find<GangEnded>(last));
+  CHECK(Find<GangEnded>(last)->end == GangEnd::kBroken);
+  CHECK_FALSE(Find<GangEnded>(last)->may_have_run);
+  CHECK(Find<GangEnded>(last)->culprit == 1);
+}
+
+TEST_CASE("a member lost in any phase stops the whole gang at once") {
+  for (const auto phase :
+       {GangPhase::kReserving, GangPhase::kRecording, GangPhase::kStarting,
+        GangPhase::kRunning, GangPhase::kCheckpointing}) {
+    CAPTURE(base::NameOf(phase));
+    auto machine = MachineIn(phase, 3);
+    REQUIRE(machine.phase() == phase);
+    CHECK(Find<StopMembers>(machine.Handle(MemberLost{1, "dead"}, kStart)));
+    CHECK_FALSE(Find<GangEnded>(machine.Handle(MemberGone{0}, kStart)));
+    const auto last = machine.Handle(MemberGone{2}, kStart);
+    REQUIRE(Find<GangEnded>(last));
+    const bool started =
+        phase != GangPhase::kReserving && phase != GangPhase::kRecording;
+    CHECK(Find<GangEnded>(last)->may_have_run == started);
+  }
+}
+
+TEST_CASE("a step without an answer ends in time") {
+  for (const auto phase : {GangPhase::kReserving, GangPhase::kRecording,
+                           GangPhase::kStarting, GangPhase::kCheckpointing}) {
+    CAPTURE(base::NameOf(phase));
+    auto machine = MachineIn(phase, 2);
+    REQUIRE(machine.wake_at());
+    const auto due = *machine.wake_at();
+    CHECK(machine.Handle(GangTime{}, due - base::Duration(1)).empty());
+    CHECK(Find<StopMembers>(machine.Handle(GangTime{}, due)));
+  }
+}
+
+TEST_CASE("an eviction has a checkpoint only when every member has one") {
+  auto machine = MachineIn(GangPhase::kCheckpointing, 2);
+  machine.Handle(MemberCheckpointed{0, "a"}, kStart);
+  CHECK(Find<StopMembers>(machine.Handle(CheckpointRefused{1}, kStart)));
+  machine.Handle(MemberGone{0}, kStart);
+  const auto last = machine.Handle(MemberGone{1}, kStart);
+  REQUIRE(Find<GangEnded>(last));
+  CHECK(Find<GangEnded>(last)->end == GangEnd::kEvicted);
+  CHECK(Find<GangEnded>(last)->checkpoints.empty());
+}
+
+TEST_CASE("a refusal after a start was confirmed does not unsay it") {
+  auto machine = MachineIn(GangPhase::kStarting, 2);
+  machine.Handle(MemberStarted{0}, kStart);
+  machine.Handle(MemberRefused{0, "late"}, kStart);
+  CHECK(machine.member(0) == MemberState::kRunning);
+}
+
+TEST_CASE("an adopted gang goes on whole or stops") {
+  GangMachine whole(2, false, GangTimes());
+  whole.Adopt({MemberState::kRunning, MemberState::kFinished}, kStart);
+  CHECK(whole.phase() == GangPhase::kRunning);
+
+  GangMachine part(2, false, GangTimes());
+  CHECK(Find<StopMembers>(
+      part.Adopt({MemberState::kRunning, MemberState::kReserved}, kStart)));
+
+  GangMachine unstarted(2, false, GangTimes());
+  const auto out =
+      unstarted.Adopt({MemberState::kGone, MemberState::kGone}, kStart);
+  REQUIRE(Find<GangEnded>(out));
+  CHECK_FALSE(Find<GangEnded>(out)->may_have_run);
+}
+
+/// Any event, about any member, in any order.
+GangEvent AnyEvent(int kind, int task) {
+  switch (kind) {
+    case 0:
+      return MemberReserved{task};
+    case 1:
+      return MemberRefused{task, "no"};
+    case 2:
+      return MemberStarted{task};
+    case 3:
+      return MemberFinished{task};
+    case 4:
+      return MemberFailed{task, "exit 1"};
+    case 5:
+      return MemberGone{task};
+    case 6:
+      return MemberLost{task, "dead"};
+    case 7:
+      return MemberCheckpointed{task, "object"};
+    case 8:
+      return IntentRecorded{};
+    case 9:
+      return IntentRefused{"no"};
+    case 10:
+      return EvictAsked{"owed"};
+    case 11:
+      return CancelAsked{"asked"};
+    default:
+      return GangTime{};
+  }
+}
+
+TEST_CASE("whatever comes in whatever order, the protocol is kept") {
+  const bool ok = rc::check("gang protocol", [] {
+    const int tasks = *rc::gen::inRange(1, 4);
+    GangMachine machine(tasks, *rc::gen::arbitrary<bool>(), GangTimes());
+    auto now = kStart;
+    bool recorded = false;
+    int starts = 0;
+    int ends = 0;
+    bool stopped = false;
+    std::set<int> reserved;
+    auto out = machine.Begin(now);
+    for (int step = 0; step < 40; ++step) {
+      for (const auto& command : out) {
+        if (std::holds_alternative<StartMembers>(command)) {
+          ++starts;
+          // Never before the record, never in part, never after a stop.
+          RC_ASSERT(recorded);
+          RC_ASSERT(static_cast<int>(reserved.size()) == tasks);
+          RC_ASSERT(!stopped);
+        }
+        if (std::holds_alternative<StopMembers>(command)) stopped = true;
+        if (const auto* end = std::get_if<GangEnded>(&command)) {
+          ++ends;
+          // A gang whose start was never sent cannot be said to have run,
+          // unless a worker itself says that a member finished.
+          if (starts == 0 && end->end != GangEnd::kFinished) {
+            RC_ASSERT(machine.phase() == GangPhase::kOver);
+          }
+        }
+      }
+      const int kind = *rc::gen::inRange(0, 13);
+      const int task = *rc::gen::inRange(0, tasks);
+      const auto event = AnyEvent(kind, task);
+      if (std::holds_alternative<IntentRecorded>(event)) recorded = true;
+      if (std::holds_alternative<MemberReserved>(event)) reserved.insert(task);
+      now += base::Duration(*rc::gen::inRange(0, 5'000));
+      out = machine.Handle(event, now);
+    }
+    RC_ASSERT(starts <= 1);
+    RC_ASSERT(ends <= 1);
+  });
+  CHECK(ok);
+}
+
+}  // namespace
+}  // namespace lapishatch::lifecycle
--- a/test/scheduler/owner_rig.h
+++ b/test/scheduler/owner_rig.h
@@ -42,10 +42,15 @@
 /// as many processes as a test starts.
 class OwnerRig {
  public:
-  explicit OwnerRig(int worker_count)
+  /// `first_worker_run_time` is how long tasks that name no run time take on
+  /// the first worker; a minute on the others.
+  explicit OwnerRig(int worker_count,
+                    base::Duration first_worker_run_time = kRunTime)
       : table(time), workers(time), owners(time), feed(time) {
     std::vector<CellWorker> list;
-    for (int i = 0; i < worker_count; ++i) list.push_back(AddWorker(i));
+    for (int i = 0; i < worker_count; ++i) {
+      list.push_back(AddWorker(i, i == 0 ? first_worker_run_time : kRunTime));
+    }
     feed.SetWorkers(list);
     time.RunFor(base::Duration(1));
   }
@@ -89,6 +94,8 @@
     job.spec.needs = {accelerators, 4, 1'024};
     job.spec.adjacency = placement::Adjacency::kDomain;
     job.spec.idempotent = idempotent;
+    // Without a guarantee, it may run only as work that may be lost.
+    job.spec.may_be_lost = !idempotent;
     job.spec.payload = R"({"run_ms":60000})";
     return job;
   }
@@ -149,10 +156,13 @@
   fakes::FakeJobFeed feed;
 
  private:
-  CellWorker AddWorker(int i) {
+  static constexpr base::Duration kRunTime{60'000};
+
+  CellWorker AddWorker(int i, base::Duration run_time) {
     standins::WorkerModelOptions options;
     options.name = base::WorkerName("w" + std::to_string(i));
     options.rack = base::RackName("r" + std::to_string(i / 4));
+    options.default_run_time = run_time;
     workers.Add(EndpointOf(i), options);
     return {options.name, EndpointOf(i), options.rack, false};
   }
