--- a/src/config/mirror.cc
+++ b/src/config/mirror.cc
@@ -85,6 +85,11 @@
     ports_.source->Pull(log, replica(log).version() + 1);
   }
 
+  void OfferSnapshot(LogId log, const std::string& text) {
+    const auto snapshot = SnapshotOf(text, "a peer's snapshot");
+    if (snapshot && snapshot->log == log) Install(*snapshot, "peer");
+  }
+
   void HeardOf(LogId log, LogVersion version) {
     NoteAccepted(log, version);
     if (!IsLoaded(log) || version <= replica(log).version()) return;
@@ -286,9 +291,7 @@
       ports_.source->FetchSnapshot(
           log, [this, log](const std::optional<std::string>& text) {
             logs_[Index(log)].asking_peers = false;
-            if (!text) return;
-            const auto snapshot = SnapshotOf(*text, "a peer's snapshot");
-            if (snapshot && snapshot->log == log) Install(*snapshot, "peer");
+            if (text) OfferSnapshot(log, *text);
           });
     }
   }
@@ -405,6 +408,10 @@
   impl_->Offer(log, first, entries);
 }
 
+void Mirror::OfferSnapshot(LogId log, const std::string& text) {
+  impl_->OfferSnapshot(log, text);
+}
+
 void Mirror::HeardOf(LogId log, LogVersion version) {
   impl_->HeardOf(log, version);
 }
--- a/src/config/mirror.h
+++ b/src/config/mirror.h
@@ -112,6 +112,10 @@
   void Offer(LogId log, LogVersion first,
              const std::vector<std::string>& entries);
 
+  /// A peer gives everything; ignored unless it is newer than what is in
+  /// force.
+  void OfferSnapshot(LogId log, const std::string& text);
+
   /// A peer has this version.
   void HeardOf(LogId log, LogVersion version);
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -8,7 +8,9 @@
 #include "membership/group_options.h"
 #include "membership/member.h"
 #include "membership/member_table.h"
+#include "membership/mirror_link.h"
 #include "membership/node.h"
+#include "membership/scheduler_query.h"
 #include "membership/seeds.h"
 #include "membership/spreader.h"
 
--- a/src/membership/spreader.cc
+++ b/src/membership/spreader.cc
@@ -12,17 +12,19 @@
       transport_(transport),
       group_(group),
       requests_(requests),
-      options_(options) {}
+      options_(options),
+      random_(options.random_seed) {}
 
 Spreader::~Spreader() { *alive_ = false; }
 
 void Spreader::Follow(const LogName& log, LogFollower& follower,
-                      LogVersion version) {
+                      std::optional<LogVersion> version) {
   auto& it = logs_[log];
   it.name = log;
   it.follower = &follower;
-  it.version = version;
-  it.heard = version;
+  it.has_base = version.has_value();
+  it.version = version.value_or(0);
+  it.heard = it.version;
 }
 
 void Spreader::Publish(const LogName& log, LogVersion first_version,
@@ -40,7 +42,8 @@
 
 void Spreader::SkipTo(const LogName& log, LogVersion version) {
   auto* it = Find(log);
-  if (it == nullptr || version <= it->version) return;
+  if (it == nullptr || (it->has_base && version <= it->version)) return;
+  it->has_base = true;
   it->version = version;
   it->heard = std::max(it->heard, version);
   it->recent.clear();
@@ -48,6 +51,11 @@
   ApplyPending(*it);
 }
 
+bool Spreader::HasBase(const LogName& log) const {
+  const auto* it = Find(log);
+  return it != nullptr && it->has_base;
+}
+
 LogVersion Spreader::version(const LogName& log) const {
   const auto* it = Find(log);
   return it == nullptr ? 0 : it->version;
@@ -70,8 +78,8 @@
   for (const auto& head : heads) {
     auto* log = Find(head.log);
     if (log == nullptr) continue;
-    log->heard = std::max(log->heard, head.version);
-    if (head.version <= log->version) continue;
+    Hear(*log, head.version);
+    if (!log->has_base || head.version <= log->version) continue;
     if (log->transfer || loop_.Now() < log->pull_until) continue;
     Pull(*log, PeerOf(from));
   }
@@ -81,9 +89,10 @@
   auto* log = Find(message.log);
   if (log == nullptr) return;
   const auto peer = PeerOf(from);
-  log->heard = std::max(log->heard, message.head);
+  Hear(*log, message.head);
   if (message.entries.empty()) {
-    if (message.first_version > log->version + 1) StartTransfer(*log, peer);
+    const bool is_behind = message.first_version > log->version + 1;
+    if (log->has_base && is_behind) StartTransfer(*log, peer);
     return;
   }
   const auto before = log->version;
@@ -95,7 +104,7 @@
     message.head = log->version;
     SendInDomain(message, from.name);
   }
-  if (head <= log->version || log->transfer) return;
+  if (!log->has_base || head <= log->version || log->transfer) return;
   if (loop_.Now() < log->pull_until) return;
   if (log->version == before) {
     base::Log(
@@ -145,8 +154,8 @@
       continue;
     }
     is_news = true;
-    log.heard = std::max(log.heard, present);
-    if (present == log.version + 1) {
+    Hear(log, present);
+    if (log.has_base && present == log.version + 1) {
       Apply(log, it);
     } else if (log.pending.size() < options_.max_pending) {
       log.pending.emplace(present, it);
@@ -157,6 +166,7 @@
 }
 
 void Spreader::ApplyPending(Log& log) {
+  if (!log.has_base) return;
   while (!log.pending.empty()) {
     const auto it = log.pending.begin();
     if (it->first > log.version + 1) return;
@@ -245,6 +255,40 @@
          bytes + entry.size() <= options_.max_message_bytes;
 }
 
+void Spreader::Hear(Log& log, LogVersion version) {
+  if (version <= log.heard) return;
+  log.heard = version;
+  if (version > log.version) log.follower->OnHeard(version);
+}
+
+std::vector<std::string> Spreader::Kept(const LogName& log,
+                                        LogVersion first) const {
+  const auto* it = Find(log);
+  if (it == nullptr || first > it->version) return {};
+  const auto oldest = it->version - it->recent.size() + 1;
+  if (first < oldest) return {};
+  return {it->recent.begin() + static_cast<std::ptrdiff_t>(first - oldest),
+          it->recent.end()};
+}
+
+/// One of the own domain three times out of four, if there is any: it is near,
+/// but a whole domain may be as ignorant as this process.
+std::optional<wire::Peer> Spreader::SomePeer() {
+  constexpr int kFarShare = 4;
+  const auto& self = group_.self();
+  auto near = group_.table().PresentIn(self.domain);
+  auto all = group_.table().Present();
+  const auto is_self = [&](const auto* it) {
+    return it->identity.name == self.name;
+  };
+  std::erase_if(near, is_self);
+  std::erase_if(all, is_self);
+  const bool goes_far = near.empty() || random_() % kFarShare == 0;
+  const auto& from = goes_far ? all : near;
+  if (from.empty()) return std::nullopt;
+  return PeerOf(from[random_() % from.size()]->identity);
+}
+
 void Spreader::Pull(Log& log, const wire::Peer& peer) {
   ++counts_.pulls;
   log.pull_until = loop_.Now() + options_.pull_timeout;
--- a/src/membership/spreader.h
+++ b/src/membership/spreader.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,8 +31,12 @@
   /// False when the bytes are of no use; the version then stays what it was.
   virtual bool OnSnapshot(LogVersion version, const std::string& bytes) = 0;
 
-  /// The whole state as of the last call, for a process that has none.
-  virtual std::string TakeSnapshot() const = 0;
+  /// The whole state as of the last call, for a process that has none; nothing
+  /// when there is none here either.
+  virtual std::optional<std::string> TakeSnapshot() const = 0;
+
+  /// A peer or this process has spoken of a version that is not here yet.
+  virtual void OnHeard(LogVersion /*version*/) {}
 };
 
 struct SpreaderOptions {
@@ -48,6 +53,8 @@
   std::size_t max_message_bytes = 64 * 1024;
   std::size_t snapshot_chunk_bytes = 64 * 1024;
   std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
+  /// Of the choice of peers.
+  std::uint64_t random_seed = 1;
 };
 
 struct SpreaderCounts {
@@ -72,8 +79,10 @@
   Spreader& operator=(const Spreader&) = delete;
 
   /// Begins to follow `log`; `follower` has it up to `version` and must
-  /// outlive the spreader.
-  void Follow(const LogName& log, LogFollower& follower, LogVersion version);
+  /// outlive the spreader. Without a version it has nothing yet: changes wait
+  /// until SkipTo says from where on they are wanted.
+  void Follow(const LogName& log, LogFollower& follower,
+              std::optional<LogVersion> version);
 
   /// Consecutive changes, read from the table or written by this process; the
   /// first has `first_version`. Old ones are ignored; those after a gap wait
@@ -86,6 +95,19 @@
   /// unless it is above the present version.
   void SkipTo(const LogName& log, LogVersion version);
 
+  /// Fetches the whole state from some peer, of the own failure domain most of
+  /// the time, without handing it to the follower. Ends in exactly one call on
+  /// the loop, with nothing when that peer has none or does not answer.
+  void Fetch(const LogName& log,
+             std::function<void(std::optional<std::string>)> done);
+
+  /// The changes from `first` on that are kept here; empty when there are none
+  /// or the first is not kept.
+  std::vector<std::string> Kept(const LogName& log, LogVersion first) const;
+
+  /// Whether the follower has a state that changes can follow.
+  bool HasBase(const LogName& log) const;
+
   /// Version of `log` up to which the follower was called.
   LogVersion version(const LogName& log) const;
 
@@ -110,6 +132,8 @@
     std::uint64_t total_bytes = 0;
     std::string bytes;
     int failures = 0;
+    /// Who wants the state instead of the follower; may be empty.
+    std::function<void(std::optional<std::string>)> done;
   };
   struct Snapshot {
     LogVersion version = 0;
@@ -118,6 +142,8 @@
   struct Log {
     LogName name;
     LogFollower* follower = nullptr;
+    /// Whether the follower has a state that changes can follow.
+    bool has_base = false;
     LogVersion version = 0;
     LogVersion heard = 0;
     /// The changes up to `version`, as far back as they are kept.
@@ -148,10 +174,13 @@
   bool Fits(const wire::LogEntries& message, LogVersion version,
             std::size_t bytes, const std::string& entry) const;
   void Pull(Log& log, const wire::Peer& peer);
+  void Hear(Log& log, LogVersion version);
+  std::optional<wire::Peer> SomePeer();
   void StartTransfer(Log& log, const wire::Peer& peer);
   void AskChunk(Log& log);
   void OnChunk(const LogName& name, wire::AskResult result);
   void FinishTransfer(Log& log);
+  void GiveUpTransfer(Log& log);
 
   base::EventLoop& loop_;
   wire::Transport& transport_;
@@ -159,6 +188,7 @@
   wire::RequestChannel& requests_;
   SpreaderOptions options_;
   std::map<LogName, Log> logs_;
+  base::Random random_;
   SpreaderCounts counts_;
   /// Lets tasks that run later find out that the spreader is gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/membership/spreader_snapshot.cc
+++ b/src/membership/spreader_snapshot.cc
@@ -19,10 +19,22 @@
 
 void Spreader::StartTransfer(Log& log, const wire::Peer& peer) {
   if (log.transfer) return;
-  log.transfer = Transfer{peer, 0, 0, {}};
+  log.transfer = Transfer{peer, 0, 0, {}, 0, nullptr};
   AskChunk(log);
 }
 
+void Spreader::Fetch(const LogName& log,
+                     std::function<void(std::optional<std::string>)> done) {
+  auto* it = Find(log);
+  const auto peer = SomePeer();
+  if (it == nullptr || it->transfer || !peer) {
+    loop_.Post([done = std::move(done)] { done(std::nullopt); });
+    return;
+  }
+  StartTransfer(*it, *peer);
+  it->transfer->done = std::move(done);
+}
+
 void Spreader::AskChunk(Log& log) {
   const auto& transfer = *log.transfer;
   requests_.Ask(
@@ -46,7 +58,7 @@
     if (++transfer.failures < kChunkTries) {
       AskChunk(log);
     } else {
-      log.transfer.reset();
+      GiveUpTransfer(log);
     }
     return;
   }
@@ -54,9 +66,9 @@
   const bool fits = chunk != nullptr &&
                     chunk->offset == transfer.bytes.size() &&
                     chunk->total_bytes <= options_.max_snapshot_bytes &&
-                    chunk->version > log.version;
+                    (!log.has_base || chunk->version > log.version);
   if (!fits) {
-    log.transfer.reset();
+    GiveUpTransfer(log);
     return;
   }
   transfer.failures = 0;
@@ -66,28 +78,41 @@
   if (transfer.bytes.size() >= transfer.total_bytes) {
     FinishTransfer(log);
   } else if (chunk->bytes.empty()) {
-    log.transfer.reset();
+    GiveUpTransfer(log);
   } else {
     AskChunk(log);
   }
 }
 
 void Spreader::FinishTransfer(Log& log) {
-  const auto transfer = *std::exchange(log.transfer, std::nullopt);
+  auto transfer = *std::exchange(log.transfer, std::nullopt);
   log.pull_until = base::TimePoint();
+  if (transfer.done) {
+    transfer.done(std::move(transfer.bytes));
+    return;
+  }
   if (!log.follower->OnSnapshot(transfer.version, transfer.bytes)) return;
   ++counts_.snapshots_installed;
   SkipTo(log.name, transfer.version);
 }
 
+void Spreader::GiveUpTransfer(Log& log) {
+  const auto transfer = *std::exchange(log.transfer, std::nullopt);
+  if (transfer.done) transfer.done(std::nullopt);
+}
+
 wire::Answer Spreader::AnswerSnapshot(const wire::SnapshotQuery& query) {
   auto* log = Find(query.log);
-  if (log == nullptr || log->version == 0) {
+  if (log == nullptr || !log->has_base) {
     return wire::Refusal{wire::RefusalReason::kNotReady, "no such log here"};
   }
   auto& served = log->served;
   if (query.version == 0 && (!served || served->version != log->version)) {
-    served = Snapshot{log->version, log->follower->TakeSnapshot()};
+    auto bytes = log->follower->TakeSnapshot();
+    if (!bytes) {
+      return wire::Refusal{wire::RefusalReason::kNotReady, "not loaded yet"};
+    }
+    served = Snapshot{log->version, std::move(*bytes)};
   }
   const bool is_served =
       served && (query.version == 0 || query.version == served->version) &&
--- a/test/membership/member_table_test.cc
+++ b/test/membership/member_table_test.cc
@@ -66,7 +66,8 @@
       for (int i = 0; i < 5; ++i) records.push_back(AnyRecord(name));
     }
     for (const auto& it : records) first.Merge(it, kNow);
-    records.insert(records.end(), records.begin(), records.end());
+    const auto again = records;
+    records.insert(records.end(), again.begin(), again.end());
     base::Random random(seed);
     std::shuffle(records.begin(), records.end(), random);
     for (const auto& it : records) second.Merge(it, kNow);
--- a/testing/fakes/fake_group.cc
+++ b/testing/fakes/fake_group.cc
@@ -40,7 +40,7 @@
   return true;
 }
 
-std::string RecordingFollower::TakeSnapshot() const {
+std::optional<std::string> RecordingFollower::TakeSnapshot() const {
   std::string bytes;
   for (const auto& it : entries_) bytes += it + kLineEnd;
   return bytes;
@@ -49,6 +49,7 @@
 FakeMember::FakeMember(VirtualTime& time, FakeNetwork& network,
                        membership::NodeOptions options)
     : identity(options.group.self),
+      started_at(time.Now()),
       process(time),
       follower(process),
       transport(network.Attach(process, identity)),
@@ -66,19 +67,20 @@
 FakeGroup::FakeGroup(std::uint64_t seed, membership::NodeOptions defaults)
     : network_(time_, seed), defaults_(std::move(defaults)), seed_(seed) {}
 
-FakeMember& FakeGroup::Add(const std::string& name, const std::string& domain) {
-  return AddLife(name, domain, time_.Now().time_since_epoch().count());
+FakeMember& FakeGroup::Add(const std::string& name, const std::string& domain,
+                           wire::Role role) {
+  return AddLife(name, domain, time_.Now().time_since_epoch().count(), role);
 }
 
 FakeMember& FakeGroup::AddLife(const std::string& name,
                                const std::string& domain,
-                               std::uint64_t generation) {
+                               std::uint64_t generation, wire::Role role) {
   auto options = defaults_;
   auto& group = options.group;
   ++started_;
-  group.self = wire::Identity{wire::ProcessName(name), wire::Role::kEntry,
-                              base::DomainName(domain),
-                              MakeIncarnation(started_), EndpointOf(name)};
+  group.self =
+      wire::Identity{wire::ProcessName(name), role, base::DomainName(domain),
+                     MakeIncarnation(started_), EndpointOf(name)};
   if (seeds_.size() < kSeeds) seeds_.push_back(group.self.endpoint);
   group.seeds = seeds_;
   group.generation = generation;
--- a/testing/fakes/fake_group.h
+++ b/testing/fakes/fake_group.h
@@ -24,7 +24,7 @@
     came_at_[version] = clock_.Now();
   }
   bool OnSnapshot(wire::LogVersion version, const std::string& bytes) override;
-  std::string TakeSnapshot() const override;
+  std::optional<std::string> TakeSnapshot() const override;
 
   const std::vector<std::string>& entries() const { return entries_; }
   /// Changes that came twice, out of order or after a gap.
@@ -58,6 +58,7 @@
   bool IsRunning() const { return !process.killed() && !has_left; }
 
   wire::Identity identity;
+  base::TimePoint started_at;
   FakeProcess process;
   RecordingFollower follower;
   std::unique_ptr<wire::Transport> transport;
@@ -75,11 +76,13 @@
   FakeGroup(std::uint64_t seed, membership::NodeOptions defaults = {});
 
   /// Starts a process. The first two members are everybody's seeds.
-  FakeMember& Add(const std::string& name, const std::string& domain);
+  FakeMember& Add(const std::string& name, const std::string& domain,
+                  wire::Role role = wire::Role::kEntry);
 
   /// Starts another life of `name` at the address it has always had.
   FakeMember& AddLife(const std::string& name, const std::string& domain,
-                      std::uint64_t generation);
+                      std::uint64_t generation,
+                      wire::Role role = wire::Role::kEntry);
 
   /// Starts `n` processes, dealt out to `domains` domains "d0", "d1" and so on.
   void AddMany(int n, int domains);
--- a/testing/fakes/fake_network.cc
+++ b/testing/fakes/fake_network.cc
@@ -81,14 +81,15 @@
 }
 
 FakeNetwork::Port* FakeNetwork::Find(const wire::Peer& peer) {
-  auto it = ports_.find(peer.incarnation);
-  if (it == ports_.end()) {
-    const auto listener = listening_.find(peer.endpoint);
-    if (listener == listening_.end()) return nullptr;
-    it = ports_.find(listener->second);
-  }
-  if (it == ports_.end() || it->second->process().killed()) return nullptr;
-  return it->second;
+  const auto is_up = [this](auto it) {
+    return it != ports_.end() && !it->second->process().killed();
+  };
+  const auto linked = ports_.find(peer.incarnation);
+  if (is_up(linked)) return linked->second;
+  const auto listener = listening_.find(peer.endpoint);
+  if (listener == listening_.end()) return nullptr;
+  const auto it = ports_.find(listener->second);
+  return is_up(it) ? it->second : nullptr;
 }
 
 bool FakeNetwork::Happens(double share) {
