--- a/src/http/internal/session.h
+++ b/src/http/internal/session.h
@@ -42,7 +42,9 @@
 
   const ServerLimits limits;
   const Handler handler;
+  /// Connections that are served, and those that are being refused.
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> refusals{0};
   std::atomic<std::size_t> in_progress{0};
   std::atomic<bool> draining{false};
   /// The server object is gone: no request goes to the handler any more.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -98,6 +98,7 @@
         strand_(asio::make_strand(io)),
         acceptor_(strand_, ToAsio(endpoint), /*reuse_addr=*/true),
         retry_(strand_),
+        grace_(strand_),
         bound_{endpoint.address, acceptor_.local_endpoint().port()},
         state_(std::make_shared<internal::ServerState>(limits,
                                                        std::move(handler))) {
@@ -153,19 +154,32 @@
   }
 
   void Serve(tcp::socket socket) {
-    const auto connections = state_->connections.load();
-    const auto limit = state_->limits.max_connections;
-    if (connections >= limit + kMaxRefusals || state_->stopped) return;
+    const bool is_full = state_->connections >= state_->limits.max_connections;
+    const bool is_dropped = is_full && state_->refusals >= kMaxRefusals;
+    if (is_dropped || state_->stopped) return;
     const auto session = internal::MakeSession(std::move(socket), state_);
-    if (connections >= limit) return session->Refuse();
+    if (is_full) return session->Refuse();
     session->Start();
     if (state_->draining) session->Drain();
   }
 
-  /// Connections that the kernel has already completed are taken and served
-  /// before the acceptor closes, which would reset them.
+  /// Accepting goes on for the grace: a caller that does not know yet is
+  /// connecting, and closing the acceptor under its connection would reset it.
   void DrainNow() {
-    state_->draining = true;
+    if (state_->draining.exchange(true)) return;
+    state_->ForEach([](internal::Session& it) { it.Drain(); });
+    state_->Hold();
+    grace_.expires_after(state_->limits.drain_grace);
+    grace_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code&) {
+          self->AcceptLast();
+          self->state_->Unhold();
+        });
+  }
+
+  /// Takes the connections that the kernel has completed, then accepts no
+  /// more.
+  void AcceptLast() {
     boost::system::error_code ec;
     while (acceptor_.is_open()) {
       tcp::socket socket(asio::make_strand(io_));
@@ -174,19 +188,20 @@
       Serve(std::move(socket));
     }
     CloseAcceptor();
-    state_->ForEach([](internal::Session& it) { it.Drain(); });
   }
 
   void CloseAcceptor() {
     boost::system::error_code ec;
     acceptor_.close(ec);
     retry_.cancel();
+    grace_.cancel();
   }
 
   asio::io_context& io_;
   asio::strand<asio::io_context::executor_type> strand_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_;
+  asio::steady_timer grace_;
   Endpoint bound_;
   std::shared_ptr<internal::ServerState> state_;
 };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,14 +29,15 @@
   base::Duration stream_stall_timeout{30'000};
   /// Bytes that may wait for one slow stream before it is closed.
   std::size_t max_stream_backlog_bytes = 4 * 1024 * 1024;
-  /// At a planned stop an idle connection is kept this long for a request that
-  /// may be on its way, which is then served with `Connection: close`.
+  /// At a planned stop, for so long connections are still accepted and idle
+  /// ones kept, for requests that may be on their way; each is served with
+  /// `Connection: close`.
   base::Duration drain_grace{500};
 };
 
 /// One request in progress. Exactly one of Respond or StartStream is called,
 /// once, from any thread; an exchange dropped without either answers 500
-/// (nothing is left hanging).
+/// (nothing is left hanging). The io_context must outlive it.
 class Exchange {
  public:
   virtual ~Exchange() = default;
@@ -85,9 +86,11 @@
   /// The endpoint with the port actually bound.
   Endpoint endpoint() const;
 
-  /// Planned stop: accepts nothing more, closes idle connections, lets each
-  /// request in progress finish with `Connection: close`, then calls `done` (on
-  /// an io thread). Open streams are the handler's to end.
+  /// Planned stop: lets each request in progress finish with `Connection:
+  /// close`, and for `drain_grace` still takes connections and requests that
+  /// are on their way, one request each. Then accepts nothing more, closes idle
+  /// connections, and calls `done` (on an io thread) when the last request is
+  /// answered. Open streams are the handler's to end.
   void Drain(std::function<void()> done);
 
   /// Requests handed to the handler and not yet answered, streams included.
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -144,7 +144,6 @@
       : socket_(std::move(socket)),
         state_(std::move(state)),
         deadline_(socket_.get_executor()) {
-    ++state_->connections;
     state_->Hold();
   }
 
@@ -152,16 +151,21 @@
   SessionImpl(const SessionImpl&) = delete;
   SessionImpl& operator=(const SessionImpl&) = delete;
 
-  void Bind() {
+  void Register() {
+    state_->Add(shared_from_this());
     deadline_.Bind(weak_from_this(), [this] { OnDeadline(); });
     SetConnectionOptions(socket_, state_->limits.stream_stall_timeout);
   }
 
   void Start() override {
+    is_counted_ = true;
+    ++state_->connections;
     OnStrand([this] { NextRequest(); });
   }
 
   void Refuse() override {
+    is_refused_ = true;
+    ++state_->refusals;
     OnStrand([this] { SendLast(MakeFullProblem()); });
   }
 
@@ -229,6 +233,8 @@
 
   void NextRequest() {
     if (phase_ == Phase::kClosed) return;
+    // The end of the peer's sending is reported once: another read would wait.
+    if (peer_left_ && buffer_.size() == 0) return Close();
     phase_ = Phase::kIdle;
     parser_.emplace();
     parser_->eager(true);
@@ -312,10 +318,17 @@
         }
       }
       if (parser_->is_done()) return Handle();
-      if (needs_more || n == 0) return Read();
+      if (needs_more || n == 0) return ReadMore();
     }
   }
 
+  /// A line within a chunked body, of which the parser takes nothing before its
+  /// end, may be no longer than a head.
+  void ReadMore() {
+    if (buffer_.size() <= state_->limits.max_header_bytes) return Read();
+    SendLast(MakeInputProblem(beast_http::error::bad_chunk, state_->limits));
+  }
+
   /// RFC 9112, 3.2: exactly one Host field in HTTP/1.1.
   bool IsHostRight() const {
     const auto& head = parser_->get();
@@ -416,9 +429,12 @@
     EndAnswer();
   }
 
+  /// A connection whose last answer did not say that it closes may carry
+  /// another request, which is on its way already: it stays open, a planned
+  /// stop or not.
   void EndAnswer() {
     FinishExchange();
-    if (closes_after_write_ || state_->draining) return Linger();
+    if (closes_after_write_) return Linger();
     NextRequest();
   }
 
@@ -568,7 +584,8 @@
     error_code ec;
     socket_.close(ec);
     deadline_.Stop();
-    --state_->connections;
+    if (is_counted_) --state_->connections;
+    if (is_refused_) --state_->refusals;
     state_->Remove(this);
     state_->Unhold();
   }
@@ -600,6 +617,8 @@
   bool peer_left_ = false;
   bool closes_after_write_ = false;
   bool exchange_open_ = false;
+  bool is_counted_ = false;
+  bool is_refused_ = false;
 };
 
 ExchangeImpl::~ExchangeImpl() {
@@ -680,7 +699,7 @@
                                      std::shared_ptr<ServerState> state) {
   const auto session =
       std::make_shared<SessionImpl>(std::move(socket), std::move(state));
-  session->Bind();
+  session->Register();
   return session;
 }
 
--- /dev/null
+++ b/test/http/client_test.cc
@@ -0,0 +1,343 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "http/http.h"
+#include "net/io_threads.h"
+#include "net/raw_socket.h"
+
+namespace lapishatch::http {
+namespace {
+
+using base::Duration;
+using net::RawServer;
+using net::RawSocket;
+
+constexpr Duration kLong{50'000};
+constexpr Duration kShort{50};
+
+struct Fixture {
+  explicit Fixture(ClientLimits limits = {}) : client(threads.io(), limits) {}
+  ~Fixture() { threads.Stop(); }
+
+  ClientResult Send(const Endpoint& endpoint, Request request,
+                    Duration timeout = kLong) {
+    return net::Await<ClientResult>([&](auto done) {
+      client.Send(endpoint, std::move(request), timeout, done);
+    });
+  }
+
+  Response Get(const Endpoint& endpoint, const std::string& target = "/") {
+    Request request;
+    request.target = target;
+    auto result = Send(endpoint, request);
+    if (const auto* error = std::get_if<ClientError>(&result)) {
+      FAIL(error->detail);
+    }
+    return std::get<Response>(std::move(result));
+  }
+
+  ClientError Fail(const Endpoint& endpoint, Duration timeout = kLong,
+                   Request request = {}) {
+    auto result = Send(endpoint, std::move(request), timeout);
+    REQUIRE(std::holds_alternative<ClientError>(result));
+    return std::get<ClientError>(std::move(result));
+  }
+
+  net::IoThreads threads;
+  Client client;
+};
+
+/// An endpoint where nobody listens.
+Endpoint Nobody() {
+  boost::asio::io_context io;
+  return Server(io, {"127.0.0.1", 0}, {}, [](auto&&) {}).endpoint();
+}
+
+std::string Answer(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+TEST_CASE("nothing was sent when nobody listens") {
+  Fixture it;
+  const auto error = it.Fail(Nobody());
+  CHECK(error.progress == Progress::kNothingSent);
+  CHECK_FALSE(error.timed_out);
+  CHECK(it.Fail({"no number", 1}).progress == Progress::kNothingSent);
+}
+
+TEST_CASE("the callback never runs inside Send") {
+  Fixture it;
+  std::mutex mutex;
+  std::atomic<int> called{0};
+  const auto send = [&](const Endpoint& endpoint) {
+    const std::lock_guard lock(mutex);
+    it.client.Send(endpoint, {}, kLong, [&](ClientResult) {
+      const std::lock_guard inner(mutex);
+      ++called;
+    });
+  };
+  // On an io thread, where dispatching could run it at once.
+  boost::asio::post(it.threads.io(), [&] {
+    send({"no number", 1});
+    send(Nobody());
+  });
+  CHECK(net::AwaitThat([&] { return called == 2; }));
+}
+
+TEST_CASE("something may have been sent when the peer ends the connection") {
+  const auto how = GENERATE("close", "reset", "close after reading",
+                            "part of a head", "part of a body", "nonsense");
+  INFO(how);
+  const std::string way = how;
+  RawServer server([&](RawSocket& socket) {
+    if (way == "close") return;
+    socket.ReadTo("\r\n\r\n");
+    if (way == "reset") socket.Reset();
+    if (way == "part of a head") socket.Send("HTTP/1.1 200 OK\r\nConte");
+    if (way == "part of a body") {
+      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    }
+    if (way == "nonsense") socket.Send("nonsense\r\n\r\n");
+  });
+  Fixture it;
+  const auto error = it.Fail(server.endpoint());
+  CHECK(error.progress == Progress::kMaybeSent);
+  CHECK_FALSE(error.timed_out);
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a silent or dripping peer costs its time-out and its connection") {
+  std::atomic<bool> drips{GENERATE(false, true)};
+  std::atomic<int> closed{0};
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    if (drips) socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+    while (drips && !socket.AwaitInput(std::chrono::milliseconds(1))) {
+      if (!socket.Send("x")) break;
+    }
+    socket.ReadToEnd();
+    ++closed;
+  });
+  Fixture it;
+  const auto error = it.Fail(server.endpoint(), kShort);
+  CHECK(error.progress == Progress::kMaybeSent);
+  CHECK(error.timed_out);
+  CHECK(net::AwaitThat([&] { return closed == 1; }));
+  CHECK(it.client.busy(server.endpoint()) == 0);
+}
+
+TEST_CASE("a peer that never takes the connection costs the connect time-out") {
+  // A listener with a full queue drops further handshakes.
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io);
+  const auto address = boost::asio::ip::make_address("127.0.0.1");
+  acceptor.open(boost::asio::ip::tcp::v4());
+  acceptor.bind({address, 0});
+  acceptor.listen(0);
+  const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+  RawSocket first(endpoint);
+  ClientLimits limits;
+  limits.connect_timeout = kShort;
+  Fixture it(limits);
+  std::vector<std::unique_ptr<Fixture>> others;
+  // The first connections may still find room; one at last does not.
+  ClientError error;
+  for (int i = 0; i < 4; ++i) {
+    others.push_back(std::make_unique<Fixture>(limits));
+    error = others.back()->Fail(endpoint, 4 * kShort);
+    if (error.progress == Progress::kNothingSent) break;
+  }
+  CHECK(error.progress == Progress::kNothingSent);
+  CHECK(error.timed_out);
+}
+
+TEST_CASE("a request waits for a free connection, within limits") {
+  std::atomic<int> asked{0};
+  std::vector<ExchangePtr> held;
+  std::mutex mutex;
+  Fixture it([] {
+    ClientLimits limits;
+    limits.connections_per_endpoint = 1;
+    limits.waiting_per_endpoint = 1;
+    return limits;
+  }());
+  Server server(it.threads.io(), {"127.0.0.1", 0}, {}, [&](ExchangePtr x) {
+    const std::lock_guard lock(mutex);
+    held.push_back(std::move(x));
+    ++asked;
+  });
+  server.Start();
+  const auto endpoint = server.endpoint();
+  std::atomic<int> answered{0};
+  it.client.Send(endpoint, {}, kLong, [&](const ClientResult& result) {
+    answered += std::holds_alternative<Response>(result);
+  });
+  REQUIRE(net::AwaitThat([&] { return asked == 1; }));
+  CHECK(it.client.busy(endpoint) == 1);
+
+  SECTION("it waits until its time-out, and nothing was sent") {
+    const auto error = it.Fail(endpoint, kShort);
+    CHECK(error.progress == Progress::kNothingSent);
+    CHECK(error.timed_out);
+  }
+  SECTION("it is sent when the connection becomes free; one more is refused") {
+    it.client.Send(endpoint, {}, kLong, [&](const ClientResult& result) {
+      answered += std::holds_alternative<Response>(result);
+    });
+    const auto error = it.Fail(endpoint);
+    CHECK(error.no_connection_free);
+    CHECK_FALSE(error.timed_out);
+    CHECK(error.progress == Progress::kNothingSent);
+    held.front()->Respond({});
+    REQUIRE(net::AwaitThat([&] { return asked == 2; }));
+    held.back()->Respond({});
+    CHECK(net::AwaitThat([&] { return answered == 2; }));
+  }
+  held.clear();
+  it.threads.Stop();
+}
+
+TEST_CASE("a connection that the peer closed while idle costs no request") {
+  std::atomic<int> closed{0};
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    socket.Send(Answer("one"));
+    socket.Close();
+    ++closed;
+  });
+  Fixture it;
+  for (int i = 0; i < 200; ++i) {
+    REQUIRE(it.Get(server.endpoint()).body == "one");
+    // The end of the connection has arrived; whether the client has seen it
+    // when it sends again is left to chance.
+    REQUIRE(net::AwaitThat([&] { return closed == i + 1; }));
+  }
+  CHECK(server.connections() == 200);
+}
+
+TEST_CASE("an answer nobody asked for is never taken for the next one") {
+  RawServer server([](RawSocket& socket) {
+    const auto request = socket.ReadTo("\r\n\r\n");
+    const bool is_first = request.find("GET /first ") != std::string::npos;
+    if (!is_first) {
+      socket.Send(
+          "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+          "Content-Length: 6\r\n\r\nsecond");
+      return;
+    }
+    // In one segment, or following at once.
+    socket.Send(Answer("first") + Answer("stray"));
+    socket.Send(Answer("stray"));
+    socket.ReadToEnd();
+  });
+  Fixture it;
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(it.Get(server.endpoint(), "/first").body == "first");
+    REQUIRE(it.Get(server.endpoint(), "/second").body == "second");
+  }
+}
+
+TEST_CASE("answers of every framing are read whole") {
+  struct Framing {
+    std::string bytes;
+    std::string body;
+    int status;
+  };
+  const auto it = GENERATE(
+      Framing{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+              "abcde", 200},
+      Framing{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end",
+              "to the end", 200},
+      Framing{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
+              "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok",
+              "ok", 201},
+      Framing{"HTTP/1.1 204 No Content\r\n\r\n", "", 204},
+      Framing{"HTTP/1.0 404 Not Found\r\nContent-Length: 1\r\n\r\nx", "x",
+              404});
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    socket.Send(it.bytes);
+  });
+  Fixture fixture;
+  const auto response = fixture.Get(server.endpoint());
+  CHECK(response.body == it.body);
+  CHECK(response.status == it.status);
+}
+
+TEST_CASE("an answer larger than allowed is an error, not memory") {
+  ClientLimits limits;
+  limits.max_body_bytes = 1000;
+  RawServer server([](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    socket.Send(Answer(std::string(1001, 'x')));
+    socket.ReadToEnd();
+  });
+  Fixture it(limits);
+  CHECK(it.Fail(server.endpoint()).progress == Progress::kMaybeSent);
+}
+
+TEST_CASE("an early answer to a large request is delivered") {
+  ServerLimits limits;
+  limits.max_body_bytes = 1000;
+  Fixture it;
+  Server server(it.threads.io(), {"127.0.0.1", 0}, limits, [](auto&&) {});
+  server.Start();
+  Request request;
+  request.method = "PUT";
+  request.body.assign(16U * 1024 * 1024, 'x');
+  const auto result = it.Send(server.endpoint(), request);
+  REQUIRE(std::holds_alternative<Response>(result));
+  CHECK(std::get<Response>(result).status == 413);
+  it.threads.Stop();
+}
+
+TEST_CASE("forgetting an endpoint closes its idle connections") {
+  std::atomic<int> ended{0};
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    socket.Send(Answer("x"));
+    socket.ReadToEnd();
+    ++ended;
+  });
+  Fixture it;
+  it.Get(server.endpoint());
+  it.client.Forget(server.endpoint());
+  CHECK(net::AwaitThat([&] { return ended == 1; }));
+}
+
+TEST_CASE("an idle connection is closed after its time") {
+  std::atomic<int> ended{0};
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    socket.Send(Answer("x"));
+    socket.ReadToEnd();
+    ++ended;
+  });
+  ClientLimits limits;
+  limits.idle_timeout = kShort;
+  Fixture it(limits);
+  it.Get(server.endpoint());
+  CHECK(net::AwaitThat([&] { return ended == 1; }));
+}
+
+TEST_CASE("a destroyed client drops its requests and their callbacks") {
+  RawServer server([](RawSocket& socket) { socket.ReadToEnd(); });
+  net::IoThreads threads;
+  const auto token = std::make_shared<int>(0);
+  std::atomic<bool> called{false};
+  {
+    Client client(threads.io(), {});
+    for (int i = 0; i < 20; ++i) {
+      client.Send(server.endpoint(), {}, kLong,
+                  [token, &called](const ClientResult&) { called = true; });
+    }
+  }
+  CHECK(net::AwaitThat([&] { return token.use_count() == 1; }));
+  CHECK_FALSE(called);
+}
+
+}  // namespace
+}  // namespace lapishatch::http
