--- a/src/routing/service_dispatcher.h
+++ b/src/routing/service_dispatcher.h
@@ -30,7 +30,7 @@
   double retry_share = 0.1;
   double retry_limit = 20;
   /// Longest part of a request's time that it may be expected to wait.
-  double max_wait_share = 0.5;
+  double max_wait_share = 0.25;
   /// Mean answer times that must be left when a request is expected to start.
   double spare_means = 2;
   /// Least time after which a refused caller is asked to come back; the most is
