Add the entry: resource API, watches, request path, planned stop

Nothing served the operators yet. The entry puts the mirror, the writer of changes, the request path and membership on one program's threads.

Changes are read by codecs that name every field that is wrong; a change names the version it is for, and a lost race is told with what stands there now. Workers and runners are shown from the platform's list and the sizes that workers report; an operator's drain of one is a PUT of its spec. A watch that is ahead of the entry makes it read the table first. On a planned stop /readyz turns, accepting ends after a set time, watches end with a bookmark to continue from, requests finish, and the group hears a goodbye.

Job statuses reach watches through the jobs log: StatusTap wraps the table of a cell's owner and puts the status rows that it sees into the log, on the demand that the row still has that version, so that a deposed owner publishes nothing old. Weighed against it: polling all status rows at every entry (reads grow with jobs times entries) and telling them between processes only (no common order, so no watch could resume elsewhere).

A housekeeper removes old entries and jobs that ended long ago.

--- a/src/config/change_writer.cc
+++ b/src/config/change_writer.cc
@@ -404,7 +404,12 @@
                  StatusKey(change.ref.name) == moved_status_row_;
       }
       if (stale) {
-        it.done(ChangesNotAccepted{"the status row has moved on"});
+        ChangesRefused refused;
+        refused.reason = RefusalReason::kStale;
+        refused.ref = it.set.changes.front().ref;
+        refused.problems.list.push_back(
+            {"status", "the status row has moved on"});
+        it.done(std::move(refused));
       } else {
         kept.push_back(std::move(it));
       }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,8 @@
 #include "config/change_source.h"
 #include "config/change_writer.h"
 #include "config/flags.h"
+#include "config/housekeeper.h"
+#include "config/json_reader.h"
 #include "config/log_entry.h"
 #include "config/mirror.h"
 #include "config/program.h"
@@ -16,6 +18,7 @@
 #include "config/resource_codec.h"
 #include "config/resources.h"
 #include "config/settings.h"
+#include "config/status_tap.h"
 #include "config/watch.h"
 
 #endif  // LAPISHATCH_CONFIG_CONFIG_H_
--- a/src/config/draft.cc
+++ b/src/config/draft.cc
@@ -94,6 +94,7 @@
     auto next = *before_;
     next.status = action.status;
     next.status->reason = Cut(next.status->reason, kMostReasonBytes);
+    next.changed_at_ms = judge_.now_ms;
     next.status_version = draft_.Next(LogId::kJobs);
     const auto version = next.status_version;
     Add(version, std::move(next), action.row_version, ChangeEffect::kReplaced);
--- a/src/config/log_entry.cc
+++ b/src/config/log_entry.cc
@@ -132,7 +132,8 @@
   return json::serialize(json::object{{"log", View(base::NameOf(snapshot.log))},
                                       {"version", snapshot.version},
                                       {"resources", std::move(resources)},
-                                      {"recent", ToArray(snapshot.recent)}});
+                                      {"recent", ToArray(snapshot.recent)},
+                                      {"pending", ToArray(snapshot.pending)}});
 }
 
 leaf::result<LogSnapshot> ParseSnapshot(std::string_view text) {
@@ -148,6 +149,9 @@
     reader.Objects("recent", kMostEntries, [&](ObjectReader& item) {
       snapshot.recent.push_back(ReadEntry(item));
     });
+    reader.Objects("pending", kMostEntries, [&](ObjectReader& item) {
+      snapshot.pending.push_back(ReadEntry(item));
+    });
     return snapshot;
   });
 }
--- a/src/config/log_entry.h
+++ b/src/config/log_entry.h
@@ -79,6 +79,8 @@
   std::vector<ResourcePtr> resources;
   /// The last entries up to `version`, so that watches can resume.
   std::vector<LogEntryPtr> recent;
+  /// Entries after `version` of an apply that has not come as a whole.
+  std::vector<LogEntryPtr> pending;
 };
 
 std::string ToText(const LogSnapshot& snapshot);
--- a/src/config/log_replica.cc
+++ b/src/config/log_replica.cc
@@ -16,6 +16,15 @@
   return entry;
 }
 
+/// Whether the entries are consecutive up to `version`.
+bool EndsAt(const std::vector<LogEntryPtr>& entries, LogVersion version) {
+  auto expected = version - entries.size();
+  for (const auto& entry : entries) {
+    if (entry->version != ++expected) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::vector<ResourceKind> KindsOf(LogId log) {
@@ -109,7 +118,7 @@
 
 std::vector<LogEntryPtr> LogReplica::Install(const LogSnapshot& snapshot) {
   if (snapshot.version <= version()) return {};
-  incomplete_.clear();
+  incomplete_ = snapshot.pending;
   std::array<std::map<std::string, ResourcePtr, std::less<>>, kKinds> next;
   for (const auto& it : snapshot.resources) {
     next[static_cast<std::size_t>(it->ref.kind)][it->ref.name] = it;
@@ -135,7 +144,9 @@
     }
   });
   history_.clear();
-  for (const auto& entry : snapshot.recent) Remember(entry);
+  if (EndsAt(snapshot.recent, snapshot.version)) {
+    for (const auto& entry : snapshot.recent) Remember(entry);
+  }
   return differences;
 }
 
@@ -168,6 +179,7 @@
        it != history_.end(); ++it) {
     snapshot.recent.push_back(*it);
   }
+  snapshot.pending = incomplete_;
   return snapshot;
 }
 
--- a/src/config/resource_codec.cc
+++ b/src/config/resource_codec.cc
@@ -111,6 +111,13 @@
   return spec;
 }
 
+/// A whole number without the exponent that a double would be written with.
+json::value NumberOf(double value) {
+  const auto whole = static_cast<std::int64_t>(value);
+  if (static_cast<double>(whole) == value) return whole;
+  return value;
+}
+
 json::object JsonOf(const OrganisationSpec& spec) {
   json::array guarantees;
   for (const auto& it : spec.guarantees) {
@@ -129,7 +136,7 @@
     limits["requests_in_progress"] = *limit;
   }
   return {{"guarantees", std::move(guarantees)},
-          {"weight", spec.weight},
+          {"weight", NumberOf(spec.weight)},
           {"limits", std::move(limits)}};
 }
 
--- a/test/config/change_log_test.cc
+++ b/test/config/change_log_test.cc
@@ -306,7 +306,7 @@
   CHECK(job->status_version == 2);
   world.table.Apply({{}, {{"status/j", "y"}}});
   set.changes.front().action = PutStatus{JobStatus(), 1};
-  CHECK(std::holds_alternative<ChangesNotAccepted>(a.Change(set)));
+  CHECK(RefusalOf(a.Change(set)) == RefusalReason::kStale);
   CHECK(PhaseOf(*a.mirror.Find(Job("j"))) == JobPhase::kRunning);
   // The same while an earlier sending may have taken effect.
   int n = 0;
@@ -314,7 +314,7 @@
     return n++ == 0 ? TableFault::kRequestLost : TableFault::kNone;
   });
   set.changes.front().action = PutStatus{JobStatus(), 1};
-  CHECK(std::holds_alternative<ChangesNotAccepted>(a.Change(set)));
+  CHECK(RefusalOf(a.Change(set)) == RefusalReason::kStale);
   // An ended job can be removed, with its status row.
   JobStatus finished;
   finished.phase = JobPhase::kFinished;
