--- a/test/scheduler/gang_faults_test.cc
+++ b/test/scheduler/gang_faults_test.cc
@@ -201,7 +201,7 @@
 
 TEST_CASE("members that finish early are recorded, and a next owner knows") {
   // What runs on the first worker ends long before what runs on the second.
-  OwnerRig rig(2, kSecond * 20);
+  OwnerRig rig(RigOptions{2, kSecond * 20});
   auto first = rig.StartProcess();
   REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
   auto job = rig.Job("map", 2, 8, false);
--- a/test/scheduler/owner_rig.h
+++ b/test/scheduler/owner_rig.h
@@ -38,18 +38,25 @@
   std::unique_ptr<CellOwner> owner;
 };
 
+struct RigOptions {
+  int workers = 4;
+  /// Run time of tasks that name none, on the first worker and on the others.
+  base::Duration first_worker_run_time{60'000};
+  base::Duration run_time{60'000};
+  base::Duration checkpoint_time{500};
+};
+
 /// A cell in virtual time: workers of 8 accelerators, 4 to a rack, a table, and
 /// as many processes as a test starts.
 class OwnerRig {
  public:
-  /// `first_worker_run_time` is how long tasks that name no run time take on
-  /// the first worker; a minute on the others.
-  explicit OwnerRig(int worker_count,
-                    base::Duration first_worker_run_time = kRunTime)
+  explicit OwnerRig(int worker_count) : OwnerRig(RigOptions{worker_count}) {}
+
+  explicit OwnerRig(const RigOptions& options)
       : table(time), workers(time), owners(time), feed(time) {
     std::vector<CellWorker> list;
-    for (int i = 0; i < worker_count; ++i) {
-      list.push_back(AddWorker(i, i == 0 ? first_worker_run_time : kRunTime));
+    for (int i = 0; i < options.workers; ++i) {
+      list.push_back(AddWorker(i, options));
     }
     feed.SetWorkers(list);
     time.RunFor(base::Duration(1));
@@ -82,7 +89,10 @@
   /// The process dies: its object is gone and nothing of it runs any more.
   void Kill(std::unique_ptr<RigProcess>& process) {
     owners.Remove(process->endpoint);
-    process.reset();
+    process->owner.reset();
+    process->loop.Kill();
+    // What is under way to it still refers to its fakes.
+    dead_.push_back(std::move(process));
   }
 
   AcceptedJob Job(const std::string& name, int tasks, int accelerators,
@@ -156,18 +166,19 @@
   fakes::FakeJobFeed feed;
 
  private:
-  static constexpr base::Duration kRunTime{60'000};
-
-  CellWorker AddWorker(int i, base::Duration run_time) {
+  CellWorker AddWorker(int i, const RigOptions& rig) {
     standins::WorkerModelOptions options;
+    options.checkpoint_time = rig.checkpoint_time;
+    options.default_run_time =
+        i == 0 ? rig.first_worker_run_time : rig.run_time;
     options.name = base::WorkerName("w" + std::to_string(i));
     options.rack = base::RackName("r" + std::to_string(i / 4));
-    options.default_run_time = run_time;
     workers.Add(EndpointOf(i), options);
     return {options.name, EndpointOf(i), options.rack, false};
   }
 
   int processes_ = 0;
+  std::vector<std::unique_ptr<RigProcess>> dead_;
 };
 
 }  // namespace lapishatch::scheduler
