--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -59,7 +59,8 @@
 }
 
 http::Request Write(const std::string& method, const std::string& target,
-                    const json::value& body, http::HeaderField condition) {
+                    const json::value& body,
+                    const http::HeaderField& condition) {
   http::Request out;
   out.method = method;
   out.target = target;
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -2,6 +2,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <boost/leaf/handle_errors.hpp>
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
@@ -15,8 +16,8 @@
 
 /// Every value that --entry was given; a flag alone would keep the last.
 std::vector<std::string>& EntryTexts() {
-  static auto* const texts = new std::vector<std::string>;
-  return *texts;
+  static auto& texts = *new std::vector<std::string>;
+  return texts;
 }
 
 }  // namespace
--- a/src/ctl/watch.cc
+++ b/src/ctl/watch.cc
@@ -136,7 +136,7 @@
   return Tell({type == "delete", version, name, *object}, sink);
 }
 
-bool Watch::Tell(WatchChange change, const Sink& sink) {
+bool Watch::Tell(const WatchChange& change, const Sink& sink) {
   if (change.removed) {
     known_.erase(change.name);
   } else {
--- a/src/ctl/watch.h
+++ b/src/ctl/watch.h
@@ -63,7 +63,7 @@
  private:
   boost::leaf::result<bool> List(const Sink& sink);
   bool TakeLine(std::string_view line, const Sink& sink);
-  bool Tell(WatchChange change, const Sink& sink);
+  bool Tell(const WatchChange& change, const Sink& sink);
 
   ApiClient& client_;
   std::string kind_;
--- a/test/ctl/fake_entry.h
+++ b/test/ctl/fake_entry.h
@@ -62,7 +62,7 @@
   std::thread thread_;
 };
 
-inline http::Response JsonResponse(int status, boost::json::value body) {
+inline http::Response JsonResponse(int status, const boost::json::value& body) {
   http::Response out;
   out.status = status;
   out.headers.Set("Content-Type", "application/json");
