Stop what a returning worker still runs of a gang that was given up

Cause: a worker that was silent and came back in the same life told only of changes since its last report, so a member of a stopped gang went on there, its lease renewed with every report (seen red once the test let the member run for 30 s before the cut; the earlier test cut before the worker had told of it). Ruled out: repeating the stop for as long as a worker is silent (an order every two seconds to each dead worker). Change: when a worker counts as lost, its next report is asked from the start; members that are lost on a reachable worker are stopped until it answers. Also: a waiting job says what it waits for, and a handover is looked at every 20 ms instead of every second.

--- a/src/scheduler/cell_run.cc
+++ b/src/scheduler/cell_run.cc
@@ -8,6 +8,9 @@
 /// Between decisions that only the passing of time calls for.
 constexpr base::Duration kPlanEvery{1'000};
 
+/// Between looks whether everything is settled for a handover.
+constexpr base::Duration kSettleEvery{20};
+
 }  // namespace
 
 CellRun::CellRun(const OwnerOptions& options, OwnerPorts ports,
@@ -163,7 +166,6 @@
 void CellRun::Tick() {
   ports_.loop.After(kPlanEvery, scope_.Guard([this] {
     PlanSoon();
-    CheckHandover();
     Tick();
   }));
 }
@@ -179,7 +181,8 @@
 void CellRun::CheckHandover() {
   if (!settled_) return;
   const bool open = !recovering_ && !board_.settled();
-  if (!open) settled_();
+  if (!open) return settled_();
+  ports_.loop.After(kSettleEvery, scope_.Guard([this] { CheckHandover(); }));
 }
 
 void CellRun::Describe(OwnerStatus& status) const {
--- a/src/scheduler/gang_runner.cc
+++ b/src/scheduler/gang_runner.cc
@@ -323,6 +323,19 @@
   }
 }
 
+std::vector<int> GangRunner::MembersAtLarge() const {
+  std::vector<int> out;
+  for (int task = 0; task < tasks(); ++task) {
+    const auto& member = intent_.members.at(static_cast<std::size_t>(task));
+    const auto* link = hooks_.link(member.worker);
+    const bool same_life =
+        link != nullptr && link->incarnation() == member.incarnation;
+    const bool lost = machine_.member(task) == MemberState::kLost;
+    if (lost && same_life) out.push_back(task);
+  }
+  return out;
+}
+
 void GangRunner::AcknowledgeEnds() {
   for (int task = 0; task < tasks(); ++task) {
     const auto& member = intent_.members.at(static_cast<std::size_t>(task));
--- a/src/scheduler/internal/gang_runner.h
+++ b/src/scheduler/internal/gang_runner.h
@@ -57,6 +57,10 @@
   /// Lets the workers forget the ends of the members.
   void AcknowledgeEnds();
 
+  /// Members that are lost but whose worker lives the same life: they may still
+  /// run.
+  std::vector<int> MembersAtLarge() const;
+
   const base::JobName& job() const { return job_; }
   const config::JobSpec& spec() const { return spec_; }
   const Intent& intent() const { return intent_; }
--- a/src/scheduler/internal/job_board.h
+++ b/src/scheduler/internal/job_board.h
@@ -114,6 +114,8 @@
     std::shared_ptr<GangRunner> gang;
     base::Backoff retry{base::Duration(500), base::Duration(30'000)};
     int failures = 0;
+    /// Why it waits in kWaiting.
+    std::string waits_for;
     bool cancelled = false;
     /// The table holds an intent that this owner did not know of.
     bool foreign_intent = false;
@@ -127,7 +129,8 @@
                     const store::ReadResult& result);
   void LoadAgain(const base::JobName& name);
   void Submit(Job& job);
-  void SubmitAfter(Job& job, base::Duration delay);
+  /// `why` is told to people until then.
+  void SubmitAfter(Job& job, base::Duration delay, const std::string& why);
 
   void Do(const placement::StartGang& decision);
   void Do(const placement::EvictGang& decision);
--- a/src/scheduler/job_board.cc
+++ b/src/scheduler/job_board.cc
@@ -182,8 +182,10 @@
   Do(placement::RefuseGang{job.accepted.name, reason});
 }
 
-void JobBoard::SubmitAfter(Job& job, base::Duration delay) {
+void JobBoard::SubmitAfter(Job& job, base::Duration delay,
+                           const std::string& why) {
   if (handing_over_) return;
+  job.waits_for = why;
   if (delay == base::Duration(0)) return Submit(job);
   job.stage = Stage::kWaiting;
   ports_.loop.After(delay, scope_.Guard([this, name = job.accepted.name] {
@@ -235,7 +237,8 @@
   auto intent = IntentOf(*job, decision.placement);
   if (!intent) {
     ports_.planner.Ended(decision.job, ports_.loop.Now());
-    return SubmitAfter(*job, job->retry.Next(random_));
+    return SubmitAfter(*job, job->retry.Next(random_),
+                       "a worker of its place has left");
   }
   Activate(*job, std::move(*intent));
   const auto gang = job->gang;
@@ -287,7 +290,9 @@
   // What a worker that was never reached could hold is not known yet.
   if (!ports_.workers.all_known()) {
     ports_.planner.Cancel(decision.job);
-    return SubmitAfter(*job, kSubmitRetry);
+    return SubmitAfter(
+        *job, kSubmitRetry,
+        decision.reason + "; but not every worker has been reached yet");
   }
   base::Log(base::events::kJobUnschedulable,
             {{"job", decision.job}, {"reason", decision.reason}});
@@ -383,6 +388,8 @@
                          const lifecycle::TaskKey& key) {
   auto* link = ports_.workers.Find(worker);
   if (link == nullptr || link->incarnation() != incarnation) return;
+  // When it returns, it tells of all of its tasks.
+  if (link->lost()) return;
   base::Log(base::events::kStrayTaskStopped,
             {{"job", key.job}, {"worker", worker}});
   link->Command(lifecycle::StopTask{key},
@@ -428,7 +435,8 @@
 
 void JobBoard::OnTableBack() {
   for (auto& [name, job] : jobs_) {
-    if (job.stage == Stage::kParked) SubmitAfter(job, base::Duration(1));
+    if (job.stage == Stage::kParked)
+      SubmitAfter(job, base::Duration(1), "the table is back");
   }
 }
 
@@ -458,7 +466,7 @@
               "before that can be recorded",
               0};
     case Stage::kWaiting:
-      return {"queued", "the last attempt broke; it is tried again soon", 0};
+      return {"queued", "is tried again soon: " + it->second.waits_for, 0};
     case Stage::kEnding:
       return {"ended", it->second.status.reason, 0};
     case Stage::kQueued:
--- a/src/scheduler/job_board_ends.cc
+++ b/src/scheduler/job_board_ends.cc
@@ -126,6 +126,11 @@
   ports_.planner.Ended(gang.job(), ports_.loop.Now());
   replan_();
   NoteStartOutcome(gang, ended);
+  for (const int task : gang.MembersAtLarge()) {
+    const auto& member =
+        gang.intent().members.at(static_cast<std::size_t>(task));
+    StopStray(member.worker, member.incarnation, gang.KeyOf(task));
+  }
   auto* job = Find(gang.job());
   if (job == nullptr) return;
   if (ended.end != lifecycle::GangEnd::kFinished) {
@@ -198,7 +203,7 @@
                            ending_.erase(gang->intent().attempt);
                            gang->AcknowledgeEnds();
                          });
-  SubmitAfter(job, delay);
+  SubmitAfter(job, delay, reason);
 }
 
 void JobBoard::Finish(Job& job, const std::shared_ptr<GangRunner>& gang,
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -163,6 +163,8 @@
   const bool silent_for_long = loop_.Now() - last_good_ > options_.lost_after;
   if (!lost_ && failures_ >= kFailuresToDoubt && silent_for_long) {
     lost_ = true;
+    // Its tasks were given up: when it returns it has to tell of all of them.
+    acknowledged_ = 0;
     hooks_.lost(*this);
   }
   SchedulePoll(backoff_.Next(random_));
--- a/test/scheduler/gang_faults_test.cc
+++ b/test/scheduler/gang_faults_test.cc
@@ -138,12 +138,17 @@
   job.spec.payload = R"({"run_ms":3600000})";
   rig.feed.Accept(job);
   REQUIRE(rig.RunUntilPhase("map", JobPhase::kRunning, kSecond * 10));
+  // Its worker has told of it long ago.
+  rig.time.RunFor(kSecond * 30);
   const auto dead = rig.WorkerOf("map", 0);
   rig.workers.SetReachable(dead, false);
   REQUIRE(rig.RunUntilPhase("map", JobPhase::kUnknown, kMinute));
+  // Long after the last stop that was tried, and before its lease lapses.
+  rig.time.RunFor(kSecond * 5);
+  REQUIRE(rig.RunningTasksOf("map") == 1);
   rig.workers.SetReachable(dead, true);
   REQUIRE(rig.time.RunUntil([&] { return rig.RunningTasksOf("map") == 0; },
-                            kSecond * 15));
+                            kSecond * 12));
   CHECK(rig.StartsOf("map") == 3);
 }
 
