Add lapishatch-load and measure the HTTP server and client

Cause: the entry's cost and the HTTP package's speed could not be measured. Ruled out: latency from the sending of a request in an open load, which leaves out the time that a slow server makes requests wait.

--- /dev/null
+++ b/testing/load/load_generator.cc
@@ -0,0 +1,254 @@
+#include "load/load_generator.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <cstdio>
+#include <mutex>
+#include <utility>
+
+namespace lapishatch::load {
+namespace {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+/// An open load sends what has become due since the last tick.
+constexpr std::chrono::milliseconds kTick{1};
+
+/// Requests of an open load that may wait for a connection.
+constexpr std::size_t kMaxWaiting = 100'000;
+
+/// Counts by status and work, in shards, so that threads seldom meet.
+class EndCounts {
+ public:
+  void Add(const http::Response& response) {
+    auto& shard =
+        shards_[next_.fetch_add(1, std::memory_order_relaxed) % shards_.size()];
+    const std::lock_guard lock(shard.mutex);
+    ++shard.by_status[response.status];
+    const auto work = response.headers.Find("Lapishatch-Work");
+    ++shard.by_work[work.empty() ? "none" : std::string(work)];
+  }
+
+  void AddTo(LoadReport& report) {
+    for (auto& shard : shards_) {
+      const std::lock_guard lock(shard.mutex);
+      for (const auto& [status, n] : shard.by_status) {
+        report.by_status[status] += n;
+      }
+      for (const auto& [work, n] : shard.by_work) report.by_work[work] += n;
+    }
+  }
+
+ private:
+  struct Shard {
+    std::mutex mutex;
+    std::map<int, std::uint64_t> by_status;
+    std::map<std::string, std::uint64_t> by_work;
+  };
+
+  std::array<Shard, 16> shards_;
+  std::atomic<std::size_t> next_{0};
+};
+
+http::ClientLimits LimitsOf(const LoadOptions& options) {
+  http::ClientLimits out;
+  const auto targets = std::max<std::size_t>(options.targets.size(), 1);
+  out.connections_per_endpoint =
+      std::max<std::size_t>(options.connections / targets, 1);
+  out.waiting_per_endpoint = kMaxWaiting;
+  return out;
+}
+
+class Load : public std::enable_shared_from_this<Load> {
+ public:
+  Load(asio::io_context& io, LoadOptions options,
+       std::function<void(LoadReport)> done)
+      : io_(io),
+        options_(std::move(options)),
+        done_(std::move(done)),
+        client_(io, LimitsOf(options_)),
+        ticker_(asio::make_strand(io)),
+        key_prefix_(base::MakeUniqueText("load-")),
+        body_(options_.body_bytes, 'x'),
+        latency_(std::make_unique<LatencyHistogram>()) {}
+
+  void Start() {
+    begin_ = Clock::now();
+    measure_from_ = begin_ + options_.warm_up;
+    end_ = measure_from_ + options_.duration;
+    if (options_.rate > 0) return Tick();
+    for (std::size_t i = 0; i < options_.connections; ++i) {
+      asio::post(io_, [self = shared_from_this()] { self->SendNext(); });
+    }
+  }
+
+ private:
+  // A closed load.
+
+  void SendNext() {
+    const auto now = Clock::now();
+    if (now >= end_) return EndLoop();
+    Send(now, true);
+  }
+
+  void EndLoop() {
+    if (++ended_loops_ == options_.connections) Finish();
+  }
+
+  // An open load.
+
+  void Tick() {
+    const auto now = Clock::now();
+    const std::chrono::duration<double> passed = now - begin_;
+    const auto due = static_cast<std::uint64_t>(passed.count() * options_.rate);
+    for (; arrived_ < due; ++arrived_) {
+      const auto at =
+          begin_ + std::chrono::duration_cast<Clock::duration>(
+                       std::chrono::duration<double>(
+                           static_cast<double>(arrived_) / options_.rate));
+      if (at >= end_) break;
+      ++open_;
+      Send(at, false);
+    }
+    if (now >= end_) return EndOne();
+    ticker_.expires_after(kTick);
+    ticker_.async_wait([self = shared_from_this()](
+                           const boost::system::error_code&) { self->Tick(); });
+  }
+
+  void EndOne() {
+    if (--open_ == 0) Finish();
+  }
+
+  // Requests.
+
+  void Send(Clock::time_point due, bool is_closed_loop) {
+    const auto n = next_.fetch_add(1, std::memory_order_relaxed);
+    const bool is_measured = due >= measure_from_;
+    if (is_measured) ++sent_;
+    client_.Send(options_.targets[n % options_.targets.size()], MakeRequest(n),
+                 options_.timeout,
+                 [self = shared_from_this(), due, is_measured,
+                  is_closed_loop](const http::ClientResult& result) {
+                   if (is_measured) self->Count(due, result);
+                   if (is_closed_loop) return self->SendNext();
+                   self->EndOne();
+                 });
+  }
+
+  http::Request MakeRequest(std::uint64_t n) const {
+    http::Request out;
+    out.method = "POST";
+    out.target = options_.path;
+    std::vector<http::HeaderField> fields{
+        {"Content-Type", "application/octet-stream"},
+        {"Lapishatch-Class", options_.work_class},
+        {"Lapishatch-Deadline-Ms", std::to_string(options_.deadline.count())}};
+    const auto& organisations = options_.organisations;
+    if (!organisations.empty()) {
+      fields.push_back(
+          {"Lapishatch-Organisation", organisations[n % organisations.size()]});
+    }
+    if (options_.is_idempotent) {
+      fields.push_back({"Lapishatch-Idempotent", "true"});
+    } else {
+      fields.push_back(
+          {"Idempotency-Key", key_prefix_ + "-" + std::to_string(n)});
+    }
+    out.headers = http::Headers(std::move(fields));
+    out.body = body_;
+    return out;
+  }
+
+  void Count(Clock::time_point due, const http::ClientResult& result) {
+    if (const auto* error = std::get_if<http::ClientError>(&result)) {
+      const bool unsent = error->progress == http::Progress::kNothingSent;
+      ++(unsent ? failed_unsent_ : failed_maybe_sent_);
+      if (error->timed_out) ++timed_out_;
+      return;
+    }
+    ++answered_;
+    ends_.Add(std::get<http::Response>(result));
+    latency_->Add(std::chrono::duration_cast<std::chrono::microseconds>(
+        Clock::now() - due));
+  }
+
+  void Finish() {
+    LoadReport out;
+    const std::chrono::duration<double> measured = options_.duration;
+    out.seconds = measured.count();
+    out.sent = sent_;
+    out.answered = answered_;
+    out.failed_unsent = failed_unsent_;
+    out.failed_maybe_sent = failed_maybe_sent_;
+    out.timed_out = timed_out_;
+    ends_.AddTo(out);
+    out.latency = std::move(latency_);
+    done_(std::move(out));
+  }
+
+  asio::io_context& io_;
+  const LoadOptions options_;
+  const std::function<void(LoadReport)> done_;
+  http::Client client_;
+  asio::steady_timer ticker_;
+  const std::string key_prefix_;
+  const std::string body_;
+  Clock::time_point begin_;
+  Clock::time_point measure_from_;
+  Clock::time_point end_;
+  std::uint64_t arrived_ = 0;
+  std::atomic<std::uint64_t> next_{0};
+  std::atomic<std::size_t> ended_loops_{0};
+  /// One for the arrivals themselves, so that it reaches 0 once.
+  std::atomic<std::int64_t> open_{1};
+  std::atomic<std::uint64_t> sent_{0};
+  std::atomic<std::uint64_t> answered_{0};
+  std::atomic<std::uint64_t> failed_unsent_{0};
+  std::atomic<std::uint64_t> failed_maybe_sent_{0};
+  std::atomic<std::uint64_t> timed_out_{0};
+  EndCounts ends_;
+  std::unique_ptr<LatencyHistogram> latency_;
+};
+
+std::string Line(const std::string& name, double value, const char* unit) {
+  std::array<char, 64> text{};
+  std::snprintf(text.data(), text.size(), " %.6g ", value);
+  return name + text.data() + unit + "\n";
+}
+
+std::string CountLine(const std::string& name, std::uint64_t n) {
+  return name + " " + std::to_string(n) + " requests\n";
+}
+
+}  // namespace
+
+void StartLoad(asio::io_context& io, LoadOptions options,
+               std::function<void(LoadReport)> done) {
+  std::make_shared<Load>(io, std::move(options), std::move(done))->Start();
+}
+
+std::string Render(const LoadReport& report, const std::string& prefix) {
+  std::string out;
+  const auto rate = static_cast<double>(report.answered) / report.seconds;
+  out += Line(prefix + "rate", rate, "requests/s");
+  out += Line(prefix + "p50", report.latency->QuantileMs(0.5), "ms");
+  out += Line(prefix + "p99", report.latency->QuantileMs(0.99), "ms");
+  out += Line(prefix + "p99.9", report.latency->QuantileMs(0.999), "ms");
+  for (const auto& [status, n] : report.by_status) {
+    out += CountLine(prefix + "status_" + std::to_string(status), n);
+  }
+  for (const auto& [work, n] : report.by_work) {
+    out += CountLine(prefix + "work_" + work, n);
+  }
+  out += CountLine(prefix + "failed_unsent", report.failed_unsent);
+  out += CountLine(prefix + "failed_maybe_sent", report.failed_maybe_sent);
+  out += CountLine(prefix + "timed_out", report.timed_out);
+  return out;
+}
+
+}  // namespace lapishatch::load
