--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include "scheduler/job_feed.h"
 #include "scheduler/owner_options.h"
 #include "scheduler/owner_probe.h"
+#include "scheduler/rows.h"
 #include "scheduler/wire_owner_probe.h"
 
 #endif  // LAPISHATCH_SCHEDULER_SCHEDULER_H_
--- a/src/scheduler/wire_owner_probe.cc
+++ b/src/scheduler/wire_owner_probe.cc
@@ -45,18 +45,27 @@
 /// One answer for each kind of query.
 struct QueryVisitor {
   const CellQueries& queries;
+  const std::function<void(wire::Answer)>& reply;
 
-  wire::Answer operator()(const wire::OwnerQuery& it) const {
-    return OwnerAnswerOf(it.cell, queries.probe(it.cell, it.holder));
+  void operator()(const wire::OwnerQuery& it) const {
+    queries.probe(it.cell, it.holder,
+                  [cell = it.cell, reply = reply](ProbeAnswer answer) {
+                    reply(OwnerAnswerOf(cell, answer));
+                  });
   }
-  wire::Answer operator()(const wire::ExplainQuery& it) const {
-    return TextAnswerOf(queries.explain(it.job));
+  void operator()(const wire::ExplainQuery& it) const {
+    queries.explain(it.job, ReplyText());
   }
-  wire::Answer operator()(const wire::CellStatusQuery& it) const {
-    return TextAnswerOf(queries.status(it.cell));
+  void operator()(const wire::CellStatusQuery& it) const {
+    queries.status(it.cell, ReplyText());
   }
-  wire::Answer operator()(const wire::SnapshotQuery&) const {
-    return wire::Refusal{};
+  void operator()(const wire::SnapshotQuery&) const { reply(wire::Refusal{}); }
+
+ private:
+  std::function<void(std::optional<std::string>)> ReplyText() const {
+    return [reply = reply](std::optional<std::string> text) {
+      reply(TextAnswerOf(std::move(text)));
+    };
   }
 };
 
@@ -75,11 +84,11 @@
 }
 
 wire::RequestChannel::Server MakeCellQueryServer(CellQueries queries) {
-  return
-      [queries = std::move(queries)](
-          const wire::Identity&, const wire::Query& query, const auto& reply) {
-        reply(std::visit(QueryVisitor{queries}, query));
-      };
+  return [queries = std::move(queries)](
+             const wire::Identity&, const wire::Query& query,
+             const std::function<void(wire::Answer)>& reply) {
+    std::visit(QueryVisitor{queries, reply}, query);
+  };
 }
 
 }  // namespace lapishatch::scheduler
--- a/src/scheduler/wire_owner_probe.h
+++ b/src/scheduler/wire_owner_probe.h
@@ -33,15 +33,21 @@
 };
 
 /// What a scheduler process answers other processes. Called on the loop of its
-/// node.
+/// node; each ends in one call of `done` on that loop, at once or when the
+/// cell's own loop has answered.
 struct CellQueries {
-  std::function<ProbeAnswer(const base::CellName& cell,
-                            const base::Incarnation& holder)>
+  std::function<void(const base::CellName& cell,
+                     const base::Incarnation& holder,
+                     std::function<void(ProbeAnswer)> done)>
       probe;
   /// JSON text, or nothing for a job that is not of a cell of this process.
-  std::function<std::optional<std::string>(const base::JobName& job)> explain;
+  std::function<void(const base::JobName& job,
+                     std::function<void(std::optional<std::string>)> done)>
+      explain;
   /// JSON text, or nothing for a cell that this process does not hold.
-  std::function<std::optional<std::string>(const base::CellName& cell)> status;
+  std::function<void(const base::CellName& cell,
+                     std::function<void(std::optional<std::string>)> done)>
+      status;
 };
 
 /// Answers OwnerQuery, ExplainQuery and CellStatusQuery by `queries`; for
--- a/test/scheduler/wire_owner_probe_test.cc
+++ b/test/scheduler/wire_owner_probe_test.cc
@@ -22,14 +22,14 @@
         probe(candidate.process, candidate.node.requests(), kTimeout) {
     holder.node.Serve(MakeCellQueryServer(
         {.probe =
-             [this](const auto& cell, const auto& asked_for) {
+             [this](const auto& cell, const auto& asked_for, auto done) {
                if (cell != kCell || asked_for != holder.identity.incarnation) {
-                 return ProbeAnswer{};
+                 return done(ProbeAnswer{});
                }
-               return answer;
+               done(answer);
              },
-         .explain = [](const auto&) { return std::nullopt; },
-         .status = [](const auto&) { return std::nullopt; }}));
+         .explain = [](const auto&, auto done) { done(std::nullopt); },
+         .status = [](const auto&, auto done) { done(std::nullopt); }}));
   }
 
   ProbeResult Ask(const base::CellName& cell,
@@ -71,8 +71,8 @@
   // Even one that wrongly says so.
   new_life.node.Serve(MakeCellQueryServer(
       {.probe =
-           [](const auto&, const auto&) {
-             return ProbeAnswer{lifecycle::HolderState::kHolding, 9};
+           [](const auto&, const auto&, auto done) {
+             done(ProbeAnswer{lifecycle::HolderState::kHolding, 9});
            },
        .explain = nullptr,
        .status = nullptr}));
