--- a/src/config/json_reader.cc
+++ b/src/config/json_reader.cc
@@ -53,8 +53,9 @@
   json::stream_parser parser({}, options);
   json::error_code ec;
   const auto n = parser.write_some(text.data(), text.size(), ec);
-  if (!ec) parser.finish(ec);
-  if (!ec && n == text.size()) return parser.release();
+  const bool is_whole = n == text.size();
+  if (!ec && is_whole) parser.finish(ec);
+  if (!ec && is_whole) return parser.release();
   problems.push_back(
       {"", "not JSON at byte " + std::to_string(n) + ": " +
                (ec ? ec.message() : "something follows the value")});
