--- a/src/config/change_writer.cc
+++ b/src/config/change_writer.cc
@@ -1,5 +1,6 @@
 #include "config/change_writer.h"
 
+#include <algorithm>
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
@@ -21,6 +22,10 @@
 
 constexpr std::size_t kLogCount = base::kEnumSize<LogId>;
 
+/// The window under contention shrinks by an eighth with each commit.
+constexpr int kShrinkNumerator = 7;
+constexpr int kShrinkDenominator = 8;
+
 /// What the machine tells its writer to do; see WriterImpl.
 class WriterActions {
  public:
@@ -200,6 +205,11 @@
     std::size_t entries = 0;
     for (const auto& it : sets_) entries += EntriesOf(it.set);
     while (!waiting_.empty()) {
+      if (IsImpatient(waiting_.front())) {
+        GiveUp(waiting_.front());
+        waiting_.pop_front();
+        continue;
+      }
       entries += EntriesOf(waiting_.front().set);
       if (entries > options_.group && !sets_.empty()) break;
       sets_.push_back(std::move(waiting_.front()));
@@ -220,6 +230,10 @@
   /// Judging needs the mirror at exactly the versions of the heads that the
   /// transaction demands.
   void Prepare() override {
+    if (sets_.empty()) {
+      machine_.process_event(NothingToWrite());
+      return;
+    }
     if (!IsMirrorAtHeads()) {
       heads_known_ = false;
       machine_.process_event(HeadsNeeded());
@@ -311,14 +325,36 @@
       return;
     }
     waiting_.push_back({std::move(set), std::move(done), table_.Now()});
-    machine_.process_event(SetsWait());
+    Continue();
   }
 
-  /// The next sets, when the machine is idle again.
+  /// Begins with the next sets, if the machine is idle, when this writer's turn
+  /// has come.
   void Continue() {
-    if (waiting_.empty()) return;
-    table_.After(base::Duration(0),
-                 [this] { machine_.process_event(SetsWait()); });
+    if (waiting_.empty() || std::exchange(is_waking_, true)) return;
+    const auto delay = std::max(not_before_ - table_.Now(), base::Duration(0));
+    table_.After(delay, [this] {
+      is_waking_ = false;
+      machine_.process_event(SetsWait());
+    });
+  }
+
+  /// A writer that has just won knows the heads and would win again, while the
+  /// others still read them. So each gives way for a window after its commit,
+  /// in which its sets gather: long enough for another's reading and writing,
+  /// and longer while races are lost.
+  void GiveWay() {
+    const auto window = std::max(window_, options_.give_way);
+    std::uniform_int_distribution<std::int64_t> range(window.count() / 2,
+                                                      window.count());
+    not_before_ = table_.Now() + base::Duration(range(random_));
+    window_ = window_ * kShrinkNumerator / kShrinkDenominator;
+    if (window_ < options_.retry_first) window_ = base::Duration(0);
+  }
+
+  void WidenWindow() {
+    window_ = std::clamp(window_ * 2, options_.retry_first * 2,
+                         options_.contention_window);
   }
 
   void EndBatch() {
@@ -366,6 +402,7 @@
     heads_known_ = true;
     ++committed_;
     Count("committed");
+    GiveWay();
     machine_.process_event(CommitDone());
   }
 
@@ -376,6 +413,7 @@
     if (!may_be_written_) {
       ++conflicts_;
       Count("conflict");
+      WidenWindow();
     }
     machine_.process_event(CommitConflict());
   }
@@ -418,15 +456,23 @@
     moved_status_row_.clear();
   }
 
+  bool IsImpatient(const WaitingSet& set) const {
+    return table_.Now() - set.submitted >= options_.patience;
+  }
+
+  void GiveUp(const WaitingSet& set) {
+    Answer(set, ChangesNotAccepted{"the platform's table cannot be had, or "
+                                   "other changes were always faster"});
+  }
+
   void DropImpatient() {
     std::vector<WaitingSet> kept;
     for (auto& it : sets_) {
-      if (table_.Now() - it.submitted < options_.patience) {
+      if (IsImpatient(it)) {
+        GiveUp(it);
+      } else {
         kept.push_back(std::move(it));
-        continue;
       }
-      Answer(it, ChangesNotAccepted{"the platform's table cannot be had, or "
-                                    "other changes were always faster"});
     }
     sets_ = std::move(kept);
   }
@@ -527,6 +573,9 @@
   base::Backoff backoff_;
   base::Random random_;
   std::deque<WaitingSet> waiting_;
+  bool is_waking_ = false;
+  base::TimePoint not_before_;
+  base::Duration window_{0};
   /// Those of the present transaction.
   std::vector<WaitingSet> sets_;
   ChangeBatch batch_;
@@ -577,6 +626,11 @@
                  "Pause after a lost race; doubled up to the limit.");
   section.Millis("retry_limit_ms", options.retry_limit, 1, 60'000,
                  "Longest pause after a lost race.");
+  section.Millis("give_way_ms", options.give_way, 0, 10'000,
+                 "How long a writer gives way to others after a commit.");
+  section.Millis("contention_window_ms", options.contention_window, 1, 10'000,
+                 "Longest time that a writer gives way to others after a "
+                 "commit, while races are lost.");
   section.Integer("keep_entries", options.keep_entries, 100, 10'000'000,
                   "Entries of a log that stay in the table.");
   return section;
--- a/src/config/change_writer.h
+++ b/src/config/change_writer.h
@@ -28,7 +28,12 @@
   base::Duration unknown_patience{6'000};
   /// Pause after a lost race or a refusal of the table: first and longest.
   base::Duration retry_first{4};
-  base::Duration retry_limit{250};
+  base::Duration retry_limit{60};
+  /// How long a writer gives way to others after a commit: a reading and a
+  /// writing of the table, and some.
+  base::Duration give_way{20};
+  /// The same at most, while races are lost.
+  base::Duration contention_window{120};
   /// Entries of a log that stay in the table.
   std::size_t keep_entries = 20'000;
   std::uint64_t seed = 1;
