--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -72,6 +72,57 @@
   CHECK(finished_jobs >= 25);
 }
 
+TEST_CASE("an owner that dies around the end of a job loses no end") {
+  for (int after_ms = -20; after_ms < 60; after_ms += 2) {
+    CAPTURE(after_ms);
+    OwnerRig rig(3);
+    auto first = rig.StartProcess();
+    REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+    rig.feed.Accept(rig.Job("claim", 3, 8, false));
+    REQUIRE(rig.time.RunUntil([&] { return rig.RunningTasksOf("claim") == 3; },
+                              kSecond * 5));
+    rig.time.RunFor(kMinute + base::Duration(after_ms));
+    rig.Kill(first);
+    const auto second = rig.StartProcess();
+    REQUIRE(rig.RunUntilPhase("claim", JobPhase::kFinished, kMinute));
+    CHECK(rig.StartsOf("claim") == 3);
+    CHECK_FALSE(rig.IntentOf("claim").has_value());
+  }
+}
+
+TEST_CASE(
+    "a part of a gang that was never confirmed ends with its start lease") {
+  OwnerRig rig(4);
+  auto first = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  // Other gangs run there, so that reports renew.
+  for (int i = 0; i < 4; ++i) {
+    rig.feed.Accept(LongJob(rig, "other" + std::to_string(i), 1));
+  }
+  rig.time.RunFor(kSecond * 3);
+  // One start is lost; the owner dies while it waits for the others.
+  int starts = 0;
+  rig.workers.SetFault([&](const auto&, const lifecycle::WorkerOrder& order) {
+    for (const auto& it : order.commands) {
+      if (!std::holds_alternative<lifecycle::StartTask>(it)) continue;
+      if (starts++ % 4 == 0) return fakes::OrderFault::kOrderLost;
+    }
+    return fakes::OrderFault::kNone;
+  });
+  for (int i = 0; i < 4; ++i)
+    rig.feed.Cancel(base::JobName("other" + std::to_string(i)));
+  rig.feed.Accept(LongJob(rig, "map", 4));
+  REQUIRE(rig.time.RunUntil([&] { return rig.RunningTasksOf("map") == 3; },
+                            kSecond * 5));
+  const auto began = rig.time.Now();
+  rig.time.RunFor(kSecond);
+  rig.Kill(first);
+  REQUIRE(rig.time.RunUntil([&] { return rig.RunningTasksOf("map") == 0; },
+                            kMinute));
+  const OwnerOptions options;
+  CHECK(rig.time.Now() - began <= options.start_lease + base::Duration(10));
+}
+
 TEST_CASE("an owner paused past its lease drops everything") {
   OwnerRig rig(6);
   const auto first = rig.StartProcess();
