Test ends, leases and restarts around the death of an owner

Cause: with the hold on unrecorded ends, the outage lease or the check of a member's incarnation taken out on purpose, no test failed.

--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -242,6 +242,57 @@
   CHECK(rig.StartsOf("map") == 3);
 }
 
+TEST_CASE("an end that could not be recorded outlives its owner") {
+  OwnerRig rig(3);
+  auto first = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  rig.feed.Accept(rig.Job("claim", 3, 8, false));
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kRunning, kSecond * 5));
+  rig.time.RunFor(kSecond * 30);
+  rig.table.SetDown(true);
+  rig.time.RunFor(kMinute * 2);
+  REQUIRE(rig.RunningTasksOf("claim") == 0);
+  rig.Kill(first);
+  rig.table.SetDown(false);
+  const auto second = rig.StartProcess();
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kFinished, kMinute));
+  CHECK(rig.StartsOf("claim") == 3);
+}
+
+TEST_CASE("work outlives an owner that dies in an outage") {
+  OwnerRig rig(3);
+  auto first = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  rig.feed.Accept(LongJob(rig, "map", 3));
+  REQUIRE(rig.RunUntilPhase("map", JobPhase::kRunning, kSecond * 5));
+  rig.table.SetDown(true);
+  rig.time.RunFor(kMinute);
+  rig.Kill(first);
+  const auto second = rig.StartProcess();
+  rig.time.RunFor(kMinute * 5);
+  CHECK(rig.RunningTasksOf("map") == 3);
+  rig.table.SetDown(false);
+  REQUIRE(rig.RunUntilPhase("map", JobPhase::kFinished, kMinute * 10));
+  CHECK(rig.StartsOf("map") == 3);
+}
+
+TEST_CASE("a restart while nobody owned the cell proves nothing") {
+  OwnerRig rig(3);
+  auto first = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  rig.feed.Accept(rig.Job("claim", 3, 8, false));
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kRunning, kSecond * 5));
+  rig.time.RunFor(kSecond * 10);
+  rig.Kill(first);
+  for (const auto& it : rig.workers.endpoints()) {
+    rig.workers.model(it).Restart();
+  }
+  const auto second = rig.StartProcess();
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kUnknown, kMinute));
+  rig.time.RunFor(kMinute);
+  CHECK(rig.StartsOf("claim") == 3);
+}
+
 TEST_CASE("unrecorded starts are adopted when their owner dies") {
   OwnerRig rig(4);
   auto first = rig.StartProcess();
