Play the demo with the real binaries

Texts inside a spec reached the API as lists, since boost::json takes one value in braces for an array (seen red in scenario_reader_test first). An entry may not have heard of a job that another one accepted 0.1 s before, so `lapishatchctl cancel` said that it is not there: it now asks every entry before it believes that. A job that is to be cancelled was shown as running twice: the line says so now. Steps can wait until something is in force at every entry.

--- a/src/ctl/api_client.h
+++ b/src/ctl/api_client.h
@@ -59,6 +59,11 @@
   /// one when the retry time is over. Fails with Unreachable or OutcomeUnknown.
   boost::leaf::result<Answer> Call(const http::Request& request, Repeat repeat);
 
+  /// Has the next call begin at another entry.
+  void TryNextEntry() { first_ = (first_ + 1) % entries_.size(); }
+
+  std::size_t entry_count() const { return entries_.size(); }
+
   /// How one stream ended.
   struct StreamEnd {
     http::Endpoint entry;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -321,13 +321,28 @@
   return leaf::new_error(RefusalFrom(answer.entry, answer.response));
 }
 
+leaf::result<std::uint64_t> Commands::FindVersion(const std::string& target) {
+  http::Request request;
+  request.target = target;
+  for (std::size_t i = 1;; ++i) {
+    BOOST_LEAF_AUTO(answer, client_.Call(request, Repeat::kSafe));
+    if (IsOk(answer.response)) {
+      return NumberAt(BodyOf(answer.response), "version");
+    }
+    const bool other = i < client_.entry_count();
+    if (answer.response.status != kNotFound || !other) {
+      return leaf::new_error(RefusalFrom(answer.entry, answer.response));
+    }
+    client_.TryNextEntry();
+  }
+}
+
 leaf::result<void> Commands::Remove(const std::string& kind,
                                     const std::string& name) {
   const auto target = "/v1/" + kind + "/" + name;
   auto version = options_.version;
   if (!version) {
-    BOOST_LEAF_AUTO(present, Read(target));
-    version = NumberAt(present, "version");
+    BOOST_LEAF_ASSIGN(version, FindVersion(target));
   }
   const auto request =
       Write("DELETE", target, nullptr, {"If-Match", ETag(*version)});
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -88,6 +88,9 @@
   boost::leaf::result<bool> Create(const std::string& kind,
                                    const std::string& name,
                                    const boost::json::value& body);
+  /// The present version of a resource. An entry may not have heard of a new
+  /// one yet, so all of them are asked before it counts as not there.
+  boost::leaf::result<std::uint64_t> FindVersion(const std::string& target);
   boost::leaf::result<void> Remove(const std::string& kind,
                                    const std::string& name);
   /// Prints the job's phases until it has ended; 0 if it finished.
--- a/src/ctl/views.cc
+++ b/src/ctl/views.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "config/config.h"
 #include "ctl/json_text.h"
 #include "ctl/text_table.h"
 
@@ -69,7 +70,12 @@
 std::string LineOf(std::string_view kind, const json::value& resource) {
   std::string out = TextAt(resource, "name");
   if (kind == "jobs") {
-    out += " is " + TextAt(resource, "status.phase");
+    const auto phase = TextAt(resource, "status.phase");
+    const auto known = base::ParseEnum<config::JobPhase>(phase);
+    const bool leaving = TextAt(resource, "cancel_requested") == "true" &&
+                         known.has_value() && !config::IsFinal(*known);
+    out += leaving ? " is to be cancelled, still " : " is ";
+    out += phase;
     const auto domain = TextAt(resource, "status.domain");
     if (!domain.empty()) out += " in " + domain;
     const auto reason = TextAt(resource, "status.reason");
--- a/test/ctl/api_client_test.cc
+++ b/test/ctl/api_client_test.cc
@@ -153,6 +153,22 @@
   CHECK(entry.requests()[1].headers.Find("If-Match") == "\"5\"");
 }
 
+TEST_CASE("a resource that one entry has not heard of is found at another") {
+  FakeEntry behind([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(JsonResponse(404, {{"title", "No such resource"}}));
+  });
+  FakeEntry ahead([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(JsonResponse(200, {{"name", "map"}, {"version", 5}}));
+  });
+  FakePauses pauses;
+  const auto ran =
+      RunWords(pauses.OptionsFor({behind.endpoint(), ahead.endpoint()}),
+               {"cancel", "map"});
+  CHECK(ran.code == 0);
+  REQUIRE(ahead.requests().size() == 2);
+  CHECK(ahead.requests()[1].method == "DELETE");
+}
+
 TEST_CASE("a refusal names every problem and what to do") {
   FakeEntry entry([](const http::ExchangePtr& exchange, int) {
     exchange->Respond(JsonResponse(
--- a/test/scenario/scenario_reader_test.cc
+++ b/test/scenario/scenario_reader_test.cc
@@ -71,6 +71,21 @@
   CHECK(link.mode == LinkMode::kSilentOpen);
 }
 
+TEST_CASE("a spec reaches the API with the values as they are written") {
+  std::string problem;
+  const auto scenario = Parse(kHead + R"(
+[[step]]
+submit = "map"
+spec = {organisation = "a", gang = {tasks = 2}, weight = 1.5, borrow = true}
+)",
+                              problem);
+  REQUIRE(scenario.has_value());
+  const auto& call = std::get<CallAction>(scenario->steps[0].action);
+  CHECK(call.calls[0].request.body ==
+        R"({"spec":{"borrow":true,"gang":{"tasks":2},"organisation":"a",)"
+        R"("weight":1.5E0}})");
+}
+
 TEST_CASE("mistakes are named with their line") {
   CHECK(ProblemOf(kHead + "[[step]]\njob = \"map\"\nis = \"x\"\nist = 1\n") ==
         "line 8: ist is not known here");
--- a/testing/scenario/player.cc
+++ b/testing/scenario/player.cc
@@ -33,10 +33,10 @@
 auto Fail(const std::string& text) { return leaf::new_error(StepFailed{text}); }
 
 template <typename List>
-std::string Joined(const List& items) {
+std::string Joined(const List& items, std::string_view gap = ", ") {
   std::string out;
   for (const auto& it : items) {
-    if (!out.empty()) out += ", ";
+    if (!out.empty()) out += gap;
     if constexpr (std::is_arithmetic_v<typename List::value_type>) {
       out += std::to_string(it);
     } else {
@@ -73,7 +73,11 @@
   const auto work = response->headers.Find("Lapishatch-Work");
   if (!work.empty()) out += " " + std::string(work);
   if (IsOk(*response)) return out;
-  return out + " " + response->body.substr(0, kShownBytes);
+  const auto body = JsonOfBody(*response);
+  const auto title = ctl::TextAt(body, "title");
+  if (title.empty()) return out + " " + response->body.substr(0, kShownBytes);
+  return out + " " + title + ": " +
+         ctl::TextAt(body, "detail").substr(0, kShownBytes);
 }
 
 /// Why an answer is not as expected; empty when it is.
@@ -201,11 +205,22 @@
 }
 
 Player::Outcome Player::Do(const WaitAction& action) {
+  if (action.at != kEveryEntry) return WaitAt(action, action.at);
+  std::string what;
+  for (const auto& it : cluster_.entries()) {
+    if (!cluster_.Find(it)->running()) continue;
+    BOOST_LEAF_ASSIGN(what, WaitAt(action, it));
+  }
+  return what + " at every entry";
+}
+
+Player::Outcome Player::WaitAt(const WaitAction& action,
+                               const std::string& at) {
   http::Request request;
   request.target = action.target;
   std::string seen = "nothing";
   while (clock_.Now() < deadline_) {
-    const auto result = CallAny(action.at, request);
+    const auto result = CallAny(at, request);
     const auto* response = std::get_if<http::Response>(&result);
     if (response != nullptr) {
       seen = std::to_string(response->status);
@@ -352,7 +367,7 @@
   if (!process->Start(base + ".in")) return Fail("cannot start lapishatchctl");
   if (!action.label.empty()) {
     screens_[action.label] = std::move(process);
-    return "lapishatchctl " + Joined(action.arguments) + ", goes on";
+    return "lapishatchctl " + Joined(action.arguments, " ") + ", goes on";
   }
   const auto code = process->WaitEnd(deadline_ - clock_.Now());
   const auto said = FileText(base + ".out");
@@ -366,7 +381,7 @@
     return Fail(
         absl::StrCat("lapishatchctl does not say \"", it, "\" but: ", said));
   }
-  auto what = "lapishatchctl " + Joined(action.arguments) + "\n" + said;
+  auto what = "lapishatchctl " + Joined(action.arguments, " ") + "\n" + said;
   what.erase(what.find_last_not_of('\n') + 1);
   return what;
 }
--- a/testing/scenario/player.h
+++ b/testing/scenario/player.h
@@ -44,6 +44,7 @@
   Outcome Do(const CtlAction& action);
   Outcome Do(const SeenAction& action);
 
+  Outcome WaitAt(const WaitAction& action, const std::string& at);
   Outcome Await(Answers answers, const Expectation& expectation);
   boost::leaf::result<http::Endpoint> EntryFor(const std::string& at);
   /// Calls an entry, or each in turn until one answers.
--- a/testing/scenario/scenario.h
+++ b/testing/scenario/scenario.h
@@ -67,9 +67,13 @@
   Expectation expectation;
 };
 
+/// In place of an entry's name: every entry that runs.
+inline constexpr std::string_view kEveryEntry = "every";
+
 /// Reads a resource until a value in it is one of `is`.
 struct WaitAction {
   std::string target;
+  /// An entry's name, kEveryEntry, or empty for each in turn.
   std::string at;
   std::string path;
   std::vector<std::string> is;
--- a/testing/scenario/table_reader.cc
+++ b/testing/scenario/table_reader.cc
@@ -22,10 +22,12 @@
     for (const auto& it : *array) out.push_back(JsonOf(it));
     return out;
   }
-  if (const auto* text = node.as_string()) return {text->get()};
-  if (const auto* number = node.as_integer()) return {number->get()};
-  if (const auto* number = node.as_floating_point()) return {number->get()};
-  if (const auto* flag = node.as_boolean()) return {flag->get()};
+  if (const auto* text = node.as_string()) {
+    return boost::json::string(text->get());
+  }
+  if (const auto* number = node.as_integer()) return number->get();
+  if (const auto* number = node.as_floating_point()) return number->get();
+  if (const auto* flag = node.as_boolean()) return flag->get();
   return nullptr;
 }
 
