--- a/src/membership/group_records.cc
+++ b/src/membership/group_records.cc
@@ -203,8 +203,8 @@
       continue;
     }
     const auto* known = table_.Find(it.identity.name);
-    if (known != nullptr && IsNewer(*known, it))
-      newer.records.push_back(*known);
+    if (known == nullptr || !IsNewer(*known, it)) continue;
+    newer.records.push_back(*known);
   }
   for (const auto& domain : members.whole_domains) {
     for (const auto* it : table_.PresentIn(domain)) {
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -70,6 +70,7 @@
             [](const auto& a, const auto& b) { return a.first > b.first; });
   scored.resize(std::min(n, scored.size()));
   std::vector<const MemberRecord*> out;
+  out.reserve(scored.size());
   for (const auto& it : scored) out.push_back(it.second);
   return out;
 }
--- a/src/membership/mirror_link.cc
+++ b/src/membership/mirror_link.cc
@@ -74,7 +74,7 @@
 
 void MirrorLink::Announce(config::LogId log, config::LogVersion first,
                           std::vector<std::string> entries) {
-  node_.spreader().Publish(NameOf(log), first, std::move(entries));
+  node_.spreader().Publish(NameOf(log), first, entries);
 }
 
 /// The mirror lacks changes. Those that went by before it could use them are
@@ -103,8 +103,9 @@
     return;
   }
   std::vector<std::string> texts;
+  texts.reserve(entries.size());
   for (const auto& it : entries) texts.push_back(config::ToText(*it));
-  spreader.Publish(name, version + 1, std::move(texts));
+  spreader.Publish(name, version + 1, texts);
 }
 
 }  // namespace lapishatch::membership
--- a/src/membership/spreader.cc
+++ b/src/membership/spreader.cc
@@ -28,7 +28,7 @@
 }
 
 void Spreader::Publish(const LogName& log, LogVersion first_version,
-                       std::vector<std::string> entries) {
+                       const std::vector<std::string>& entries) {
   auto* it = Find(log);
   if (it == nullptr) return;
   auto version = first_version;
--- a/src/membership/spreader.h
+++ b/src/membership/spreader.h
@@ -47,13 +47,13 @@
   base::Duration pull_timeout{400};
   /// Recent changes kept for peers that are behind, per log.
   std::size_t keep_entries = 2'048;
-  std::size_t keep_bytes = 2 * 1024 * 1024;
+  std::size_t keep_bytes = std::size_t{2} * 1024 * 1024;
   /// Changes kept while earlier ones are missing, per log.
   std::size_t max_pending = 1'024;
   /// Of the changes in one message.
-  std::size_t max_message_bytes = 64 * 1024;
-  std::size_t snapshot_chunk_bytes = 64 * 1024;
-  std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
+  std::size_t max_message_bytes = std::size_t{64} * 1024;
+  std::size_t snapshot_chunk_bytes = std::size_t{64} * 1024;
+  std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
   /// Of the choice of peers.
   std::uint64_t random_seed = 1;
 };
@@ -90,7 +90,7 @@
   /// until the missing ones come from here or from a peer. The follower is
   /// called from within.
   void Publish(const LogName& log, LogVersion first_version,
-               std::vector<std::string> entries);
+               const std::vector<std::string>& entries);
 
   /// The follower has loaded the whole state as of `version` by itself. Ignored
   /// unless it is above the present version.
--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -158,7 +158,7 @@
     error_code ec;
     const auto address = asio::ip::make_address(target.address, ec);
     if (ec) return nullptr;
-    const auto connection =
+    auto connection =
         std::make_shared<Connection>(Socket(strand_), target, loop_.Now());
     connections_.insert(connection);
     by_target_[target] = connection;
@@ -191,8 +191,9 @@
   void Forget(const ConnectionPtr& connection) {
     connection->closed = true;
     connections_.erase(connection);
-    if (connection->target)
+    if (connection->target) {
       EraseIfSame(by_target_, *connection->target, connection);
+    }
     if (connection->peer) {
       EraseIfSame(by_incarnation_, connection->peer->incarnation, connection);
     }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -11,7 +11,7 @@
 namespace lapishatch::wire {
 
 /// Longest encoded message, in bytes. Larger state travels in chunks.
-inline constexpr std::size_t kMaxMessageBytes = 1024 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{1024} * 1024;
 
 /// Longest list inside a message.
 inline constexpr std::size_t kMaxListItems = 4096;
--- a/src/wire/identity.h
+++ b/src/wire/identity.h
@@ -10,7 +10,7 @@
 
 namespace lapishatch::wire {
 
-using ProcessName = base::Id<struct ProcessTag>;
+using ProcessName = base::Id<struct MemberProcessTag>;
 
 /// The program that a process runs.
 enum class Role : std::uint8_t { kEntry, kScheduler };
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -63,7 +63,7 @@
   std::size_t max_frame_bytes = kMaxMessageBytes;
   /// Per connection.
   std::size_t max_queued_messages = 1'024;
-  std::size_t max_queued_bytes = 4 * 1024 * 1024;
+  std::size_t max_queued_bytes = 4 * kMaxMessageBytes;
   std::size_t max_connections = 1'024;
 };
 
