--- a/testing/fakes/fake_runners.cc
+++ b/testing/fakes/fake_runners.cc
@@ -49,6 +49,11 @@
   return it == runs_of_body_.end() ? 0 : it->second;
 }
 
+int FakeRunners::RunsOf(const base::RequestId& request) const {
+  const auto it = runs_of_request_.find(request);
+  return it == runs_of_request_.end() ? 0 : it->second;
+}
+
 int FakeRunners::RunsAt(const http::Endpoint& endpoint) const {
   return runners_.at(endpoint).runs;
 }
@@ -58,9 +63,9 @@
           static_cast<int>(runner.queue.size()), runner.leaving};
 }
 
-void FakeRunners::Run(Runner& runner, std::string body,
+void FakeRunners::Run(Runner& runner, const backends::RunnerRequest& request,
                       std::function<void()> finished) {
-  runner.queue.push_back({std::move(body), std::move(finished)});
+  runner.queue.push_back({request.id, request.body, std::move(finished)});
   Next(runner);
 }
 
@@ -71,6 +76,7 @@
   ++runner.busy;
   ++runner.runs;
   ++runs_of_body_[work.body];
+  ++runs_of_request_[work.id];
   time_.After(runner.options.service_time,
               [this, &runner, finished = std::move(work.finished)] {
                 --runner.busy;
@@ -107,6 +113,7 @@
   if (fault == RunnerFault::kFailsFast) {
     ++target.runs;
     ++runners_.runs_of_body_[request.body];
+    ++runners_.runs_of_request_[request.id];
     answer->Give(2 * latency,
                  backends::RunnerAnswer{kFailedStatus, "text/plain", "failed",
                                         runners_.LoadOf(target)});
--- a/testing/fakes/fake_runners.h
+++ b/testing/fakes/fake_runners.h
@@ -56,6 +56,9 @@
   /// How often the work of a request with this body was run, on any runner.
   int RunsOf(const std::string& body) const;
 
+  /// How often the work of one sending of a request was run.
+  int RunsOf(const base::RequestId& request) const;
+
   /// Requests run by one runner.
   int RunsAt(const http::Endpoint& endpoint) const;
 
@@ -63,6 +66,7 @@
   friend class FakeRunnersView;
 
   struct Waiting {
+    base::RequestId id;
     std::string body;
     std::function<void()> finished;
   };
@@ -76,13 +80,15 @@
   };
 
   backends::RunnerLoad LoadOf(const Runner& runner) const;
-  void Run(Runner& runner, std::string body, std::function<void()> finished);
+  void Run(Runner& runner, const backends::RunnerRequest& request,
+           std::function<void()> finished);
   void Next(Runner& runner);
 
   VirtualTime& time_;
   SendFault send_fault_;
   std::map<http::Endpoint, Runner> runners_;
   std::map<std::string, int> runs_of_body_;
+  std::map<base::RequestId, int> runs_of_request_;
 };
 
 /// The runners as one process reaches them.
--- a/testing/fakes/fake_table.cc
+++ b/testing/fakes/fake_table.cc
@@ -10,7 +10,7 @@
     const auto it = rows_.find(condition.key);
     const auto present =
         it == rows_.end() ? store::kAbsent : it->second.version;
-    if (present != condition.version) {
+    if (present != condition.version && !ignores_conditions_) {
       return store::Conflict{condition.key, present};
     }
   }
--- a/testing/fakes/fake_table.h
+++ b/testing/fakes/fake_table.h
@@ -58,6 +58,9 @@
 
   void SetCommitFault(CommitFault fault) { commit_fault_ = std::move(fault); }
 
+  /// Breaks the table's rule on purpose: conditions are not checked.
+  void IgnoreConditions() { ignores_conditions_ = true; }
+
   /// Carries a transaction out at once, as another client would.
   store::CommitResult Apply(const store::Transaction& transaction);
 
@@ -78,6 +81,7 @@
   VirtualTime& time_;
   Options options_;
   bool down_ = false;
+  bool ignores_conditions_ = false;
   CommitFault commit_fault_;
   std::map<std::string, store::Row> rows_;
   std::uint64_t commits_ = 0;
--- a/testing/fakes/fake_workers.h
+++ b/testing/fakes/fake_workers.h
@@ -53,6 +53,14 @@
 
   void SetFault(Fault fault) { fault_ = std::move(fault); }
 
+  /// Breaks a rule of workers on purpose: orders are changed before they are
+  /// carried out.
+  void SetOrderChange(
+      std::function<void(const standins::WorkerModel&, lifecycle::WorkerOrder&)>
+          change) {
+    change_ = std::move(change);
+  }
+
   /// A dead worker answers nothing; its tasks run on until their leases lapse.
   void SetReachable(const http::Endpoint& endpoint, bool reachable);
 
@@ -79,7 +87,7 @@
     base::TimerId wake_up = 0;
   };
 
-  void Carry(Worker& worker, const lifecycle::WorkerOrder& order,
+  void Carry(Worker& worker, lifecycle::WorkerOrder order,
              std::function<void(lifecycle::OrderOutcome)> answer);
   void AnswerPolls(Worker& worker);
   void Arm(Worker& worker);
@@ -87,6 +95,8 @@
   VirtualTime& time_;
   Options options_;
   Fault fault_;
+  std::function<void(const standins::WorkerModel&, lifecycle::WorkerOrder&)>
+      change_;
   std::map<http::Endpoint, Worker> workers_;
 };
 
