--- a/testing/fakes/fake_runners.cc
+++ b/testing/fakes/fake_runners.cc
@@ -129,7 +129,7 @@
       fault == RunnerFault::kLate ? request.deadline + latency : latency;
   runners_.time_.After(latency, [this, &target, answer, lost, back,
                                  request = std::move(request)] {
-    runners_.Run(target, request.body,
+    runners_.Run(target, request,
                  [this, &target, answer, lost, back, body = request.body] {
                    if (lost) return;
                    runners_.time_.After(back, [this, &target, answer, body] {
--- a/testing/matrix/request_world.cc
+++ b/testing/matrix/request_world.cc
@@ -107,7 +107,7 @@
   int tries = 0;
   int unknowns = 0;
   /// Sendings that were refused as not run.
-  std::vector<base::RequestId> not_run;
+  std::vector<base::RequestId> not_run = {};
   /// Some try ended without a word that the work was not run.
   bool not_run_is_not_certain = false;
   bool settled = false;
