--- a/testing/matrix/sweep.cc
+++ b/testing/matrix/sweep.cc
@@ -55,8 +55,8 @@
   summary.longest_urgent_start =
       std::max(summary.longest_urgent_start, result.urgent_start);
   for (const auto& violation : result.violations) {
-    ++summary.violations[static_cast<std::size_t>(violation.invariant)];
-    if (summary.bad_cells.size() == SweepSummary::kMaxBadCells) continue;
+    auto& n = summary.violations[static_cast<std::size_t>(violation.invariant)];
+    if (n++ >= SweepSummary::kMaxBadCells) continue;
     summary.bad_cells.push_back({TextOf(plan), violation});
   }
 }
--- a/testing/matrix/sweep.h
+++ b/testing/matrix/sweep.h
@@ -34,7 +34,7 @@
   /// The longest over all cells.
   base::Duration longest_part{0};
   base::Duration longest_urgent_start{0};
-  /// The first bad cells, at most kMaxBadCells.
+  /// The first bad cells, at most kMaxBadCells of each invariant.
   std::vector<BadCell> bad_cells;
 
   static constexpr std::size_t kMaxBadCells = 20;
