--- a/src/scheduler/internal/recovery.h
+++ b/src/scheduler/internal/recovery.h
@@ -72,6 +72,8 @@
   Ports ports_;
   std::function<void()> done_;
   std::unordered_map<base::JobName, AcceptedJob> jobs_;
+  /// Cancelled while the recovery goes on.
+  std::vector<AcceptedJob> cancelled_;
   std::vector<FoundIntent> intents_;
   std::vector<StatusRow> statuses_;
   std::vector<store::RowVersion> status_versions_;
--- a/src/scheduler/recovery.cc
+++ b/src/scheduler/recovery.cc
@@ -34,7 +34,12 @@
 
 void Recovery::Accept(const AcceptedJob& job) { jobs_.emplace(job.name, job); }
 
-void Recovery::Cancel(const base::JobName& job) { jobs_.erase(job); }
+void Recovery::Cancel(const base::JobName& job) {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end()) return;
+  cancelled_.push_back(it->second);
+  jobs_.erase(it);
+}
 
 // The table.
 
@@ -122,6 +127,11 @@
   for (std::size_t i = 0; i < intents_.size(); ++i) AdoptIntent(i);
   AdoptUnrecorded();
   for (const auto& [name, job] : jobs_) ports_.board.Accept(job);
+  // Also one that nobody has taken on yet must come to its end.
+  for (const auto& job : cancelled_) {
+    ports_.board.Accept(job);
+    ports_.board.Cancel(job.name);
+  }
   done_();
 }
 
--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -343,5 +343,14 @@
   CHECK_FALSE(rig.IntentOf("map").has_value());
 }
 
+TEST_CASE("a job cancelled before any owner took it on comes to its end") {
+  OwnerRig rig(4);
+  rig.feed.Accept(LongJob(rig, "map", 3));
+  rig.feed.Cancel(base::JobName("map"));
+  const auto owner = rig.StartProcess();
+  REQUIRE(rig.RunUntilPhase("map", JobPhase::kCancelled, kSecond * 30));
+  CHECK(rig.StartsOf("map") == 0);
+}
+
 }  // namespace
 }  // namespace lapishatch::scheduler
--- a/testing/fakes/fake_job_feed.h
+++ b/testing/fakes/fake_job_feed.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -24,7 +25,11 @@
     followers_[id] = std::move(changed);
     time_.Post([this, id] {
       const auto it = followers_.find(id);
-      if (it != followers_.end()) it->second(Snapshot());
+      if (it == followers_.end()) return;
+      it->second(Snapshot());
+      for (const auto& job : cancelled_) {
+        it->second(scheduler::JobCancelled{job});
+      }
     });
     return id;
   }
@@ -38,7 +43,7 @@
   }
 
   void Cancel(const base::JobName& job) {
-    jobs_.erase(job);
+    cancelled_.insert(job);
     Tell(scheduler::JobCancelled{job});
   }
 
@@ -74,6 +79,7 @@
   std::map<scheduler::FeedId, std::function<void(scheduler::FeedEvent)>>
       followers_;
   std::map<base::JobName, scheduler::AcceptedJob> jobs_;
+  std::set<base::JobName> cancelled_;
   std::vector<scheduler::CellWorker> workers_;
   scheduler::CellConfiguration configuration_;
 };
--- a/testing/matrix/configuration_world.cc
+++ b/testing/matrix/configuration_world.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -82,12 +83,13 @@
 /// them.
 class ConfigurationWorld {
  public:
-  ConfigurationWorld(FaultPlan plan, Break broken)
-      : broken_(broken),
+  ConfigurationWorld(FaultPlan plan, WorldOptions options)
+      : broken_(options.broken),
+        trace_(options.trace),
         faults_(plan.faults().size()),
         table_(time_),
         injector_(time_, table_, std::move(plan)) {
-    if (broken == Break::kTableIgnoresConditions) table_.IgnoreConditions();
+    if (broken_ == Break::kTableIgnoresConditions) table_.IgnoreConditions();
     for (std::size_t i = 0; i < kProcesses; ++i) StartProcess(i);
   }
 
@@ -376,17 +378,26 @@
     }
   }
 
+  void Trace(const std::string& text) {
+    if (trace_ == nullptr) return;
+    const auto since_start = time_.Now() - start_;
+    *trace_ << since_start.count() << " ms " << text << '\n';
+  }
+
   void Note(Invariant invariant, std::string detail) {
+    Trace("VIOLATION " + std::string(base::NameOf(invariant)) + ": " + detail);
     violations_.push_back({invariant, std::move(detail)});
   }
 
   Break broken_;
+  std::ostream* trace_;
   std::size_t faults_;
   fakes::VirtualTime time_;
   fakes::FakeTable table_;
   FaultInjector injector_;
   std::array<ProcessPtr, kProcesses> processes_;
   std::vector<std::shared_ptr<SeenChange>> changes_;
+  base::TimePoint start_ = time_.Now();
   std::vector<Violation> violations_;
 };
 
@@ -406,8 +417,8 @@
 
 }  // namespace
 
-WorldResult RunConfigurationWorld(FaultPlan plan, Break broken) {
-  return ConfigurationWorld(std::move(plan), broken).Run();
+WorldResult RunConfigurationWorld(FaultPlan plan, WorldOptions options) {
+  return ConfigurationWorld(std::move(plan), options).Run();
 }
 
 }  // namespace lapishatch::matrix
--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <utility>
@@ -60,6 +61,8 @@
   std::optional<base::TimePoint> whole_since;
   std::optional<base::TimePoint> partial_since;
   bool cancelled = false;
+  /// For the trace.
+  int running = 0;
 };
 
 /// One life of one scheduler process.
@@ -88,13 +91,14 @@
 /// two organisations, a planned stop and a worker that leaves.
 class GangWorld {
  public:
-  GangWorld(FaultPlan plan, Break broken)
-      : broken_(broken),
+  GangWorld(FaultPlan plan, WorldOptions options)
+      : broken_(options.broken),
+        trace_(options.trace),
         faults_(plan.faults()),
         table_(time_),
         workers_(time_),
         injector_(time_, table_, std::move(plan)) {
-    if (broken == Break::kTableIgnoresConditions) table_.IgnoreConditions();
+    if (broken_ == Break::kTableIgnoresConditions) table_.IgnoreConditions();
     AddWorkers();
     AddConfiguration();
     BreakWorkers();
@@ -316,6 +320,7 @@
     const auto step = StepOf(transaction);
     if (!step) return injector_.TableFaultNow();
     const auto fault = injector_.Reached(*step);
+    Trace(i, *step, fault, JobOf(transaction).str());
     if (!fault) return injector_.TableFaultNow();
     racing_job_ = JobOf(transaction);
     return injector_.OnTableStep(*fault, HooksOf(i));
@@ -347,6 +352,10 @@
     for (const auto& command : order.commands) {
       const auto step = std::visit(StepOfCommand(), command);
       const auto fault = injector_.Reached(step);
+      const auto& key = lifecycle::KeyOf(command);
+      Trace(i, step, fault,
+            key.job.str() + '/' + std::to_string(key.task) + " to " +
+                http::TextOf(to));
       if (!fault) continue;
       racing_job_ = lifecycle::KeyOf(command).job;
       return Inject(i, to, *fault);
@@ -457,6 +466,10 @@
 
   void SampleJob(const base::JobName& name, SeenJob& job) {
     const int running = workers_.RunningTasksOf(name);
+    if (trace_ != nullptr && running != job.running) {
+      Trace(name.str() + ": " + std::to_string(running) + " tasks run");
+      job.running = running;
+    }
     const int tasks = job.accepted.spec.tasks;
     if (running > tasks) {
       Note(Invariant::kNoPartialGang, name.str() + " runs twice at once");
@@ -531,7 +544,8 @@
     // A non-idempotent job whose start broke may not be started again.
     if (!spec.idempotent && !faults_.empty() && starts > 0) return;
     Note(Invariant::kGuaranteeReclaimed,
-         name.str() + " did not have its guaranteed shape in time");
+         name.str() + " did not have its guaranteed shape in time; it is " +
+             std::string(base::NameOf(status.phase)) + ": " + status.reason);
   }
 
   /// The tasks that run now, with when each began.
@@ -567,11 +581,27 @@
     });
   }
 
+  void Trace(std::size_t process, Step step, std::optional<Fault> fault,
+             const std::string& what) {
+    if (trace_ == nullptr) return;
+    Trace("process " + std::to_string(process) + ' ' +
+          std::string(base::NameOf(step)) + ' ' + what +
+          (fault ? " !" + std::string(base::NameOf(*fault)) : ""));
+  }
+
+  void Trace(const std::string& text) {
+    if (trace_ == nullptr) return;
+    const auto since_start = time_.Now() - start_;
+    *trace_ << since_start.count() << " ms " << text << '\n';
+  }
+
   void Note(Invariant invariant, std::string detail) {
+    Trace("VIOLATION " + std::string(base::NameOf(invariant)) + ": " + detail);
     violations_.push_back({invariant, std::move(detail)});
   }
 
   Break broken_;
+  std::ostream* trace_;
   std::vector<PlannedFault> faults_;
   fakes::VirtualTime time_;
   fakes::FakeTable table_;
@@ -588,13 +618,14 @@
   base::Duration longest_part_{0};
   base::Duration urgent_start_{0};
   std::optional<base::TimePoint> leaving_since_;
+  base::TimePoint start_ = time_.Now();
   std::vector<Violation> violations_;
 };
 
 }  // namespace
 
-WorldResult RunGangWorld(FaultPlan plan, Break broken) {
-  return GangWorld(std::move(plan), broken).Run();
+WorldResult RunGangWorld(FaultPlan plan, WorldOptions options) {
+  return GangWorld(std::move(plan), options).Run();
 }
 
 }  // namespace lapishatch::matrix
--- a/testing/matrix/main.cc
+++ b/testing/matrix/main.cc
@@ -15,6 +15,7 @@
           "Only this cell, e.g. claim:lost+record:dies-after");
 ABSL_FLAG(std::string, broken, "none",
           "A rule to break on purpose, to see that the checks can fail");
+ABSL_FLAG(bool, trace, false, "With --plan: print every step with its time");
 ABSL_FLAG(unsigned, threads, 4, "Threads of the sweep");
 
 namespace lapishatch::matrix {
@@ -36,7 +37,9 @@
           ? base::ParseEnum<Protocol>(absl::GetFlag(FLAGS_protocol))
                 .value_or(Protocol::kRequest)
           : ProtocolOf(plan->faults().front().step);
-  const auto result = RunWorld(protocol, *plan, broken);
+  const auto result =
+      RunWorld(protocol, *plan,
+               {broken, absl::GetFlag(FLAGS_trace) ? &std::cout : nullptr});
   std::cout << TextOf(*plan) << (result.reached ? "" : " (not all reached)")
             << '\n';
   for (const auto& it : result.violations) {
--- a/testing/matrix/request_world.cc
+++ b/testing/matrix/request_world.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -141,12 +142,13 @@
 /// Callers, three entries, three runners and the table.
 class RequestWorld {
  public:
-  RequestWorld(FaultPlan plan, Break broken)
-      : broken_(broken),
+  RequestWorld(FaultPlan plan, WorldOptions options)
+      : broken_(options.broken),
+        trace_(options.trace),
         table_(time_),
         runners_(time_),
         injector_(time_, table_, std::move(plan)) {
-    if (broken == Break::kTableIgnoresConditions) table_.IgnoreConditions();
+    if (broken_ == Break::kTableIgnoresConditions) table_.IgnoreConditions();
     for (int i = 0; i < kRunners; ++i) runners_.Add(RunnerEndpoint(i));
     for (std::size_t i = 0; i < kEntries; ++i) StartEntry(i);
   }
@@ -438,11 +440,19 @@
     }
   }
 
+  void Trace(const std::string& text) {
+    if (trace_ == nullptr) return;
+    const auto since_start = time_.Now() - start_;
+    *trace_ << since_start.count() << " ms " << text << '\n';
+  }
+
   void Note(Invariant invariant, std::string detail) {
+    Trace("VIOLATION " + std::string(base::NameOf(invariant)) + ": " + detail);
     violations_.push_back({invariant, std::move(detail)});
   }
 
   Break broken_;
+  std::ostream* trace_;
   fakes::VirtualTime time_;
   fakes::FakeTable table_;
   fakes::FakeObjects objects_;
@@ -461,13 +471,14 @@
   int runs_when_left_ = 0;
   int last_request_ = 0;
   base::TimePoint end_of_tries_ = time_.Now() + kLastTryBefore;
+  base::TimePoint start_ = time_.Now();
   std::vector<Violation> violations_;
 };
 
 }  // namespace
 
-WorldResult RunRequestWorld(FaultPlan plan, Break broken) {
-  return RequestWorld(std::move(plan), broken).Run();
+WorldResult RunRequestWorld(FaultPlan plan, WorldOptions options) {
+  return RequestWorld(std::move(plan), options).Run();
 }
 
 }  // namespace lapishatch::matrix
--- a/testing/matrix/sweep.cc
+++ b/testing/matrix/sweep.cc
@@ -103,7 +103,7 @@
   std::atomic<std::size_t> next{0};
   const auto work = [&] {
     for (auto i = next++; i < cells.size(); i = next++) {
-      results[i] = RunWorld(protocol, cells[i], broken);
+      results[i] = RunWorld(protocol, cells[i], {broken, nullptr});
     }
   };
   std::vector<std::thread> pool;
@@ -141,14 +141,15 @@
   return out;
 }
 
-WorldResult RunWorld(Protocol protocol, const FaultPlan& plan, Break broken) {
+WorldResult RunWorld(Protocol protocol, const FaultPlan& plan,
+                     WorldOptions options) {
   switch (protocol) {
     case Protocol::kRequest:
-      return RunRequestWorld(plan, broken);
+      return RunRequestWorld(plan, options);
     case Protocol::kGang:
-      return RunGangWorld(plan, broken);
+      return RunGangWorld(plan, options);
     case Protocol::kConfiguration:
-      return RunConfigurationWorld(plan, broken);
+      return RunConfigurationWorld(plan, options);
   }
   return {};
 }
--- a/testing/matrix/world.h
+++ b/testing/matrix/world.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <ostream>
 #include <string_view>
 #include <vector>
 
@@ -50,15 +51,22 @@
   base::Duration urgent_start{0};
 };
 
+/// How a world is run.
+struct WorldOptions {
+  Break broken = Break::kNone;
+  /// Where to write every step with its time; may be null.
+  std::ostream* trace = nullptr;
+};
+
 /// Runs one cell of the matrix on the real machines against fakes, in virtual
 /// time. The same plan gives the same result.
-WorldResult RunRequestWorld(FaultPlan plan, Break broken);
-WorldResult RunGangWorld(FaultPlan plan, Break broken);
-WorldResult RunConfigurationWorld(FaultPlan plan, Break broken);
+WorldResult RunRequestWorld(FaultPlan plan, WorldOptions options);
+WorldResult RunGangWorld(FaultPlan plan, WorldOptions options);
+WorldResult RunConfigurationWorld(FaultPlan plan, WorldOptions options);
 
 /// Runs the world of `protocol`.
 WorldResult RunWorld(Protocol protocol, const FaultPlan& plan,
-                     Break broken = Break::kNone);
+                     WorldOptions options = {});
 
 }  // namespace lapishatch::matrix
 
