--- a/src/lifecycle/worker_protocol.h
+++ b/src/lifecycle/worker_protocol.h
@@ -98,6 +98,12 @@
   kStopped,
 };
 
+/// Whether a task in this state holds nothing any more.
+constexpr bool HasEnded(TaskState state) {
+  return state == TaskState::kFinished || state == TaskState::kFailed ||
+         state == TaskState::kStopped;
+}
+
 /// What a worker says of one task. Ended tasks are told until the owner has
 /// acknowledged their report.
 struct TaskReport {
--- a/src/scheduler/internal/recovery.h
+++ b/src/scheduler/internal/recovery.h
@@ -31,7 +31,7 @@
   void Begin();
 
   /// A report of a worker while the recovery goes on.
-  void OnReport(const WorkerLink& link, const lifecycle::WorkerReport& report);
+  void OnReport(WorkerLink& link, const lifecycle::WorkerReport& report);
 
   /// Changes of the feed while the recovery goes on.
   void Accept(const AcceptedJob& job);
--- a/src/scheduler/job_board.cc
+++ b/src/scheduler/job_board.cc
@@ -45,11 +45,6 @@
   return placement;
 }
 
-bool HasEnded(lifecycle::TaskState state) {
-  return state != lifecycle::TaskState::kReserved &&
-         state != lifecycle::TaskState::kRunning;
-}
-
 }  // namespace
 
 JobBoard::JobBoard(const OwnerOptions& options, lifecycle::Epoch epoch,
@@ -373,8 +368,12 @@
   const auto active = active_.find(report.key.attempt);
   const bool ours =
       active != active_.end() || ending_.contains(report.key.attempt);
-  if (HasEnded(report.state)) {
-    if (ours) link.Hold(report.key);
+  if (lifecycle::HasEnded(report.state)) {
+    if (ours) {
+      link.Hold(report.key);
+    } else {
+      link.Acknowledge(report.key);
+    }
   } else if (active == active_.end()) {
     StopStray(link.name(), link.incarnation(), report.key);
   }
--- a/src/scheduler/recovery.cc
+++ b/src/scheduler/recovery.cc
@@ -107,10 +107,13 @@
 
 // The workers.
 
-void Recovery::OnReport(const WorkerLink& link,
+void Recovery::OnReport(WorkerLink& link,
                         const lifecycle::WorkerReport& report) {
   for (const auto& task : report.tasks) {
     tasks_[task.key] = {link.name(), link.incarnation(), task};
+    // Until the board has recorded it, the worker must tell it to a next owner
+    // too: what a worker does not know counts as never run.
+    if (lifecycle::HasEnded(task.state)) link.Hold(task.key);
   }
   Check();
 }
--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -343,6 +343,30 @@
   CHECK_FALSE(rig.IntentOf("map").has_value());
 }
 
+TEST_CASE("an end that no owner could record yet is told to the next one") {
+  OwnerRig rig(4);
+  auto first = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  rig.feed.Accept(rig.Job("claim", 2, 4, false));
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kRunning, kSecond * 10));
+  rig.Kill(first);
+  // It finishes while nobody owns the cell; the owner that hears of it cannot
+  // write and dies.
+  rig.time.RunFor(kSecond * 61);
+  auto second = rig.StartProcess();
+  second->table_view.SetCommitFault([](const store::Transaction& it) {
+    const bool is_lease = it.writes.front().key.starts_with("cells/");
+    return is_lease ? fakes::TableFault::kNone
+                    : fakes::TableFault::kRequestLost;
+  });
+  REQUIRE(rig.RunUntilOwning(*second, kSecond * 60));
+  rig.time.RunFor(kSecond * 10);
+  rig.Kill(second);
+  const auto third = rig.StartProcess();
+  REQUIRE(rig.RunUntilPhase("claim", JobPhase::kFinished, kSecond * 120));
+  CHECK(rig.StartsOf("claim") == 2);
+}
+
 TEST_CASE("a job cancelled before any owner took it on comes to its end") {
   OwnerRig rig(4);
   rig.feed.Accept(LongJob(rig, "map", 3));
