--- a/src/scheduler/internal/job_board.h
+++ b/src/scheduler/internal/job_board.h
@@ -57,16 +57,18 @@
   JobBoard(const JobBoard&) = delete;
   JobBoard& operator=(const JobBoard&) = delete;
 
-  /// A job to run. Its status is read before it is queued.
-  void Accept(const AcceptedJob& job);
+  /// A job to run. Its status is read before it is queued. `may_have_run`: its
+  /// workers tell of an attempt that may not be recorded.
+  void Accept(const AcceptedJob& job, bool may_have_run = false);
   void Cancel(const base::JobName& job);
   bool Knows(const base::JobName& job) const;
 
   /// A recorded attempt that may run, found by a new owner.
   void Adopt(FoundAttempt found);
   /// A whole gang that an owner started without a record while the table was
-  /// out.
-  void AdoptUnrecorded(const AcceptedJob& accepted, Intent intent);
+  /// out. `versions` are those of the rows of an attempt before it, if any.
+  void AdoptUnrecorded(const AcceptedJob& accepted, Intent intent,
+                       const JobVersions& versions = {});
 
   /// Carries a decision of the planner out.
   void Carry(const placement::Decision& decision);
@@ -117,6 +119,8 @@
     /// Why it waits in kWaiting.
     std::string waits_for;
     bool cancelled = false;
+    /// An attempt that is not recorded may have run.
+    bool may_have_run = false;
     /// The table holds an intent that this owner did not know of.
     bool foreign_intent = false;
   };
--- a/src/scheduler/internal/recovery.h
+++ b/src/scheduler/internal/recovery.h
@@ -59,6 +59,11 @@
   /// window is over.
   void Check();
   void Reconcile();
+  /// Whether a worker tells of a task of the job, recorded or not.
+  bool IsSeenAtWorkers(const base::JobName& job) const;
+  /// The recorded attempt has ended and its job runs again, whole, in an
+  /// attempt that an earlier owner could not record. False when it is not so.
+  bool AdoptNewerAttempt(const FoundIntent& found, const JobVersions& versions);
   void AdoptIntent(std::size_t index);
   lifecycle::MemberState StateOf(const Intent& intent, int task,
                                  const base::JobName& job,
--- a/src/scheduler/job_board.cc
+++ b/src/scheduler/job_board.cc
@@ -82,9 +82,11 @@
 
 // Intake.
 
-void JobBoard::Accept(const AcceptedJob& job) {
+void JobBoard::Accept(const AcceptedJob& job, bool may_have_run) {
   if (Knows(job.name)) return;
-  jobs_[job.name].accepted = job;
+  auto& entry = jobs_[job.name];
+  entry.accepted = job;
+  entry.may_have_run = may_have_run;
   to_load_.push_back(job.name);
   StartLoads();
 }
@@ -316,9 +318,11 @@
   if (job.cancelled) gang->Tell(lifecycle::CancelAsked{"cancelled"});
 }
 
-void JobBoard::AdoptUnrecorded(const AcceptedJob& accepted, Intent intent) {
+void JobBoard::AdoptUnrecorded(const AcceptedJob& accepted, Intent intent,
+                               const JobVersions& versions) {
   auto& job = jobs_[accepted.name];
   job.accepted = accepted;
+  ports_.recorder.SetVersions(accepted.name, versions);
   std::vector<lifecycle::MemberState> members(intent.members.size(),
                                               lifecycle::MemberState::kRunning);
   Activate(job, std::move(intent));
--- a/src/scheduler/job_board_ends.cc
+++ b/src/scheduler/job_board_ends.cc
@@ -1,6 +1,7 @@
 // What gangs tell the board: records of their starts and ends, and what becomes
 // of the job after an attempt.
 
+#include <algorithm>
 #include <utility>
 
 #include "scheduler/internal/job_board.h"
@@ -26,7 +27,7 @@
   status.reason = reason;
   status.cell = options_.cell;
   status.domain = options_.domain;
-  status.attempts = job.status.attempts;
+  status.attempts = std::max(job.status.attempts, job.may_have_run ? 1 : 0);
   status.checkpoint = job.status.checkpoint;
   if (job.gang == nullptr || phase == config::JobPhase::kQueued) return status;
   const auto& intent = job.gang->intent();
--- a/src/scheduler/recovery.cc
+++ b/src/scheduler/recovery.cc
@@ -129,23 +129,58 @@
 void Recovery::Reconcile() {
   for (std::size_t i = 0; i < intents_.size(); ++i) AdoptIntent(i);
   AdoptUnrecorded();
-  for (const auto& [name, job] : jobs_) ports_.board.Accept(job);
+  for (const auto& [name, job] : jobs_) {
+    ports_.board.Accept(job, IsSeenAtWorkers(name));
+  }
   // Also one that nobody has taken on yet must come to its end.
   for (const auto& job : cancelled_) {
-    ports_.board.Accept(job);
+    ports_.board.Accept(job, IsSeenAtWorkers(job.name));
     ports_.board.Cancel(job.name);
   }
   done_();
 }
 
+bool Recovery::IsSeenAtWorkers(const base::JobName& job) const {
+  const auto it = tasks_.lower_bound({job, base::AttemptId(), 0});
+  return it != tasks_.end() && it->first.job == job;
+}
+
+bool Recovery::AdoptNewerAttempt(const FoundIntent& found,
+                                 const JobVersions& versions) {
+  const auto job = jobs_.find(found.job);
+  if (job == jobs_.end()) return false;
+  std::vector<FoundTask> newer;
+  for (auto it = tasks_.lower_bound({found.job, base::AttemptId(), 0});
+       it != tasks_.end() && it->first.job == found.job; ++it) {
+    const bool ended = lifecycle::HasEnded(it->second.report.state);
+    if (it->first.attempt != found.intent.attempt) {
+      if (!ended) newer.push_back(it->second);
+    } else if (!ended) {
+      return false;
+    }
+  }
+  const bool is_one_attempt =
+      std::all_of(newer.begin(), newer.end(), [&newer](const auto& it) {
+        return it.report.key.attempt == newer.front().report.key.attempt;
+      });
+  if (newer.empty() || !is_one_attempt) return false;
+  auto intent = WholeAttempt(job->second, newer);
+  if (!intent) return false;
+  intent->attempts = found.intent.attempts + 1;
+  ports_.board.AdoptUnrecorded(job->second, std::move(*intent), versions);
+  return true;
+}
+
 void Recovery::AdoptIntent(std::size_t index) {
   auto& found = intents_[index];
+  const JobVersions versions{status_versions_[index], found.version};
+  if (AdoptNewerAttempt(found, versions)) return;
   FoundAttempt attempt;
   attempt.job = found.job;
   const auto accepted = jobs_.find(found.job);
   if (accepted != jobs_.end()) attempt.accepted = accepted->second;
   attempt.status = statuses_[index].status;
-  attempt.versions = {status_versions_[index], found.version};
+  attempt.versions = versions;
   for (int task = 0; task < static_cast<int>(found.intent.members.size());
        ++task) {
     attempt.members.push_back(
