--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -248,7 +248,10 @@
       if (process->owner->Status().phase != scheduler::OwnerPhase::kOwning) {
         continue;
       }
-      const auto before = RunningTasks();
+      // A reclaim that is due may rightly end what runs.
+      const auto before = AnyJobWaits()
+                              ? std::map<lifecycle::TaskKey, base::TimePoint>()
+                              : RunningTasks();
       process->owner->Stop([this, i, process, before] {
         if (processes_[i] != process) return;
         if (broken_ == Break::kStopIsAKill) StopEverything();
