--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -198,6 +198,11 @@
          90'000, 20'000},
         {"dispatch", "bertolini", base::WorkClass::kNormal, 2, 4, false, false,
          50'000, 100'000},
+        // Together they would take all four workers.
+        {"survey-a", "plateau", base::WorkClass::kNormal, 2, 8, true, false,
+         10'000, 250'000},
+        {"survey-b", "plateau", base::WorkClass::kNormal, 2, 8, true, false,
+         10'000, 250'000},
     };
     for (const auto& plan : plans) {
       time_.After(base::Duration(plan.accepted_after_ms),
