--- a/src/backends/http_worker_client.cc
+++ b/src/backends/http_worker_client.cc
@@ -54,10 +54,11 @@
     request.headers.Set("Content-Type", "application/json");
     request.body = EncodeOrder(order);
     const auto commands = order.commands.size();
-    client_.Send(worker, std::move(request), options_.order_timeout,
-                 [commands, done = std::move(done)](http::ClientResult result) {
-                   done(OutcomeOf(result, commands));
-                 });
+    client_.Send(
+        worker, std::move(request), options_.order_timeout,
+        [commands, done = std::move(done)](const http::ClientResult& result) {
+          done(OutcomeOf(result, commands));
+        });
   }
 
   void Report(const http::Endpoint& worker, ReportQuery query,
@@ -66,7 +67,7 @@
     request.target = EncodeReportQuery(query);
     client_.Send(worker, std::move(request),
                  options_.report_timeout + query.wait,
-                 [done = std::move(done)](http::ClientResult result) {
+                 [done = std::move(done)](const http::ClientResult& result) {
                    done(ReportOf(result));
                  });
   }
--- a/src/backends/runner_monitor.cc
+++ b/src/backends/runner_monitor.cc
@@ -82,8 +82,8 @@
                  [weak = weak_from_this(), &loop = loop_, runner,
                   id](PingResult result) {
                    loop.Post([weak, runner, id, result = std::move(result)] {
-                     if (const auto self = weak.lock())
-                       self->Finish(runner, id, result);
+                     const auto self = weak.lock();
+                     if (self) self->Finish(runner, id, result);
                    });
                  });
   }
--- a/src/backends/worker_codec.cc
+++ b/src/backends/worker_codec.cc
@@ -17,7 +17,6 @@
 using internal::kMostInt;
 using internal::kMostInt64;
 using internal::kMostUint64;
-using lifecycle::CommandResult;
 using lifecycle::TaskKey;
 using lifecycle::TaskReport;
 using lifecycle::WorkerCommand;
