--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -5,7 +5,9 @@
 
 #include "ctl/api_client.h"
 #include "ctl/commands.h"
+#include "ctl/ctl_settings.h"
 #include "ctl/error.h"
+#include "ctl/settings_check.h"
 #include "ctl/text_table.h"
 #include "ctl/views.h"
 #include "ctl/watch.h"
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,5 +1,6 @@
 /// lapishatchctl: the operators' command line over the resource API.
 
+#include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -29,8 +30,9 @@
       const auto text = absl::GetFlag(FLAGS_entry);
       if (!text.empty()) EntryTexts().push_back(text);
     });
-ABSL_FLAG(std::string, config, "",
-          "TOML file with [ctl] entries = [\"IP:port\", ...].");
+// Declared by the frame of the programs whose settings `check` knows; here it
+// names a file with [ctl] entries = ["IP:port", ...].
+ABSL_DECLARE_FLAG(std::string, config);
 ABSL_FLAG(std::string, o, "table", "Output: table for people, or json.");
 ABSL_FLAG(bool, dry_run, false, "apply: validate and say what would change.");
 ABSL_FLAG(std::int64_t, if_version, 0, "delete: only this version.");
@@ -47,8 +49,6 @@
 
 namespace leaf = boost::leaf;
 
-constexpr std::size_t kMostEntries = 64;
-
 void PrintHelp() {
   std::cout << "lapishatchctl: drives lapishatch through its resource API\n\n"
             << "usage: lapishatchctl [FLAGS] COMMAND ...\n\ncommands:\n";
@@ -78,13 +78,11 @@
 
 leaf::result<std::vector<http::Endpoint>> EntriesFromFile(
     const std::string& file) {
-  std::vector<http::Endpoint> out;
-  config::Section section("ctl", "What lapishatchctl uses.");
-  section.Endpoints("entries", out, kMostEntries, "The entries, in order.");
+  CtlSettings options;
   config::Settings settings;
-  settings.Add(std::move(section));
+  settings.Add(Describe(options));
   BOOST_LEAF_CHECK(settings.LoadFile(file));
-  return out;
+  return std::move(options.entries);
 }
 
 leaf::result<std::vector<http::Endpoint>> FindEntries() {
@@ -119,7 +117,19 @@
   return out;
 }
 
+leaf::result<int> Check(const std::vector<std::string>& words) {
+  constexpr std::size_t kWords = 2;
+  if (words.size() != kWords) {
+    return leaf::new_error(BadUsage{"usage: lapishatchctl check FILE"});
+  }
+  BOOST_LEAF_AUTO(program, CheckSettings(words[1]));
+  std::cout << words[1] << ": good settings of " << base::NameOf(program)
+            << '\n';
+  return config::kExitDone;
+}
+
 leaf::result<int> Run(const std::vector<std::string>& words) {
+  if (!words.empty() && words.front() == "check") return Check(words);
   BOOST_LEAF_AUTO(options, OptionsFromFlags());
   BOOST_LEAF_AUTO(entries, FindEntries());
   ApiClientOptions client_options;
--- a/testing/scenario/player.cc
+++ b/testing/scenario/player.cc
@@ -181,12 +181,11 @@
 Player::Outcome Player::Await(Answers answers, const Expectation& expectation) {
   std::map<std::string, int> kinds;
   int winners = 0;
+  std::string complaint;
   for (auto& it : answers) {
     const auto result = it.get();
     const auto text = ShortText(result);
-    const auto complaint = Complaint(result, expectation);
-    if (!complaint.empty())
-      return Fail(absl::StrCat(complaint, ", but is ", text));
+    if (complaint.empty()) complaint = Complaint(result, expectation);
     const auto* response = std::get_if<http::Response>(&result);
     if (response != nullptr && IsOk(*response)) ++winners;
     ++kinds[text];
@@ -197,6 +196,7 @@
     if (answers.size() > 1) out += std::to_string(n) + " x ";
     out += text;
   }
+  if (!complaint.empty()) return Fail(complaint + ", but there came " + out);
   if (expectation.winners && *expectation.winners != winners) {
     return Fail("of the answers, " + std::to_string(*expectation.winners) +
                 " must be 2xx: " + out);
