--- a/src/config/change_writer.cc
+++ b/src/config/change_writer.cc
@@ -121,6 +121,7 @@
   using AnswerUnwritten = Do<&WriterActions::AnswerUnwritten>;
   using AnswerUnknown = Do<&WriterActions::AnswerUnknown>;
 
+  // NOLINTBEGIN(readability-identifier-naming): the name is Boost.MSM's.
   // Of two rows for one state and event, the later one is tried first.
   struct transition_table
       : boost::mpl::vector<
@@ -145,6 +146,7 @@
             Row<Resolving, ReadingFailed, Resolving, PauseResolving, none>,
             Row<Resolving, PauseOver, Resolving, Resolve, none>,
             Row<Resolving, PatienceOver, Idle, AnswerUnknown, none>> {};
+  // NOLINTEND(readability-identifier-naming)
 
   template <typename Machine, typename Event>
   void no_transition(const Event&, Machine&, int) {}
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -18,7 +18,6 @@
 #include "config/resource_codec.h"
 #include "config/resources.h"
 #include "config/settings.h"
-#include "config/status_tap.h"
 #include "config/watch.h"
 
 #endif  // LAPISHATCH_CONFIG_CONFIG_H_
--- a/src/config/mirror.cc
+++ b/src/config/mirror.cc
@@ -104,6 +104,7 @@
     const auto entries = replica(log).After(first - 1);
     if (!entries) return std::nullopt;
     std::vector<std::string> texts;
+    texts.reserve(std::min(most, entries->size()));
     for (const auto& it : *entries) {
       if (texts.size() == most) break;
       texts.push_back(ToText(*it));
@@ -117,10 +118,11 @@
   }
 
   void Refresh(std::function<void(std::optional<LogHeads>)> done) {
-    table_.Scan(std::string(kHeadPrefix), "", kLogs.size(),
-                [this, done = std::move(done)](store::ScanResult result) {
-                  OnHeads(result, done);
-                });
+    table_.Scan(
+        std::string(kHeadPrefix), "", kLogs.size(),
+        [this, done = std::move(done)](const store::ScanResult& result) {
+          OnHeads(result, done);
+        });
   }
 
   void TakeCommitted(LogId log, const std::vector<LogEntryPtr>& entries) {
@@ -128,6 +130,7 @@
     Take(log, entries);
     if (ports_.source == nullptr) return;
     std::vector<std::string> texts;
+    texts.reserve(entries.size());
     for (const auto& it : entries) texts.push_back(ToText(*it));
     ports_.source->Announce(log, entries.front()->version, std::move(texts));
   }
@@ -258,7 +261,7 @@
 
   void Load(const ChasePtr& chase, LogId log) {
     LogLoader::Load(table_, log, {options_.page, options_.history},
-                    [this, chase, log](std::optional<LogSnapshot> snapshot) {
+                    [this, chase](const std::optional<LogSnapshot>& snapshot) {
                       if (snapshot) Install(*snapshot, "table");
                       Settle(chase, snapshot.has_value());
                     });
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -29,7 +29,7 @@
 
 namespace lapishatch::config {
 
-using ProcessName = base::Id<struct ProcessTag>;
+using ProcessName = base::Id<struct ProcessNameTag>;
 
 /// What every process is told about itself, from [process].
 struct ProcessSettings {
--- a/src/entry/platform_view.cc
+++ b/src/entry/platform_view.cc
@@ -53,7 +53,8 @@
         0, options_.poll.count() / 4);
     ports_.loop.After(options_.poll - base::Duration(early(random_)),
                       [weak = weak_from_this()] {
-                        if (const auto self = weak.lock()) self->Poll();
+                        const auto self = weak.lock();
+                        if (self != nullptr) self->Poll();
                       });
   }
 
@@ -90,7 +91,8 @@
   std::function<void(Result)> OnLoop(void (Impl::*take)(const Result&)) {
     return [weak = weak_from_this(), &loop = ports_.loop, take](Result result) {
       loop.Post([weak, take, result = std::move(result)] {
-        if (const auto self = weak.lock()) (self.get()->*take)(result);
+        const auto self = weak.lock();
+        if (self != nullptr) (self.get()->*take)(result);
       });
     };
   }
