--- a/test/membership/loopback_test.cc
+++ b/test/membership/loopback_test.cc
@@ -55,6 +55,7 @@
 bool RunUntil(boost::asio::io_context& io, Done done) {
   io.restart();
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) threads.emplace_back([&] { io.run(); });
   const auto end = std::chrono::steady_clock::now() + kLimit;
   bool holds = done();
--- a/test/membership/spreader_test.cc
+++ b/test/membership/spreader_test.cc
@@ -213,8 +213,7 @@
 
 TEST_CASE("many large changes travel in messages of bounded size") {
   const auto group = Settled(15, 6, 2);
-  std::vector<std::string> entries;
-  for (int i = 0; i < 100; ++i) entries.emplace_back(20'000, 'x');
+  const std::vector<std::string> entries(100, std::string(20'000, 'x'));
   (*group)[0].node.spreader().Publish(kConfigurationLog, 1, entries);
   CHECK(
       group->time().RunUntil([&] { return group->HaveAll(100); }, 5 * kSecond));
--- a/test/wire/asio_transport_test.cc
+++ b/test/wire/asio_transport_test.cc
@@ -264,13 +264,15 @@
   Node a(io, {.identity = MakeIdentity("a"), .max_queued_messages = 100'000});
   Node b(io, {.identity = MakeIdentity("b")});
   std::atomic<int> received{0};
-  b.transport->SetHandler([&](const Identity&, Message) { ++received; });
+  b.transport->SetHandler([&](const Identity&, const Message&) { ++received; });
   constexpr int kThreads = 4;
   constexpr int kEach = 500;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   const auto work = boost::asio::make_work_guard(io);
   for (int i = 0; i < kThreads; ++i) threads.emplace_back([&] { io.run(); });
   std::vector<std::thread> senders;
+  senders.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     senders.emplace_back([&] {
       for (int n = 0; n < kEach; ++n) {
