--- a/src/routing/claimed_request.cc
+++ b/src/routing/claimed_request.cc
@@ -106,6 +106,10 @@
     case ClaimStep::kRecordOutcome:
       return RecordOutcome();
     case ClaimStep::kRecordUnknown:
+      base::Log(base::events::kRequestOutcomeUnknown,
+                {{"request", request_.id},
+                 {"organisation", request_.organisation},
+                 {"detail", lost_.detail}});
       return context_.keeper->Record(ClaimWith(ClaimState::kUnknown), version_,
                                      {});
     case ClaimStep::kRelease:
@@ -164,24 +168,37 @@
   transaction.conditions.push_back({row_key_, version_});
   transaction.writes.push_back({row_key_, EncodeClaim(claim_)});
   written_at_ = context_.loop.Now();
+  ++open_calls_;
   context_.table.Commit(
       std::move(transaction),
       [weak = weak_from_this()](const store::CommitResult& result) {
         const auto self = weak.lock();
         if (!self) return;
         self->context_.loop.Post([weak, result] {
-          if (const auto it = weak.lock()) it->OnWritten(result);
+          const auto it = weak.lock();
+          if (!it) return;
+          --it->open_calls_;
+          it->OnWritten(result);
+          it->LeaveIfOver();
         });
       });
 }
 
+void ClaimedRequest::NoteWindow(bool answered) {
+  auto& window = context_.window;
+  const bool was_closed = window.closed();
+  const auto now = context_.loop.Now();
+  window.Finish(answered, now - written_at_, now, context_.random);
+  if (window.closed() == was_closed) return;
+  base::Log(was_closed ? base::events::kClaimsResumed
+                       : base::events::kClaimsStopped);
+}
+
 void ClaimedRequest::OnWritten(const store::CommitResult& result) {
   const auto* committed = std::get_if<store::Committed>(&result);
   const bool conflict = std::holds_alternative<store::Conflict>(result);
   if (std::exchange(first_write_, false)) {
-    const auto now = context_.loop.Now();
-    context_.window.Finish(committed != nullptr || conflict, now - written_at_,
-                           now, context_.random);
+    NoteWindow(committed != nullptr || conflict);
   }
   if (committed != nullptr) {
     version_ = committed->versions.empty() ? version_ + 1
@@ -200,12 +217,17 @@
 
 void ClaimedRequest::ReadClaim() {
   if (machine_.ended()) return;
+  ++open_calls_;
   context_.table.Read(
       row_key_, [weak = weak_from_this()](const store::ReadResult& result) {
         const auto self = weak.lock();
         if (!self) return;
         self->context_.loop.Post([weak, result] {
-          if (const auto it = weak.lock()) it->OnRead(result);
+          const auto it = weak.lock();
+          if (!it) return;
+          --it->open_calls_;
+          it->OnRead(result);
+          it->LeaveIfOver();
         });
       });
 }
@@ -334,9 +356,14 @@
 void ClaimedRequest::Answer(RequestOutcome outcome) {
   context_.loop.Cancel(timer_);
   if (!done_) return;
-  // Nothing of this may be touched by the callback's end except through self.
-  const auto self = shared_from_this();
   std::exchange(done_, {})(std::move(outcome));
+  LeaveIfOver();
+}
+
+void ClaimedRequest::LeaveIfOver() {
+  if (done_ || open_calls_ > 0) return;
+  // The caller may be the only other one that holds this.
+  const auto self = shared_from_this();
   context_.active.erase(self);
 }
 
--- a/src/routing/claimed_request.h
+++ b/src/routing/claimed_request.h
@@ -79,6 +79,7 @@
   bool AnswerFromMemory();
   bool RefuseAtOnce();
   void WriteClaim();
+  void NoteWindow(bool answered);
   void OnWritten(const store::CommitResult& result);
   void ReadClaim();
   void OnRead(const store::ReadResult& result);
@@ -93,6 +94,9 @@
   void Refuse(Refusal reason, base::WorkDone work, std::string detail,
               base::Duration retry_after);
   void Answer(RequestOutcome outcome);
+  /// Lets go of this when the caller has its outcome and the table has
+  /// answered: a place in the window is given back only by the table's answer.
+  void LeaveIfOver();
   void ArmTimer(base::Duration delay);
   Claim ClaimWith(ClaimState state) const;
 
@@ -109,6 +113,8 @@
   store::RowVersion version_ = store::kAbsent;
   base::TimePoint written_at_{};
   bool first_write_ = true;
+  /// Calls to the table that have not ended.
+  int open_calls_ = 0;
   bool joined_queue_ = false;
   base::Backoff reread_;
   base::TimerId timer_ = 0;
--- a/test/routing/platform_out_test.cc
+++ b/test/routing/platform_out_test.cc
@@ -67,6 +67,20 @@
   CHECK(AnswerOf(all.Ask(0, FakeEntries::Keyed("k0"))));
 }
 
+TEST_CASE("callers that give up before the platform does use nothing up") {
+  FakeEntries all(1);
+  all.entries[0]->table.SetCut(true);
+  for (int i = 0; i < 500; ++i) {
+    auto request = FakeEntries::Keyed("k" + std::to_string(i));
+    request.deadline = Duration(300);
+    all.Send(0, request);
+    all.time.RunFor(Duration(10));
+  }
+  all.entries[0]->table.SetCut(false);
+  all.time.RunFor(Duration(30'000));
+  CHECK(AnswerOf(all.Ask(0, FakeEntries::Keyed("k0"))));
+}
+
 TEST_CASE("outcomes that cannot be recorded are bounded") {
   RequestPathOptions options;
   options.claims.keeper.max_pending = 10;
