Refuse by the rate that a class really gets

Above capacity many requests of the lower classes were let into the queue and given up seconds later: the expected wait counted on the whole rate of slots, of which the classes before take their part.

--- a/src/routing/request_queue.cc
+++ b/src/routing/request_queue.cc
@@ -127,19 +127,23 @@
   return true;
 }
 
-double RequestQueue::Ahead(const base::OrganisationName& organisation,
-                           base::WorkClass work_class, double weight) const {
-  double ahead = 0;
+std::size_t RequestQueue::SizeBefore(base::WorkClass work_class) const {
+  std::size_t n = 0;
   for (std::size_t i = 0; i < static_cast<std::size_t>(work_class); ++i) {
-    ahead += static_cast<double>(classes_[i].size);
+    n += classes_[i].size;
   }
+  return n;
+}
+
+double RequestQueue::Ahead(const base::OrganisationName& organisation,
+                           base::WorkClass work_class, double weight) const {
   const auto& queue = QueueOf(work_class);
   const auto it = queue.lines.find(organisation);
   const bool waits = it != queue.lines.end() && it->second.active;
   const double own = waits ? static_cast<double>(it->second.tokens.size()) : 0;
   const double active = queue.active_weight + (waits ? 0 : weight);
   const double fair = (own + 1) * active / weight - 1;
-  return ahead + std::min(fair, static_cast<double>(queue.size));
+  return std::min(fair, static_cast<double>(queue.size));
 }
 
 }  // namespace lapishatch::routing
--- a/src/routing/request_queue.h
+++ b/src/routing/request_queue.h
@@ -57,8 +57,11 @@
   /// Takes a request out; false when it does not wait.
   bool Remove(RequestToken token);
 
-  /// How many requests run before a new one of this organisation and class, if
-  /// nothing else arrives.
+  /// Requests of the classes that go before this one.
+  std::size_t SizeBefore(base::WorkClass work_class) const;
+
+  /// How many requests of its class run before a new one of this organisation,
+  /// if nothing else arrives.
   double Ahead(const base::OrganisationName& organisation,
                base::WorkClass work_class, double weight) const;
 
--- a/src/routing/service_dispatcher.cc
+++ b/src/routing/service_dispatcher.cc
@@ -66,17 +66,31 @@
 }
 
 bool ServiceDispatcher::CanMeet(const RoutedRequest& request, double weight,
-                                base::TimePoint deadline) const {
+                                base::TimePoint deadline) {
   const auto mean = static_cast<double>(pool_.mean_latency().count());
   if (mean == 0) return true;
   const double left = static_cast<double>((deadline - loop_.Now()).count());
-  const double ahead =
-      queue_.Ahead(request.organisation, request.work_class, weight);
-  const double wait = ahead * mean / std::max(pool_.in_flight(), 1);
+  const double wait = ExpectedWaitMs(request, weight, mean);
   return wait <= options_.max_wait_share * left &&
          wait + options_.spare_means * mean <= left;
 }
 
+double ServiceDispatcher::ExpectedWaitMs(const RoutedRequest& request,
+                                         double weight, double mean_ms) {
+  // Little's law: what is open on the runners, over the time of an answer, is
+  // the rate at which slots come free. Those that are sent of the classes
+  // before take their part of it, but never the whole.
+  const double rate = std::max(pool_.in_flight(), 1) / mean_ms;
+  const double least = rate / options_.queue.lowest_class_every;
+  const double own_rate =
+      std::max(rate - rates_.Before(request.work_class, loop_.Now()), least);
+  const auto before =
+      static_cast<double>(queue_.SizeBefore(request.work_class));
+  const double ahead =
+      queue_.Ahead(request.organisation, request.work_class, weight);
+  return before / rate + ahead / own_rate;
+}
+
 NotDispatched ServiceDispatcher::CannotNow(Refusal reason, std::string detail) {
   const auto least = options_.retry_after.count();
   std::uniform_int_distribution<std::int64_t> spread(least, 3 * least);
@@ -156,6 +170,7 @@
   ++work->runs;
   work->tried.push_back(runner);
   pool_.OnSent(runner);
+  rates_.Add(work->job.request.work_class, loop_.Now());
   const auto send = ++last_send_;
   open_.emplace(send, Open{token, runner, loop_.Now()});
   const auto& request = work->job.request;
@@ -205,7 +220,12 @@
                                  backends::RunnerAnswer answer) {
   const auto now = loop_.Now();
   const bool failed = answer.status >= kFirstServerError;
+  const bool was_quarantined = pool_.IsQuarantined(open.runner, now);
   pool_.OnAnswer(open.runner, answer.load, failed, now - open.sent_at, now);
+  if (!was_quarantined && pool_.IsQuarantined(open.runner, now)) {
+    base::Log(base::events::kRunnerQuarantined,
+              {{"runner", pool_.name(open.runner)}, {"service", service_}});
+  }
   if (!failed) budget_.OnSuccess();
   const auto it = works_.find(open.token);
   if (it == works_.end()) return;
@@ -332,9 +352,15 @@
   const auto now = loop_.Now();
   if (const auto* load = std::get_if<backends::RunnerLoad>(&result)) {
     pool_.OnPing(runner, *load, now);
-  } else if (pool_.OnPingFailed(runner, now)) {
-    GiveUpSends(runner);
+    return Pump();
+  }
+  const bool known = pool_.IsUnreachable(runner);
+  if (!pool_.OnPingFailed(runner, now)) return;
+  if (!known) {
+    base::Log(base::events::kRunnerUnreachable,
+              {{"runner", pool_.name(runner)}, {"service", service_}});
   }
+  GiveUpSends(runner);
   Pump();
 }
 
--- a/src/routing/service_dispatcher.h
+++ b/src/routing/service_dispatcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backends/backends.h"
+#include "routing/class_rates.h"
 #include "routing/directory.h"
 #include "routing/request.h"
 #include "routing/request_queue.h"
@@ -30,7 +31,7 @@
   double retry_share = 0.1;
   double retry_limit = 20;
   /// Longest part of a request's time that it may be expected to wait.
-  double max_wait_share = 0.25;
+  double max_wait_share = 0.15;
   /// Mean answer times that must be left when a request is expected to start.
   double spare_means = 2;
   /// Least time after which a refused caller is asked to come back; the most is
@@ -134,7 +135,9 @@
   void GiveUpSends(RunnerIndex silent);
   void End(RequestToken token, DispatchResult result);
   bool CanMeet(const RoutedRequest& request, double weight,
-               base::TimePoint deadline) const;
+               base::TimePoint deadline);
+  double ExpectedWaitMs(const RoutedRequest& request, double weight,
+                        double mean_ms);
   NotDispatched CannotNow(Refusal reason, std::string detail);
   base::Duration TimeLeft(const Work& work) const;
   void Tick();
@@ -150,6 +153,7 @@
   RequestQueue queue_;
   RunnerPool pool_;
   RetryBudget budget_;
+  ClassRates rates_;
   std::unordered_map<RequestToken, WorkPtr> works_;
   std::unordered_map<std::uint64_t, Open> open_;
   RequestToken last_token_ = 0;
