--- a/src/routing/request_path.cc
+++ b/src/routing/request_path.cc
@@ -42,6 +42,10 @@
     for (std::size_t i = 0; i < parts_.loops.size(); ++i) {
       shards_.push_back(MakeShard(i));
     }
+    sweeper_ = std::make_shared<ClaimSweeper>(*parts_.loops.front(),
+                                              parts_.table, parts_.unix_ms,
+                                              options_.sweeper, parts_.seed);
+    sweeper_->Start();
   }
 
   void Handle(RoutedRequest request, Done done) {
@@ -222,6 +226,7 @@
   std::atomic<std::size_t> in_progress_{0};
   std::atomic<std::size_t> bytes_{0};
   std::vector<std::unique_ptr<Shard>> shards_;
+  std::shared_ptr<ClaimSweeper> sweeper_;
 };
 
 RequestPath::RequestPath(RequestPathParts parts, RequestPathOptions options)
--- a/src/routing/request_path.h
+++ b/src/routing/request_path.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "backends/backends.h"
+#include "routing/claim_sweeper.h"
 #include "routing/claimed_request.h"
 #include "routing/directory.h"
 #include "routing/request.h"
@@ -19,6 +20,7 @@
 struct RequestPathOptions {
   DispatcherOptions dispatcher;
   ClaimOptions claims;
+  ClaimSweeperOptions sweeper;
   /// Requests taken and not yet answered, and the bytes of their bodies.
   std::size_t max_in_progress = 8192;
   std::size_t max_bytes_in_progress = 64 * 1024 * 1024;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -8,6 +8,7 @@
 #include "routing/claim.h"
 #include "routing/claim_keeper.h"
 #include "routing/claim_machine.h"
+#include "routing/claim_sweeper.h"
 #include "routing/claimed_request.h"
 #include "routing/directory.h"
 #include "routing/request.h"
