Look for other entries at their inner port, not at the callers'

The VM list gives the port on which an entry serves callers. The entry sent its probes there, which its HTTP server answers with 400 and the sender logs as malformed (event 700) at each try. All entries have the same inner port, so that of this process is used.

Run by hand: two entries over loopback, one of them in the other's peers, list each other in /v1/status with the platform out, and the one that is sent SIGTERM is shown as left (events 702 and 705). The way through the VM list was not run in that; test_membership covers VmSeeds with given ports.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -173,6 +173,8 @@
 
   membership::VmSeedsOptions SeedsOptions() const {
     membership::VmSeedsOptions options;
+    // The list gives the port for callers; entries have the same inner port.
+    options.ports = {transport_->endpoint().port};
     options.random_seed = seed_;
     return options;
   }
