--- a/src/placement/internal/gang_state.h
+++ b/src/placement/internal/gang_state.h
@@ -38,8 +38,14 @@
   base::TimePoint started;
   /// Its last complete checkpoint; `started` when it has none.
   base::TimePoint saved;
+  /// Runs on capacity that is held back for another gang.
+  bool backfill = false;
   /// How often it was evicted before.
   int evictions = 0;
+  /// Memory that its tasks are thought to use on each worker of `place`, from
+  /// the reports of whole workers; and reports that went into that.
+  std::vector<double> memory_mb = {};
+  int reports = 0;
   /// Why it is evicted.
   std::string reason;
 
--- a/src/placement/internal/place_finder.h
+++ b/src/placement/internal/place_finder.h
@@ -44,8 +44,11 @@
 
  private:
   struct Score {
+    /// Cost of the rooms, and one for each free accelerator made useless.
     double cost = 0;
-    int stranded = 0;
+    /// How open the rack is: the fullest goes first, so that some racks stay
+    /// empty for gangs that need a whole one.
+    int rack_open = 0;
     int leftover = 0;
 
     friend auto operator<=>(const Score&, const Score&) = default;
@@ -76,6 +79,8 @@
   int grain_part_;
   /// Whole free workers by rack.
   std::vector<int> whole_;
+  /// Accelerators by rack that are free, and that could be freed.
+  std::vector<int> open_;
 };
 
 }  // namespace lapishatch::placement::internal
--- a/src/placement/internal/planner_impl.h
+++ b/src/placement/internal/planner_impl.h
@@ -20,7 +20,8 @@
 /// planner_places.cc what holds which place, planner_decide.cc the order of
 /// decisions and borrowed work, planner_own.cc guaranteed work,
 /// planner_evict.cc victims, planner_starving.cc reservations,
-/// planner_explain.cc what is said to people.
+/// planner_compact.cc moves that join free capacity, planner_explain.cc what is
+/// said to people.
 class Planner::Impl {
  public:
   explicit Impl(PlannerOptions options);
@@ -63,6 +64,14 @@
     double lost_work = 0;
   };
 
+  /// Who may be stopped for a place.
+  enum class Victims : std::uint8_t {
+    /// Borrowed work.
+    kBorrowed,
+    /// Also guaranteed work that is checkpointed, and moved elsewhere.
+    kMovable,
+  };
+
   /// A place in an organisation's own guaranteed blocks.
   struct OwnPlace {
     internal::Place place;
@@ -140,6 +149,8 @@
   bool TryOwn(GangState& gang, bool may_evict, base::TimePoint now);
   bool TryDemote(GangState& gang, base::TimePoint now);
   void TakeOwn(GangState& gang, OwnPlace own, base::TimePoint now);
+  /// What the gang is charged where it is charged least.
+  int ChargeOf(const GangState& gang) const;
   internal::BlockIndex SmallestUnused(const GangState& gang) const;
   OwnPlace FindOwnPlace(const GangState& gang,
                         const std::vector<internal::BlockIndex>& blocks,
@@ -157,12 +168,17 @@
   // planner_evict.cc
   void RelieveWorkers(base::TimePoint now);
   void Evict(GangState& gang, const base::JobName& for_job, std::string reason);
-  Clearing Clear(const internal::Place& place, base::TimePoint now) const;
-  double ClearingCost(internal::WorkerIndex worker, int need,
+  Clearing Clear(const internal::Place& place, Victims allowed,
+                 base::TimePoint now) const;
+  static bool CanBeVictim(const GangState& gang, Victims allowed);
+  double ClearingCost(internal::WorkerIndex worker, int need, Victims allowed,
                       base::TimePoint now) const;
   double LostWork(const GangState& gang, base::TimePoint now) const;
-  void LearnMemory(const GangState& gang, internal::WorkerIndex worker,
-                   std::int64_t over_mb);
+  /// Shares out what a worker is reported to use among the gangs there.
+  void Attribute(internal::WorkerIndex worker, std::int64_t memory_mb);
+  double MemoryOn(const GangState& gang, internal::WorkerIndex worker) const;
+  double DeclaredOn(const GangState& gang, internal::WorkerIndex worker) const;
+  void LearnMemory(const GangState& gang, internal::WorkerIndex worker);
 
   // planner_starving.cc
   void ServeStarving(base::TimePoint now);
@@ -170,8 +186,22 @@
   bool Reserve(GangState& gang, base::TimePoint now);
   void DropReservation();
   bool ReservationStands() const;
+  /// Whether the gang has waited so long that evicting costs no more.
+  bool WorthWaitingFor(const GangState& gang, const Clearing& clearing,
+                       base::TimePoint now) const;
   bool HasRunItsTurn(const GangState& gang, base::TimePoint now) const;
 
+  // planner_compact.cc
+  void Compact(base::TimePoint now);
+  bool TryCompact(GangState& gang, base::TimePoint now);
+  bool FitElsewhere(const std::vector<GangState*>& gangs,
+                    const internal::Place& place) const;
+  /// What a gang could have of a worker by stopping others.
+  int Stoppable(internal::WorkerIndex worker,
+                Victims allowed = Victims::kBorrowed) const;
+  internal::Place CheapestPlace(const GangState& gang, Victims allowed,
+                                base::TimePoint now) const;
+
   // planner_explain.cc
   std::string WhyNever(const Gang& gang) const;
   std::string WhyNotOnHardware(const Gang& gang) const;
@@ -197,6 +227,8 @@
   /// The jobs of `past_`, oldest first, to bound it.
   std::deque<base::JobName> past_order_;
   Reservation reservation_;
+  /// When gangs are next looked at that would fit if others moved.
+  base::TimePoint next_compaction_{};
   internal::Generation generation_ = 1;
   /// The cell's configuration changed: queued gangs may have become impossible.
   bool check_possible_ = false;
--- a/src/placement/place_finder.cc
+++ b/src/placement/place_finder.cc
@@ -11,12 +11,16 @@
       worker_size_(std::max(1, cell.largest())),
       grain_workers_(0),
       grain_part_(std::max(1, grain.accelerators)),
-      whole_(cell.racks(), 0) {
+      whole_(cell.racks(), 0),
+      open_(cell.racks(), 0) {
   if (grain.accelerators > worker_size_) {
     grain_workers_ = (grain.accelerators + worker_size_ - 1) / worker_size_;
   }
   for (const auto& it : cell.workers()) {
-    if (it.available() == it.capacity && it.capacity > 0) ++whole_[it.rack];
+    if (it.rack == kNone) continue;
+    const int available = it.available();
+    open_[it.rack] += available + it.unpinned();
+    if (available == it.capacity && available > 0) ++whole_[it.rack];
   }
 }
 
@@ -42,7 +46,8 @@
     const Slot slot{it, tasks, ChargeAt(it, charges)};
     const auto& room = rooms[it];
     if (room.accelerators < slot.total()) continue;
-    const Score score{room.cost, Stranded(&slot, &slot + 1),
+    const Score score{room.cost + Stranded(&slot, &slot + 1),
+                      open_[cell_->at(it).rack],
                       room.accelerators - slot.total()};
     if (best.worker != kNone && best_score <= score) continue;
     best = slot;
@@ -90,7 +95,8 @@
     }
     if (fitting < tasks) continue;
     auto place = Spread(tasks, charges, rooms, among);
-    Score score{0, Stranded(place.data(), place.data() + place.size()), free};
+    Score score{1.0 * Stranded(place.data(), place.data() + place.size()),
+                open_[rack], free};
     for (const auto& it : place) score.cost += rooms[it.worker].cost;
     if (!best.empty() && best_score <= score) continue;
     best = std::move(place);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -5,9 +5,11 @@
 /// capacity it is. Pure.
 
 #include "placement/cell_facts.h"
+#include "placement/failure_ledger.h"
 #include "placement/fragmentation.h"
 #include "placement/gang.h"
 #include "placement/planner.h"
 #include "placement/shape.h"
+#include "placement/worker_quarantine.h"
 
 #endif  // LAPISHATCH_PLACEMENT_PLACEMENT_H_
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -209,6 +209,7 @@
   const auto& spec = cell_.spec(worker);
   const auto limit = static_cast<std::int64_t>(
       kMemoryLimit * static_cast<double>(spec.memory_mb));
+  Attribute(worker, memory_mb);
   const auto over_memory = std::max<std::int64_t>(0, memory_mb - limit);
   const int over_cores = std::max(0, cores - spec.cores);
   if (over_memory == 0 && over_cores == 0) {
--- /dev/null
+++ b/src/placement/planner_compact.cc
@@ -0,0 +1,99 @@
+// Compaction: gangs for which enough is free, but scattered, get a place by
+// moving others together.
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/internal/planner_impl.h"
+
+namespace lapishatch::placement {
+
+using internal::GangState;
+using internal::Place;
+using internal::Rooms;
+using internal::WorkerIndex;
+
+namespace {
+
+/// Looking for moves is dear, and nothing is lost by doing it seldom.
+constexpr base::Duration kCompactionEvery{10'000};
+
+}  // namespace
+
+void Planner::Impl::Compact(base::TimePoint now) {
+  if (queue_.size() == 0 || now < next_compaction_) return;
+  next_compaction_ = now + kCompactionEvery;
+  const int free = free_accelerators();
+  std::vector<GangState*> waiting;
+  for (const auto& job : queue_.Heads()) {
+    auto* it = FindGang(job);
+    if (!internal::MayBorrow(it->gang) || !WithinLimit(*it)) continue;
+    if (it->gang.accelerators() > free || job == reservation_.job) continue;
+    waiting.push_back(it);
+  }
+  std::sort(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
+    return std::pair(a->queued, a->gang.job) <
+           std::pair(b->queued, b->gang.job);
+  });
+  for (auto* it : waiting) {
+    if (!TryCompact(*it, now)) continue;
+    queue_.Remove(it->gang);
+    return;
+  }
+}
+
+bool Planner::Impl::TryCompact(GangState& gang, base::TimePoint now) {
+  auto place = CheapestPlace(gang, Victims::kMovable, now);
+  if (place.empty()) return false;
+  const auto clearing = Clear(place, Victims::kMovable, now);
+  if (!clearing.possible || !WorthWaitingFor(gang, clearing, now)) return false;
+  if (!FitElsewhere(clearing.victims, place)) return false;
+  gang.place = std::move(place);
+  StartOrClaim(gang, clearing,
+               "it can run elsewhere, and its place completes one for job " +
+                   gang.gang.job.str(),
+               now);
+  return true;
+}
+
+bool Planner::Impl::FitElsewhere(const std::vector<GangState*>& gangs,
+                                 const Place& place) const {
+  Rooms rooms(cell_.size());
+  for (WorkerIndex it = 0; it < cell_.size(); ++it) {
+    if (!cell_.at(it).held) rooms[it].accelerators = cell_.at(it).available();
+  }
+  for (const auto& it : place) rooms[it.worker].accelerators = 0;
+  const auto finder = Finder();
+  for (const auto* gang : gangs) {
+    const auto found = finder.Find(gang->gang, gang->gang.adjacency, rooms);
+    if (found.empty()) return false;
+    for (const auto& it : found) {
+      rooms[it.worker].accelerators -= it.total();
+    }
+  }
+  return true;
+}
+
+int Planner::Impl::Stoppable(WorkerIndex index, Victims allowed) const {
+  if (!cell_.at(index).open()) return 0;
+  int room = cell_.at(index).left();
+  for (const auto* it : on_worker_[index]) {
+    if (CanBeVictim(*it, allowed)) room += it->charge_on(index);
+  }
+  return room;
+}
+
+Place Planner::Impl::CheapestPlace(const GangState& gang, Victims allowed,
+                                   base::TimePoint now) const {
+  const auto charges = cell_.ChargesOf(gang.gang.needs);
+  Rooms rooms(cell_.size());
+  for (WorkerIndex it = 0; it < cell_.size(); ++it) {
+    rooms[it].accelerators = Stoppable(it, allowed);
+    const int need = std::min(rooms[it].accelerators,
+                              gang.gang.tasks * charges[cell_.at(it).type]);
+    rooms[it].cost = ClearingCost(it, need, allowed, now);
+  }
+  return Finder().Find(gang.gang, gang.gang.adjacency, rooms);
+}
+
+}  // namespace lapishatch::placement
--- a/src/placement/planner_decide.cc
+++ b/src/placement/planner_decide.cc
@@ -17,6 +17,10 @@
 /// What it costs, in the units of the finder, to put borrowed work where it is
 /// evicted when an owner comes.
 constexpr double kUnderGuarantee = 1;
+/// The same for work that starts again from nothing then.
+constexpr double kUnderGuaranteeUnsaved = 8;
+/// What it costs to put work where it is stopped for a starving gang.
+constexpr double kBackfill = 100;
 
 }  // namespace
 
@@ -27,6 +31,7 @@
   StartArrivals(now);
   ServeStarving(now);
   PlaceQueued(now);
+  Compact(now);
   // Gangs that gave up their guarantee may have made room for others'.
   book_.Repair();
   return std::move(decisions_);
@@ -69,6 +74,8 @@
   gang.started = now;
   gang.saved = now;
   gang.masks.clear();
+  gang.memory_mb.clear();
+  gang.reports = 0;
   HoldPlace(gang);
   decisions_.push_back(StartGang{gang.gang.job, PlacementOf(gang)});
 }
@@ -129,12 +136,19 @@
 
 Rooms Planner::Impl::RoomsToBorrow(const GangState& gang) const {
   const bool holder = gang.gang.job == reservation_.job;
+  // What is held back may be used by work that is stopped at little cost.
+  const bool may_backfill = holder || gang.gang.checkpoint ||
+                            gang.gang.work_class == base::WorkClass::kUrgent;
   Rooms rooms(cell_.size());
   for (internal::WorkerIndex it = 0; it < cell_.size(); ++it) {
     const auto& worker = cell_.at(it);
-    if (worker.held && !holder) continue;
+    if (worker.held && !may_backfill) continue;
     rooms[it].accelerators = worker.available();
-    rooms[it].cost = worker.slack() < worker.available() ? kUnderGuarantee : 0;
+    if (worker.slack() < worker.available()) {
+      rooms[it].cost =
+          gang.gang.checkpoint ? kUnderGuarantee : kUnderGuaranteeUnsaved;
+    }
+    if (worker.held && !holder) rooms[it].cost += kBackfill;
   }
   return rooms;
 }
@@ -145,6 +159,11 @@
       Finder().Find(gang.gang, gang.gang.adjacency, RoomsToBorrow(gang));
   if (place.empty()) return false;
   gang.place = std::move(place);
+  const bool holder = gang.gang.job == reservation_.job;
+  gang.backfill = !holder && std::any_of(gang.place.begin(), gang.place.end(),
+                                         [&](const auto& it) {
+                                           return cell_.at(it.worker).held;
+                                         });
   Start(gang, now);
   return true;
 }
--- a/src/placement/planner_evict.cc
+++ b/src/placement/planner_evict.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "placement/internal/planner_impl.h"
@@ -26,9 +27,18 @@
 /// one counts as lost.
 constexpr double kCheckpointFailures = 0.02;
 
-bool CanBeVictim(const GangState& gang) {
-  return gang.borrowed() && (gang.phase == GangPhase::kRunning ||
-                             gang.phase == GangPhase::kArriving);
+/// How much a second lost by a gang counts: crews and brokers wait for urgent
+/// work.
+double WeightOf(const Gang& gang) {
+  switch (gang.work_class) {
+    case base::WorkClass::kUrgent:
+      return 10;
+    case base::WorkClass::kNormal:
+      return 3;
+    case base::WorkClass::kQuiet:
+      return 1;
+  }
+  return 1;
 }
 
 double Seconds(base::Duration span) {
@@ -41,11 +51,12 @@
                                base::TimePoint now) const {
   if (gang.phase == GangPhase::kArriving) return 0;
   const double ran = Seconds(now - gang.started);
-  if (!gang.gang.checkpoint) return ran * gang.charge();
+  const double weight = gang.charge() * WeightOf(gang.gang);
+  if (!gang.gang.checkpoint) return (ran + 1) * weight;
   const double unsaved = Seconds(now - gang.saved);
   const double lost =
       std::min(ran, kCheckpointSeconds) + kCheckpointFailures * unsaved;
-  return lost * gang.charge();
+  return lost * weight;
 }
 
 void Planner::Impl::Evict(GangState& gang, const base::JobName& for_job,
@@ -59,7 +70,15 @@
   decisions_.push_back(EvictGang{gang.gang.job, for_job, std::move(reason)});
 }
 
+bool Planner::Impl::CanBeVictim(const GangState& gang, Victims victims) {
+  if (gang.phase == GangPhase::kArriving) return gang.borrowed();
+  if (gang.phase != GangPhase::kRunning) return false;
+  return gang.borrowed() ||
+         (victims == Victims::kMovable && gang.gang.checkpoint);
+}
+
 Planner::Impl::Clearing Planner::Impl::Clear(const Place& place,
+                                             Victims allowed,
                                              base::TimePoint now) const {
   Clearing clearing;
   std::map<WorkerIndex, int> missing;
@@ -83,7 +102,7 @@
     for (const auto& [index, count] : missing) {
       if (count <= 0) continue;
       for (auto* it : on_worker_[index]) {
-        if (!CanBeVictim(*it) || chosen(it)) continue;
+        if (!CanBeVictim(*it, allowed) || chosen(it)) continue;
         int frees = 0;
         for (const auto& slot : it->place) {
           const auto entry = missing.find(slot.worker);
@@ -121,13 +140,13 @@
   return clearing;
 }
 
-double Planner::Impl::ClearingCost(WorkerIndex index, int need,
+double Planner::Impl::ClearingCost(WorkerIndex index, int need, Victims allowed,
                                    base::TimePoint now) const {
   int missing = need - cell_.at(index).left();
   if (missing <= 0) return 0;
   std::vector<std::pair<double, int>> candidates;
   for (const auto* it : on_worker_[index]) {
-    if (!CanBeVictim(*it)) continue;
+    if (!CanBeVictim(*it, allowed)) continue;
     const int frees = it->charge_on(index);
     candidates.emplace_back(LostWork(*it, now) / frees, frees);
   }
@@ -148,18 +167,22 @@
     const bool memory = overfill.memory_mb > 0;
     if (!memory && overfill.core_reports < kCoreReports) continue;
     if (cell_.at(index).evicting > 0) continue;
+    // The one that uses most beyond what it declared; when none does, the one
+    // that loses least.
     GangState* victim = nullptr;
-    const auto cost = [&](const GangState& gang) {
-      return std::pair(!gang.borrowed(), LostWork(gang, now));
+    const auto rank = [&](const GangState& gang) {
+      const double excess = MemoryOn(gang, index) - DeclaredOn(gang, index);
+      return std::tuple(memory ? -std::max(0.0, excess) : 0.0, !gang.borrowed(),
+                        LostWork(gang, now));
     };
     for (auto* it : on_worker_[index]) {
       if (it->phase != GangPhase::kRunning) continue;
       if (!internal::Evictable(it->gang)) continue;
-      if (victim != nullptr && cost(*victim) <= cost(*it)) continue;
+      if (victim != nullptr && rank(*victim) <= rank(*it)) continue;
       victim = it;
     }
     if (victim == nullptr) continue;
-    if (memory) LearnMemory(*victim, index, overfill.memory_mb);
+    if (memory) LearnMemory(*victim, index);
     const auto& name = cell_.spec(index).name.str();
     Evict(*victim, victim->gang.job,
           memory ? "worker " + name +
@@ -171,18 +194,58 @@
   }
 }
 
-void Planner::Impl::LearnMemory(const GangState& gang, WorkerIndex index,
-                                std::int64_t over_mb) {
-  int tasks = 1;
+double Planner::Impl::MemoryOn(const GangState& gang, WorkerIndex index) const {
+  for (std::size_t i = 0; i < gang.memory_mb.size(); ++i) {
+    if (gang.place[i].worker == index) return gang.memory_mb[i];
+  }
+  return 0;
+}
+
+double Planner::Impl::DeclaredOn(const GangState& gang,
+                                 WorkerIndex index) const {
   for (const auto& it : gang.place) {
-    if (it.worker == index) tasks = it.tasks;
+    if (it.worker != index) continue;
+    return static_cast<double>(it.tasks * gang.gang.needs.memory_mb);
   }
-  // The report is of the whole worker. Whoever is moved is taken to be the
-  // cause: charged too much it only gets more room than it needs.
-  const auto need = gang.gang.needs.memory_mb + over_mb / tasks;
+  return 0;
+}
+
+void Planner::Impl::Attribute(WorkerIndex index, std::int64_t memory_mb) {
+  // What has changed since the last report is due to the gangs that are newest
+  // here: those seen in many reports are known well, and weigh little.
+  auto change = static_cast<double>(memory_mb);
+  double weights = 0;
+  const auto weight = [&](const GangState& gang) {
+    const double seen = 1.0 + gang.reports;
+    return (1 + DeclaredOn(gang, index)) / (seen * seen * seen);
+  };
+  for (const auto* it : on_worker_[index]) {
+    if (it->phase == GangPhase::kArriving) continue;
+    change -= MemoryOn(*it, index);
+    weights += weight(*it);
+  }
+  for (auto* it : on_worker_[index]) {
+    if (it->phase == GangPhase::kArriving) continue;
+    it->memory_mb.resize(it->place.size(), 0);
+    const double part = change * weight(*it) / weights;
+    for (std::size_t i = 0; i < it->place.size(); ++i) {
+      if (it->place[i].worker != index) continue;
+      it->memory_mb[i] = std::max(0.0, it->memory_mb[i] + part);
+    }
+    ++it->reports;
+  }
+}
+
+void Planner::Impl::LearnMemory(const GangState& gang, WorkerIndex index) {
+  const double used = MemoryOn(gang, index);
+  const double declared = DeclaredOn(gang, index);
+  if (used <= declared) return;
+  const auto per_task =
+      static_cast<std::int64_t>(static_cast<double>(gang.gang.needs.memory_mb) *
+                                used / std::max(1.0, declared));
   const auto [past, added] = past_.try_emplace(gang.gang.job);
   if (added) past_order_.push_back(gang.gang.job);
-  past->second.memory_mb = std::min(need, cell_.spec(index).memory_mb);
+  past->second.memory_mb = std::min(per_task, cell_.spec(index).memory_mb);
 }
 
 }  // namespace lapishatch::placement
--- a/src/placement/planner_own.cc
+++ b/src/placement/planner_own.cc
@@ -37,7 +37,16 @@
     return best.clearing.possible && best.clearing.victims.empty() &&
            PhysicallyFree(best.place);
   };
-  const auto block = SmallestUnused(gang);
+  auto block = SmallestUnused(gang);
+  // A block larger than the gang is kept for larger ones while the gang can run
+  // elsewhere. Urgent gangs are soon gone, and are better not evicted.
+  const int tight = gang.gang.work_class == base::WorkClass::kUrgent
+                        ? std::max(ChargeOf(gang), cell_.largest())
+                        : ChargeOf(gang);
+  if (block != kNone && !may_evict && internal::MayBorrow(gang.gang) &&
+      book_.blocks()[block].shape.accelerators > tight) {
+    block = kNone;
+  }
   if (block != kNone && !free()) {
     auto moved = MoveWhereFree(gang, block, now);
     if (moved.clearing.possible) {
@@ -100,6 +109,11 @@
   return TryOwn(gang, /*may_evict=*/true, now);
 }
 
+int Planner::Impl::ChargeOf(const GangState& gang) const {
+  const auto charges = cell_.ChargesOf(gang.gang.needs);
+  return gang.gang.tasks * *std::min_element(charges.begin(), charges.end());
+}
+
 BlockIndex Planner::Impl::SmallestUnused(const GangState& gang) const {
   for (const auto it : book_.Of(gang.gang.organisation)) {
     const auto& block = book_.blocks()[it];
@@ -124,7 +138,8 @@
   }
   for (WorkerIndex it = 0; it < cell_.size(); ++it) {
     if (rooms[it].accelerators == 0) continue;
-    rooms[it].cost = ClearingCost(it, rooms[it].accelerators, now);
+    rooms[it].cost =
+        ClearingCost(it, rooms[it].accelerators, Victims::kBorrowed, now);
   }
   return OwnPlaceAt(Finder().Find(gang.gang, gang.gang.adjacency, rooms),
                     blocks, now);
@@ -136,7 +151,7 @@
   if (place.empty()) return own;
   own.uses = UsesFor(place, blocks);
   if (own.uses.empty()) return own;
-  own.clearing = Clear(place, now);
+  own.clearing = Clear(place, Victims::kBorrowed, now);
   own.place = std::move(place);
   return own;
 }
@@ -180,7 +195,7 @@
     const int piece = std::min(worker.capacity, shape.accelerators);
     if (worker.unpinned() < piece) continue;
     const int need = std::min(piece, gang.gang.tasks * charges[worker.type]);
-    const double cost = ClearingCost(it, need, now);
+    const double cost = ClearingCost(it, need, Victims::kBorrowed, now);
     if (cost >= limit) continue;
     rooms[it].accelerators = shape.accelerators > worker_size ? piece : need;
     rooms[it].cost = cost;
@@ -201,7 +216,7 @@
                                               BlockIndex block, Rooms rooms,
                                               base::TimePoint now) {
   const auto shape = book_.blocks()[block].shape;
-  const int charge = gang.gang.tasks * cell_.ChargesOf(gang.gang.needs).front();
+  const int charge = ChargeOf(gang);
   const bool one_worker =
       std::min(shape.accelerators, cell_.largest()) >= charge;
   const auto adjacency = one_worker
--- a/src/placement/planner_starving.cc
+++ b/src/placement/planner_starving.cc
@@ -13,6 +13,16 @@
 using internal::Rooms;
 using internal::WorkerIndex;
 
+namespace {
+
+/// Accelerator seconds of lost work that are accepted for each that was waited.
+constexpr double kLossPerWait = 0.1;
+
+/// A gang is not stopped for a starving one before it has run so long.
+constexpr base::Duration kFirstTurn{600'000};
+
+}  // namespace
+
 void Planner::Impl::ServeStarving(base::TimePoint now) {
   if (!ReservationStands()) DropReservation();
   GangState* gang = nullptr;
@@ -27,12 +37,12 @@
     DropReservation();
   };
   if (TryPlace(*gang, now)) return done();
-  const auto clearing = Clear(reservation_.place, now);
+  const auto clearing = Clear(reservation_.place, Victims::kBorrowed, now);
   if (!clearing.possible) return;
   const bool all_had_their_turn =
       std::all_of(clearing.victims.begin(), clearing.victims.end(),
                   [&](const auto* it) { return HasRunItsTurn(*it, now); });
-  if (!all_had_their_turn) return;
+  if (!all_had_their_turn || !WorthWaitingFor(*gang, clearing, now)) return;
   gang->place = reservation_.place;
   StartOrClaim(*gang, clearing,
                "job " + gang->gang.job.str() +
@@ -57,24 +67,7 @@
 }
 
 bool Planner::Impl::Reserve(GangState& gang, base::TimePoint now) {
-  const auto charges = cell_.ChargesOf(gang.gang.needs);
-  Rooms rooms(cell_.size());
-  for (WorkerIndex it = 0; it < cell_.size(); ++it) {
-    const auto& worker = cell_.at(it);
-    int room = worker.open() ? worker.left() : 0;
-    if (worker.open()) {
-      for (const auto* other : on_worker_[it]) {
-        const bool can_stop =
-            other->borrowed() && other->phase == internal::GangPhase::kRunning;
-        if (can_stop) room += other->charge_on(it);
-      }
-    }
-    rooms[it].accelerators = std::min(room, worker.unpinned());
-    const int need = std::min(rooms[it].accelerators,
-                              gang.gang.tasks * charges[worker.type]);
-    rooms[it].cost = ClearingCost(it, need, now);
-  }
-  auto place = Finder().Find(gang.gang, gang.gang.adjacency, rooms);
+  auto place = CheapestPlace(gang, Victims::kBorrowed, now);
   if (place.empty()) return false;
   reservation_ = {gang.gang.job, std::move(place)};
   for (const auto& it : reservation_.place) cell_.at(it.worker).held = true;
@@ -95,19 +88,36 @@
     return false;
   }
   // Guaranteed work may have taken what was reserved.
-  return std::all_of(reservation_.place.begin(), reservation_.place.end(),
-                     [&](const auto& it) {
-                       return cell_.at(it.worker).unpinned() >= it.total();
-                     });
+  return std::all_of(
+      reservation_.place.begin(), reservation_.place.end(),
+      [&](const auto& it) { return Stoppable(it.worker) >= it.total(); });
+}
+
+bool Planner::Impl::WorthWaitingFor(const GangState& gang,
+                                    const Clearing& clearing,
+                                    base::TimePoint now) const {
+  // As in renting until the rent has cost a share of buying: what is lost stays
+  // in proportion to what was waited, whatever was declared. The proportion
+  // grows, so that no wait is endless: work that can't be checkpointed loses
+  // ever more the longer it is waited for.
+  const double waited =
+      std::chrono::duration<double>(now - gang.queued).count();
+  const double patience =
+      std::chrono::duration<double>(options_.starvation_after).count();
+  const double growth = std::max(1.0, waited / std::max(patience, 1.0));
+  return clearing.lost_work <=
+         kLossPerWait * growth * waited * gang.gang.accelerators();
 }
 
 bool Planner::Impl::HasRunItsTurn(const GangState& gang,
                                   base::TimePoint now) const {
-  if (gang.phase == internal::GangPhase::kArriving) return true;
+  if (gang.phase == internal::GangPhase::kArriving || gang.backfill) {
+    return true;
+  }
   // Twice as long after every eviction, so that each gang runs to its end at
   // last, however long that takes.
   const int doublings = std::min(gang.evictions, 16);
-  const auto turn = options_.starvation_after * (1 << doublings);
+  const auto turn = kFirstTurn * (1 << doublings);
   return now - gang.started >= turn;
 }
 
--- /dev/null
+++ b/test/placement/policy_test.cc
@@ -0,0 +1,306 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "cell_builder.h"
+
+namespace lapishatch::placement {
+namespace {
+
+using base::JobName;
+using Jobs = std::vector<std::string>;
+
+Planner MakeCell(int workers, int per_rack = 8, PlannerOptions options = {}) {
+  Planner planner(options);
+  for (int i = 0; i < workers; ++i) planner.PutWorker(MakeWorker(i, per_rack));
+  return planner;
+}
+
+TEST_CASE("the better class starts first, then the smaller share, then age") {
+  auto planner = MakeCell(1);
+  auto quiet = MakeGang("quiet", "a", 1, 8);
+  quiet.work_class = base::WorkClass::kQuiet;
+  auto urgent = MakeGang("urgent", "a", 1, 4);
+  urgent.work_class = base::WorkClass::kUrgent;
+  planner.Submit(quiet, At(0));
+  planner.Submit(MakeGang("older", "a", 1, 2), At(1));
+  planner.Submit(MakeGang("newer", "b", 1, 2), At(2));
+  planner.Submit(urgent, At(3));
+  // Organisation "a" has borrowed for its urgent gang, so "b" is before it.
+  CHECK(Started(planner.Decide(At(4))) == Jobs{"urgent", "newer", "older"});
+}
+
+TEST_CASE("weights make shares") {
+  auto planner = MakeCell(1);
+  planner.SetOrganisations({{base::OrganisationName("heavy"), 3},
+                            {base::OrganisationName("light"), 1}});
+  for (int i = 0; i < 10; ++i) {
+    planner.Submit(MakeGang("h" + std::to_string(i), "heavy", 1, 1), At(i));
+    planner.Submit(MakeGang("l" + std::to_string(i), "light", 1, 1), At(i));
+  }
+  int heavy = 0;
+  for (const auto& it : Started(planner.Decide(At(20)))) heavy += it[0] == 'h';
+  CHECK(heavy == 6);
+}
+
+TEST_CASE("quiet work ages into better classes") {
+  auto planner = MakeCell(1);
+  planner.Submit(MakeGang("running", "a", 1, 8), At(0));
+  planner.Decide(At(0));
+  auto quiet = MakeGang("quiet", "b", 1, 8);
+  quiet.work_class = base::WorkClass::kQuiet;
+  planner.Submit(quiet, At(1));
+  auto urgent = MakeGang("urgent", "c", 1, 8);
+  urgent.work_class = base::WorkClass::kUrgent;
+  planner.Submit(urgent, At(3 * 3600));
+  planner.Ended(JobName("running"), At(3 * 3600));
+  CHECK(Started(planner.Decide(At(3 * 3600))) == Jobs{"quiet"});
+}
+
+TEST_CASE("no organisation has more running than its limit") {
+  auto planner = MakeCell(4);
+  planner.SetOrganisations({{base::OrganisationName("a"), 1, 12}});
+  planner.Submit(MakeGang("first", "a", 1, 8), At(0));
+  planner.Submit(MakeGang("second", "a", 1, 8), At(1));
+  CHECK(Started(planner.Decide(At(2))) == Jobs{"first"});
+  CHECK(planner.Explain(JobName("second"), At(2)).reason ==
+        "organisation a has 8 of at most 12 accelerators running");
+  CHECK(planner.Submit(MakeGang("never", "a", 2, 8), At(3))
+            .find("may have only 12 running") != std::string::npos);
+}
+
+TEST_CASE("impossible gangs are refused with the reason") {
+  auto planner = MakeCell(4, 2);
+  CHECK(planner.Submit(MakeGang("a", "a", 1, 9), At(0))
+            .find("the largest worker has 8 accelerators") !=
+        std::string::npos);
+  CHECK(planner.Submit(MakeGang("b", "a", 3, 8), At(0)).find("in one rack") !=
+        std::string::npos);
+  CHECK(planner.Submit(MakeGang("c", "a", 3, 8, Adjacency::kDomain), At(0))
+            .empty());
+  auto greedy = MakeGang("d", "a", 1, 1);
+  greedy.needs.memory_mb = 1'000'000;
+  CHECK(planner.Submit(greedy, At(0)).find("1000000 MB") != std::string::npos);
+  auto fragile = MakeGang("e", "a", 1, 1);
+  fragile.checkpoint = false;
+  fragile.idempotent = false;
+  CHECK(planner.Submit(fragile, At(0)).find("has no guarantee here") !=
+        std::string::npos);
+  fragile.may_be_lost = true;
+  CHECK(planner.Submit(fragile, At(0)).empty());
+}
+
+TEST_CASE("a waiting gang is refused when its cell loses what it needs") {
+  auto planner = MakeCell(2);
+  planner.Submit(MakeGang("first", "a", 2, 8), At(0));
+  planner.Submit(MakeGang("second", "a", 2, 8), At(0));
+  planner.Decide(At(0));
+  planner.RemoveWorker(MakeWorker(1).name);
+  const auto decisions = planner.Decide(At(1));
+  REQUIRE(decisions.size() == 1);
+  CHECK(std::get<RefuseGang>(decisions[0]).job == JobName("second"));
+}
+
+TEST_CASE("a task that needs more than its share is charged for it") {
+  auto planner = MakeCell(1);
+  auto gang = MakeGang("a", "a", 1, 1);
+  gang.needs.memory_mb = 4 * 32'768;
+  planner.Submit(gang, At(0));
+  planner.Submit(MakeGang("b", "a", 1, 8), At(1));
+  planner.Submit(MakeGang("c", "a", 1, 4), At(2));
+  CHECK(Started(planner.Decide(At(3))) == Jobs{"a", "c"});
+  CHECK(planner.free_accelerators() == 0);
+}
+
+TEST_CASE("work that can't be stopped or repeated is never borrowed") {
+  auto planner = MakeCell(2);
+  REQUIRE(planner.SetGuarantees(
+              {MakeGuarantee("a", 8, Adjacency::kWorker, 1)}) == "");
+  auto claim = MakeGang("claim", "a", 1, 8);
+  claim.checkpoint = false;
+  claim.idempotent = false;
+  auto second = claim;
+  second.job = JobName("second");
+  planner.Submit(claim, At(0));
+  planner.Submit(second, At(0));
+  const auto decisions = planner.Decide(At(1));
+  REQUIRE(Started(decisions).size() == 1);
+  CHECK_FALSE(std::get<StartGang>(decisions[0]).placement.borrowed);
+  planner.Ended(claim.job, At(100'000));
+  CHECK(Started(planner.Decide(At(100'000))) == Jobs{"second"});
+}
+
+TEST_CASE("an unused block moves to free capacity instead of evicting") {
+  auto planner = MakeCell(2);
+  REQUIRE(planner.SetGuarantees(
+              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  planner.Submit(MakeGang("borrowed", "other", 1, 8), At(0));
+  planner.Decide(At(0));
+  planner.Submit(MakeGang("owned", "owner", 1, 8), At(1));
+  const auto decisions = planner.Decide(At(1));
+  CHECK(Started(decisions) == Jobs{"owned"});
+  CHECK(Evicted(decisions).empty());
+  CHECK(planner.CheckInvariant() == "");
+}
+
+TEST_CASE("the victim is the one that loses least") {
+  auto planner = MakeCell(2);
+  REQUIRE(planner.SetGuarantees(
+              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  auto old = MakeGang("old", "other", 1, 8);
+  old.checkpoint = false;
+  auto young = MakeGang("young", "other", 1, 8);
+  young.checkpoint = false;
+  planner.Submit(old, At(0));
+  planner.Decide(At(0));
+  planner.Submit(young, At(5000));
+  planner.Decide(At(5000));
+  planner.Submit(MakeGang("owned", "owner", 1, 8), At(6000));
+  CHECK(Evicted(planner.Decide(At(6000))) == Jobs{"young"});
+}
+
+TEST_CASE("urgent work takes over the guarantee of its own quiet work") {
+  auto planner = MakeCell(2);
+  REQUIRE(planner.SetGuarantees(
+              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  auto quiet = MakeGang("quiet", "owner", 1, 8);
+  quiet.work_class = base::WorkClass::kQuiet;
+  planner.Submit(quiet, At(0));
+  planner.Submit(MakeGang("other", "other", 1, 8), At(0));
+  CHECK(Started(planner.Decide(At(0))).size() == 2);
+  auto urgent = MakeGang("urgent", "owner", 1, 8);
+  urgent.work_class = base::WorkClass::kUrgent;
+  planner.Submit(urgent, At(1000));
+  CHECK(Evicted(planner.Decide(At(1000))).size() == 1);
+  CHECK(planner.CheckInvariant() == "");
+}
+
+TEST_CASE("a wave of cancellations frees whole blocks at once") {
+  auto planner = MakeCell(8);
+  for (int i = 0; i < 64; ++i) {
+    planner.Submit(MakeGang("j" + std::to_string(i), "a", 1, 1), At(0));
+  }
+  planner.Submit(MakeGang("large", "b", 8, 8), At(1));
+  CHECK(Started(planner.Decide(At(1))).size() == 64);
+  for (int i = 0; i < 64; ++i) {
+    planner.Ended(JobName("j" + std::to_string(i)), At(2));
+  }
+  CHECK(Started(planner.Decide(At(2))) == Jobs{"large"});
+}
+
+TEST_CASE("a starving gang gets its place from gangs that never end") {
+  auto planner = MakeCell(2);
+  for (int i = 0; i < 4; ++i) {
+    planner.Submit(MakeGang("small" + std::to_string(i), "a", 1, 4), At(0));
+  }
+  CHECK(Started(planner.Decide(At(0))).size() == 4);
+  auto large = MakeGang("large", "b", 2, 8);
+  large.declared_runtime = base::Duration(1);
+  planner.Submit(large, At(10));
+  CHECK(planner.Decide(At(10)).empty());
+  CHECK(planner.Decide(At(300)).empty());
+  const auto evicted = Evicted(planner.Decide(At(1500)));
+  CHECK(evicted.size() == 4);
+  for (const auto& it : evicted) planner.Ended(JobName(it), At(1505));
+  CHECK(Started(planner.Decide(At(1505))) == Jobs{"large"});
+}
+
+TEST_CASE("a starving gang gets its place from work that can't be saved") {
+  auto planner = MakeCell(1);
+  auto endless = MakeGang("endless", "a", 1, 8);
+  endless.checkpoint = false;
+  planner.Submit(endless, At(0));
+  planner.Decide(At(0));
+  planner.Submit(MakeGang("waiting", "b", 1, 8), At(10));
+  int now = 10;
+  while (now < 48 * 3600 && Evicted(planner.Decide(At(now))).empty()) {
+    now += 60;
+  }
+  CHECK(now < 48 * 3600);
+}
+
+TEST_CASE("two gangs that starve take turns, each longer than the last") {
+  auto planner = MakeCell(1);
+  planner.Submit(MakeGang("a", "a", 1, 8), At(0));
+  planner.Submit(MakeGang("b", "b", 1, 8), At(0));
+  std::string running = Started(planner.Decide(At(0))).front();
+  std::vector<int> turns;
+  int since = 0;
+  for (int now = 10; now < 40'000; now += 10) {
+    for (const auto& it : Evicted(planner.Decide(At(now)))) {
+      CHECK(it == running);
+      planner.Ended(JobName(it), At(now));
+      const auto next = Started(planner.Decide(At(now)));
+      REQUIRE(next.size() == 1);
+      running = next.front();
+      turns.push_back(now - since);
+      since = now;
+      planner.Submit(MakeGang(it, it, 1, 8), At(now));
+    }
+  }
+  REQUIRE(turns.size() >= 6);
+  CHECK(turns.back() >= 4 * turns.front());
+}
+
+TEST_CASE("scattered small gangs are moved together for a large one") {
+  auto planner = MakeCell(3);
+  std::vector<std::string> names;
+  for (int i = 0; i < 6; ++i) names.push_back("s" + std::to_string(i));
+  for (const auto& it : names) {
+    planner.Submit(MakeGang(it, "a", 1, 4), At(0));
+  }
+  planner.Decide(At(0));
+  // One half of each worker comes free.
+  const auto facts = planner.Facts();
+  std::vector<base::WorkerName> seen;
+  for (const auto& it : facts.gangs) {
+    const auto& worker = it.placement.tasks[0].worker;
+    if (std::find(seen.begin(), seen.end(), worker) != seen.end()) continue;
+    seen.push_back(worker);
+    planner.Ended(it.gang.job, At(100));
+  }
+  REQUIRE(planner.free_accelerators() == 12);
+  planner.Submit(MakeGang("large", "b", 1, 8), At(100));
+  CHECK(planner.Decide(At(100)).empty());
+  const auto evicted = Evicted(planner.Decide(At(1000)));
+  REQUIRE(evicted.size() == 1);
+  planner.Ended(JobName(evicted[0]), At(1005));
+  planner.Submit(MakeGang(evicted[0], "a", 1, 4), At(1005));
+  CHECK(Started(planner.Decide(At(1005))).size() == 2);
+}
+
+TEST_CASE("a worker that fills up is relieved of the gang that grew") {
+  auto planner = MakeCell(1);
+  for (const auto* it : {"modest", "greedy"}) {
+    auto gang = MakeGang(it, "a", 1, 1);
+    gang.needs.memory_mb = 20'000;
+    planner.Submit(gang, At(0));
+    planner.Decide(At(0));
+    const bool greedy = std::string(it) == "greedy";
+    planner.ReportUsage(MakeWorker(0).name, 8, greedy ? 240'000 : 20'000);
+  }
+  CHECK(planner.Decide(At(30)).empty());
+  planner.ReportUsage(MakeWorker(0).name, 8, 255'000);
+  CHECK(Evicted(planner.Decide(At(60))) == Jobs{"greedy"});
+  planner.Ended(JobName("greedy"), At(65));
+  auto again = MakeGang("greedy", "a", 1, 1);
+  again.needs.memory_mb = 20'000;
+  REQUIRE(planner.Submit(again, At(65)).empty());
+  planner.Decide(At(66));
+  // It is charged what it was seen to use, not what it declares.
+  CHECK(planner.free_accelerators() <= 1);
+}
+
+TEST_CASE("a lost worker shows as a shortfall until it is back") {
+  auto planner = MakeCell(2);
+  REQUIRE(planner.SetGuarantees(
+              {MakeGuarantee("a", 16, Adjacency::kRack, 1)}) == "");
+  planner.SetHealth(MakeWorker(1).name, WorkerHealth::kUnreachable);
+  REQUIRE(planner.Shortfalls().size() == 1);
+  CHECK(planner.Shortfalls()[0].missing == 1);
+  planner.SetHealth(MakeWorker(1).name, WorkerHealth::kHealthy);
+  CHECK(planner.Shortfalls().empty());
+}
+
+}  // namespace
+}  // namespace lapishatch::placement
