Decide in bounded time; serve arrivals in order

Change: a gang that found nothing to borrow is not tried again for another of the same needs until something changes; organisations without room in their blocks are passed over without a look at the cell; compaction and reservations look at a few gangs every 10 s; the loss that a wait may cause grows with it; arrivals start in order of arrival.

--- a/bench/placement_scale.cc
+++ b/bench/placement_scale.cc
@@ -4,9 +4,9 @@
 #include <malloc.h>
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <ctime>
 #include <functional>
 #include <random>
 #include <string>
@@ -24,12 +24,19 @@
 constexpr int kSamples = 300;
 constexpr int kRecoveries = 5;
 
+/// Processor time of this thread, which other programs on the machine do not
+/// lengthen as they do the time on the clock.
+double ThreadMicroseconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return 1e6 * static_cast<double>(now.tv_sec) +
+         1e-3 * static_cast<double>(now.tv_nsec);
+}
+
 double Microseconds(const std::function<void()>& work) {
-  const auto from = std::chrono::steady_clock::now();
+  const double from = ThreadMicroseconds();
   work();
-  return std::chrono::duration<double, std::micro>(
-             std::chrono::steady_clock::now() - from)
-      .count();
+  return ThreadMicroseconds() - from;
 }
 
 double Quantile(std::vector<double> values, double q) {
--- a/src/placement/gang_queue.cc
+++ b/src/placement/gang_queue.cc
@@ -44,7 +44,7 @@
   return {.work_class = ClassOf(kind.work_class, waiting.submitted, now),
           .share = share(kind.organisation),
           .oldest = waiting,
-          .kind = kind};
+          .kind = &kind};
 }
 
 void GangQueue::Visit(base::TimePoint now, Generation generation,
@@ -56,17 +56,19 @@
   }
   while (!turns.empty()) {
     auto turn = std::move(turns.extract(turns.begin()).value());
-    const double present_share = share(turn.kind.organisation);
+    const double present_share = share(turn.kind->organisation);
     if (present_share != turn.share) {
       turn.share = present_share;
       turns.insert(std::move(turn));
       continue;
     }
+    // The visit may take the last gang of the kind, and with it the kind.
+    const auto kind = *turn.kind;
     const bool taken = visit(turn.oldest.job);
-    const auto it = lines_.find(turn.kind);
+    const auto it = lines_.find(kind);
     if (it == lines_.end()) continue;
     if (taken) {
-      turns.insert(TurnOf(turn.kind, *it->second.gangs.begin(), now, share));
+      turns.insert(TurnOf(it->first, *it->second.gangs.begin(), now, share));
     } else {
       it->second.failed = generation;
     }
--- a/src/placement/internal/gang_queue.h
+++ b/src/placement/internal/gang_queue.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "placement/gang.h"
@@ -83,9 +84,13 @@
     int work_class = 0;
     double share = 0;
     Waiting oldest;
-    GangKind kind;
+    /// Stays as long as a gang of the kind waits.
+    const GangKind* kind = nullptr;
 
-    friend auto operator<=>(const Turn&, const Turn&) = default;
+    friend bool operator<(const Turn& a, const Turn& b) {
+      return std::tie(a.work_class, a.share, a.oldest) <
+             std::tie(b.work_class, b.share, b.oldest);
+    }
   };
 
   Turn TurnOf(const GangKind& kind, const Waiting& waiting, base::TimePoint now,
--- a/src/placement/internal/planner_impl.h
+++ b/src/placement/internal/planner_impl.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -95,6 +96,18 @@
     bool reported = false;
   };
 
+  /// What decides whether a gang finds room to borrow.
+  struct BorrowKey {
+    int tasks = 0;
+    int accelerators = 0;
+    int cores = 0;
+    std::int64_t memory_mb = 0;
+    Adjacency adjacency = Adjacency::kRack;
+    bool may_backfill = false;
+
+    friend auto operator<=>(const BorrowKey&, const BorrowKey&) = default;
+  };
+
   /// Capacity held back for one starving gang.
   struct Reservation {
     base::JobName job;
@@ -140,15 +153,23 @@
   void Start(GangState& gang, base::TimePoint now);
   void StartOrClaim(GangState& gang, const Clearing& clearing,
                     const std::string& reason, base::TimePoint now);
+  /// Whether a place is free now, and nobody waits for it.
   bool PhysicallyFree(const internal::Place& place) const;
   bool WithinLimit(const GangState& gang) const;
   double ShareOf(const base::OrganisationName& organisation) const;
   internal::PlaceFinder Finder() const;
 
+  static BorrowKey BorrowKeyOf(const GangState& gang);
+  /// Whether a gang like this found no room since the last change.
+  bool FailedBefore(const GangState& gang);
+
   // planner_own.cc
   bool TryOwn(GangState& gang, bool may_evict, base::TimePoint now);
   bool TryDemote(GangState& gang, base::TimePoint now);
   void TakeOwn(GangState& gang, OwnPlace own, base::TimePoint now);
+  /// What is left in blocks: most organisations have too little, which is seen
+  /// without a look at the cell.
+  int RoomIn(const std::vector<internal::BlockIndex>& blocks) const;
   /// What the gang is charged where it is charged least.
   int ChargeOf(const GangState& gang) const;
   internal::BlockIndex SmallestUnused(const GangState& gang) const;
@@ -186,9 +207,8 @@
   bool Reserve(GangState& gang, base::TimePoint now);
   void DropReservation();
   bool ReservationStands() const;
-  /// Whether the gang has waited so long that evicting costs no more.
-  bool WorthWaitingFor(const GangState& gang, const Clearing& clearing,
-                       base::TimePoint now) const;
+  /// Accelerator seconds that may be lost by others to end the gang's wait.
+  double AcceptedLoss(const GangState& gang, base::TimePoint now) const;
   bool HasRunItsTurn(const GangState& gang, base::TimePoint now) const;
 
   // planner_compact.cc
@@ -227,6 +247,11 @@
   /// The jobs of `past_`, oldest first, to bound it.
   std::deque<base::JobName> past_order_;
   Reservation reservation_;
+  /// Gangs for which nothing to borrow was free, since `borrow_generation_`.
+  std::set<BorrowKey> borrow_failures_;
+  internal::Generation borrow_generation_ = 0;
+  /// When a starving gang that no place was found for is next looked at.
+  base::TimePoint next_reservation_{};
   /// When gangs are next looked at that would fit if others moved.
   base::TimePoint next_compaction_{};
   internal::Generation generation_ = 1;
--- a/src/placement/planner_compact.cc
+++ b/src/placement/planner_compact.cc
@@ -18,6 +18,15 @@
 /// Looking for moves is dear, and nothing is lost by doing it seldom.
 constexpr base::Duration kCompactionEvery{10'000};
 
+/// Gangs looked at each time.
+constexpr std::size_t kMostLookedAt = 4;
+
+/// Workers looked at each time, in cells where that allows fewer gangs.
+constexpr int kWorkersLookedAt = 2'600;
+
+/// Gangs moved for one.
+constexpr std::size_t kMostMoved = 16;
+
 }  // namespace
 
 void Planner::Impl::Compact(base::TimePoint now) {
@@ -35,6 +44,10 @@
     return std::pair(a->queued, a->gang.job) <
            std::pair(b->queued, b->gang.job);
   });
+  // The oldest few, so that a long queue does not make decisions slow.
+  const auto most = std::clamp<std::size_t>(
+      kWorkersLookedAt / std::max(1, cell_.size()), 1, kMostLookedAt);
+  if (waiting.size() > most) waiting.resize(most);
   for (auto* it : waiting) {
     if (!TryCompact(*it, now)) continue;
     queue_.Remove(it->gang);
@@ -45,8 +58,15 @@
 bool Planner::Impl::TryCompact(GangState& gang, base::TimePoint now) {
   auto place = CheapestPlace(gang, Victims::kMovable, now);
   if (place.empty()) return false;
+  // A first estimate spares the dear search for victims.
+  double estimate = 0;
+  for (const auto& it : place) {
+    estimate += ClearingCost(it.worker, it.total(), Victims::kMovable, now);
+  }
+  if (estimate > AcceptedLoss(gang, now)) return false;
   const auto clearing = Clear(place, Victims::kMovable, now);
-  if (!clearing.possible || !WorthWaitingFor(gang, clearing, now)) return false;
+  if (!clearing.possible || clearing.victims.size() > kMostMoved) return false;
+  if (clearing.lost_work > AcceptedLoss(gang, now)) return false;
   if (!FitElsewhere(clearing.victims, place)) return false;
   gang.place = std::move(place);
   StartOrClaim(gang, clearing,
--- a/src/placement/planner_decide.cc
+++ b/src/placement/planner_decide.cc
@@ -1,6 +1,7 @@
 // The order of decisions, and borrowed work.
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "placement/internal/planner_impl.h"
@@ -19,6 +20,11 @@
 constexpr double kUnderGuarantee = 1;
 /// The same for work that starts again from nothing then.
 constexpr double kUnderGuaranteeUnsaved = 8;
+/// What is held back may be used by work that is stopped at little cost.
+bool MayBackfill(const Gang& gang) {
+  return gang.checkpoint || gang.work_class == base::WorkClass::kUrgent;
+}
+
 /// What it costs to put work where it is stopped for a starving gang.
 constexpr double kBackfill = 100;
 
@@ -52,8 +58,22 @@
 
 void Planner::Impl::StartArrivals(base::TimePoint now) {
   const auto arriving = arriving_;
+  // First come, first served: what an earlier one waits for is not given to a
+  // later one, so that no one waits longer than its own victims may take.
+  std::map<internal::WorkerIndex, int> promised;
   for (auto* it : arriving) {
-    if (!PhysicallyFree(it->place)) continue;
+    const bool free =
+        std::all_of(it->place.begin(), it->place.end(), [&](const auto& slot) {
+          const auto& worker = cell_.at(slot.worker);
+          return worker.used + promised[slot.worker] + slot.total() <=
+                 worker.capacity;
+        });
+    if (!free) {
+      for (const auto& slot : it->place) {
+        promised[slot.worker] += slot.total();
+      }
+      continue;
+    }
     // The claim becomes a place, in the same blocks.
     const auto uses = std::exchange(it->uses, {});
     DropClaim(*it);
@@ -65,7 +85,8 @@
 bool Planner::Impl::PhysicallyFree(const Place& place) const {
   return std::all_of(place.begin(), place.end(), [&](const auto& it) {
     const auto& worker = cell_.at(it.worker);
-    return worker.open() && worker.used + it.total() <= worker.capacity;
+    return worker.open() &&
+           worker.used + worker.arriving + it.total() <= worker.capacity;
   });
 }
 
@@ -136,9 +157,7 @@
 
 Rooms Planner::Impl::RoomsToBorrow(const GangState& gang) const {
   const bool holder = gang.gang.job == reservation_.job;
-  // What is held back may be used by work that is stopped at little cost.
-  const bool may_backfill = holder || gang.gang.checkpoint ||
-                            gang.gang.work_class == base::WorkClass::kUrgent;
+  const bool may_backfill = holder || MayBackfill(gang.gang);
   Rooms rooms(cell_.size());
   for (internal::WorkerIndex it = 0; it < cell_.size(); ++it) {
     const auto& worker = cell_.at(it);
@@ -153,13 +172,36 @@
   return rooms;
 }
 
+Planner::Impl::BorrowKey Planner::Impl::BorrowKeyOf(const GangState& gang) {
+  const auto& needs = gang.gang.needs;
+  return {.tasks = gang.gang.tasks,
+          .accelerators = needs.accelerators,
+          .cores = needs.cores,
+          .memory_mb = needs.memory_mb,
+          .adjacency = gang.gang.adjacency,
+          .may_backfill = MayBackfill(gang.gang)};
+}
+
+bool Planner::Impl::FailedBefore(const GangState& gang) {
+  // Starts only take room: what did not fit fits again after a change.
+  if (borrow_generation_ != generation_) {
+    borrow_generation_ = generation_;
+    borrow_failures_.clear();
+  }
+  return borrow_failures_.contains(BorrowKeyOf(gang));
+}
+
 bool Planner::Impl::TryBorrow(GangState& gang, base::TimePoint now) {
   if (!internal::MayBorrow(gang.gang)) return false;
+  const bool holder = gang.gang.job == reservation_.job;
+  if (!holder && FailedBefore(gang)) return false;
   auto place =
       Finder().Find(gang.gang, gang.gang.adjacency, RoomsToBorrow(gang));
-  if (place.empty()) return false;
+  if (place.empty()) {
+    if (!holder) borrow_failures_.insert(BorrowKeyOf(gang));
+    return false;
+  }
   gang.place = std::move(place);
-  const bool holder = gang.gang.job == reservation_.job;
   gang.backfill = !holder && std::any_of(gang.place.begin(), gang.place.end(),
                                          [&](const auto& it) {
                                            return cell_.at(it.worker).held;
--- a/src/placement/planner_own.cc
+++ b/src/placement/planner_own.cc
@@ -27,7 +27,7 @@
 bool Planner::Impl::TryOwn(GangState& gang, bool may_evict,
                            base::TimePoint now) {
   const auto& blocks = book_.Of(gang.gang.organisation);
-  if (blocks.empty()) return false;
+  if (blocks.empty() || RoomIn(blocks) < ChargeOf(gang)) return false;
   std::vector<BlockIndex> in_use;
   for (const auto it : blocks) {
     if (book_.blocks()[it].in_use()) in_use.push_back(it);
@@ -84,6 +84,8 @@
 }
 
 bool Planner::Impl::TryDemote(GangState& gang, base::TimePoint now) {
+  // Nothing is below quiet work.
+  if (gang.gang.work_class == base::WorkClass::kQuiet) return false;
   BlockIndex best = kNone;
   double best_cost = 0;
   for (const auto index : book_.Of(gang.gang.organisation)) {
@@ -109,9 +111,22 @@
   return TryOwn(gang, /*may_evict=*/true, now);
 }
 
+int Planner::Impl::RoomIn(const std::vector<BlockIndex>& blocks) const {
+  int room = 0;
+  for (const auto index : blocks) {
+    for (const auto& it : book_.blocks()[index].pieces) {
+      room += it.count - it.in_use;
+    }
+  }
+  return room;
+}
+
 int Planner::Impl::ChargeOf(const GangState& gang) const {
-  const auto charges = cell_.ChargesOf(gang.gang.needs);
-  return gang.gang.tasks * *std::min_element(charges.begin(), charges.end());
+  int charge = cell_.largest() + 1;
+  for (const auto& it : cell_.types()) {
+    charge = std::min(charge, internal::ChargeOn(it, gang.gang.needs));
+  }
+  return gang.gang.tasks * charge;
 }
 
 BlockIndex Planner::Impl::SmallestUnused(const GangState& gang) const {
@@ -126,7 +141,7 @@
 Planner::Impl::OwnPlace Planner::Impl::FindOwnPlace(
     const GangState& gang, const std::vector<BlockIndex>& blocks,
     base::TimePoint now) {
-  if (blocks.empty()) return {};
+  if (RoomIn(blocks) < ChargeOf(gang)) return {};
   Rooms rooms(cell_.size());
   for (const auto index : blocks) {
     const auto& block = book_.blocks()[index];
--- a/src/placement/planner_starving.cc
+++ b/src/placement/planner_starving.cc
@@ -21,6 +21,9 @@
 /// A gang is not stopped for a starving one before it has run so long.
 constexpr base::Duration kFirstTurn{600'000};
 
+/// Looking for a place to reserve is dear, and starving takes minutes.
+constexpr base::Duration kLookEvery{10'000};
+
 }  // namespace
 
 void Planner::Impl::ServeStarving(base::TimePoint now) {
@@ -29,8 +32,11 @@
   if (!reservation_.job.empty()) {
     gang = FindGang(reservation_.job);
   } else {
+    if (now < next_reservation_) return;
+    next_reservation_ = now + kLookEvery;
     gang = OldestStarving(now);
     if (gang == nullptr || !Reserve(*gang, now)) return;
+    next_reservation_ = now;
   }
   const auto done = [&] {
     queue_.Remove(gang->gang);
@@ -42,7 +48,8 @@
   const bool all_had_their_turn =
       std::all_of(clearing.victims.begin(), clearing.victims.end(),
                   [&](const auto* it) { return HasRunItsTurn(*it, now); });
-  if (!all_had_their_turn || !WorthWaitingFor(*gang, clearing, now)) return;
+  if (!all_had_their_turn || clearing.lost_work > AcceptedLoss(*gang, now))
+    return;
   gang->place = reservation_.place;
   StartOrClaim(*gang, clearing,
                "job " + gang->gang.job.str() +
@@ -93,9 +100,8 @@
       [&](const auto& it) { return Stoppable(it.worker) >= it.total(); });
 }
 
-bool Planner::Impl::WorthWaitingFor(const GangState& gang,
-                                    const Clearing& clearing,
-                                    base::TimePoint now) const {
+double Planner::Impl::AcceptedLoss(const GangState& gang,
+                                   base::TimePoint now) const {
   // As in renting until the rent has cost a share of buying: what is lost stays
   // in proportion to what was waited, whatever was declared. The proportion
   // grows, so that no wait is endless: work that can't be checkpointed loses
@@ -103,10 +109,9 @@
   const double waited =
       std::chrono::duration<double>(now - gang.queued).count();
   const double patience =
-      std::chrono::duration<double>(options_.starvation_after).count();
+      std::chrono::duration<double>(options_.ageing_after).count();
   const double growth = std::max(1.0, waited / std::max(patience, 1.0));
-  return clearing.lost_work <=
-         kLossPerWait * growth * waited * gang.gang.accelerators();
+  return kLossPerWait * growth * waited * gang.gang.accelerators();
 }
 
 bool Planner::Impl::HasRunItsTurn(const GangState& gang,
