--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -88,13 +88,16 @@
 void PrintWaits(const Printer& printer, const std::vector<Row>& rows,
                 std::size_t method, const std::string& name,
                 std::vector<double> Outcome::*waits) {
-  for (const auto& [suffix, q] :
-       {std::pair("p50_s", 0.5), std::pair("p99_s", 0.99),
-        std::pair("worst_s", 1.0)}) {
-    printer.Print(name + "." + suffix,
+  struct Rank {
+    const char* suffix;
+    double q;
+  };
+  for (const Rank rank :
+       {Rank{"p50_s", 0.5}, Rank{"p99_s", 0.99}, Rank{"worst_s", 1.0}}) {
+    printer.Print(name + "." + rank.suffix,
                   Collect(rows, method,
                           [&](const Outcome& it, const Row&) {
-                            return Quantile(it.*waits, q);
+                            return Quantile(it.*waits, rank.q);
                           }),
                   "s");
   }
--- a/bench/placement_scale.cc
+++ b/bench/placement_scale.cc
@@ -21,6 +21,7 @@
 
 constexpr int kPerRack = 8;
 constexpr int kAccelerators = 8;
+constexpr std::int64_t kTaskMb = 16'384;
 constexpr int kSamples = 300;
 constexpr int kRecoveries = 5;
 
@@ -63,7 +64,7 @@
   gang.organisation =
       base::OrganisationName("organisation-" + std::to_string(organisation));
   gang.tasks = tasks;
-  gang.needs = {accelerators, accelerators * 4, accelerators * 16'384};
+  gang.needs = {accelerators, accelerators * 4, accelerators * kTaskMb};
   gang.adjacency = tasks == 1 ? Adjacency::kWorker : Adjacency::kRack;
   gang.checkpoint = true;
   gang.idempotent = true;
--- a/src/placement/cell.cc
+++ b/src/placement/cell.cc
@@ -52,7 +52,8 @@
 std::uint64_t PickAccelerators(std::uint64_t taken, int accelerators,
                                int count) {
   if (count <= 0) return 0;
-  const auto size = static_cast<int>(std::bit_ceil(unsigned(count)));
+  const auto size =
+      static_cast<int>(std::bit_ceil(static_cast<unsigned>(count)));
   std::uint64_t best = 0;
   int best_free = 0;
   for (int first = 0; first + size <= accelerators; first += size) {
--- a/src/placement/guarantee_book.cc
+++ b/src/placement/guarantee_book.cc
@@ -37,6 +37,7 @@
 
 void GuaranteeBook::Set(const std::vector<Guarantee>& guarantees) {
   std::vector<int> wanted;
+  wanted.reserve(guarantees.size());
   for (const auto& it : guarantees) wanted.push_back(std::max(0, it.count));
   std::vector<BlockIndex> order(blocks_.size());
   std::iota(order.begin(), order.end(), 0);
--- a/src/placement/planner_compact.cc
+++ b/src/placement/planner_compact.cc
@@ -8,7 +8,6 @@
 
 namespace lapishatch::placement {
 
-using internal::GangState;
 using internal::Place;
 using internal::Rooms;
 using internal::WorkerIndex;
@@ -19,13 +18,13 @@
 constexpr base::Duration kCompactionEvery{10'000};
 
 /// Gangs looked at each time.
-constexpr std::size_t kMostLookedAt = 4;
+constexpr std::size_t kMostLookedAt = 16;
 
 /// Workers looked at each time, in cells where that allows fewer gangs.
 constexpr int kWorkersLookedAt = 2'600;
 
 /// Gangs moved for one.
-constexpr std::size_t kMostMoved = 16;
+constexpr std::size_t kMostMoved = 64;
 
 }  // namespace
 
--- a/src/placement/planner_decide.cc
+++ b/src/placement/planner_decide.cc
@@ -9,7 +9,6 @@
 namespace lapishatch::placement {
 
 using internal::GangPhase;
-using internal::GangState;
 using internal::Place;
 using internal::Rooms;
 
--- a/src/placement/planner_evict.cc
+++ b/src/placement/planner_evict.cc
@@ -10,7 +10,6 @@
 namespace lapishatch::placement {
 
 using internal::GangPhase;
-using internal::GangState;
 using internal::Place;
 using internal::WorkerIndex;
 
@@ -161,7 +160,9 @@
 }
 
 void Planner::Impl::RelieveWorkers(base::TimePoint now) {
-  for (auto& [index, overfill] : overfilled_) {
+  for (auto& entry : overfilled_) {
+    const auto index = entry.first;
+    auto& overfill = entry.second;
     // One step for each report: the next one tells whether it was enough.
     if (!std::exchange(overfill.reported, false)) continue;
     const bool memory = overfill.memory_mb > 0;
--- a/src/placement/planner_explain.cc
+++ b/src/placement/planner_explain.cc
@@ -8,7 +8,6 @@
 namespace lapishatch::placement {
 
 using internal::GangPhase;
-using internal::GangState;
 
 namespace {
 
--- a/src/placement/planner_own.cc
+++ b/src/placement/planner_own.cc
@@ -10,7 +10,6 @@
 namespace lapishatch::placement {
 
 using internal::BlockIndex;
-using internal::GangState;
 using internal::kNone;
 using internal::Place;
 using internal::Rooms;
--- a/src/placement/planner_starving.cc
+++ b/src/placement/planner_starving.cc
@@ -42,14 +42,18 @@
     queue_.Remove(gang->gang);
     DropReservation();
   };
-  if (TryPlace(*gang, now)) return done();
+  if (TryPlace(*gang, now)) {
+    done();
+    return;
+  }
   const auto clearing = Clear(reservation_.place, Victims::kBorrowed, now);
   if (!clearing.possible) return;
   const bool all_had_their_turn =
       std::all_of(clearing.victims.begin(), clearing.victims.end(),
                   [&](const auto* it) { return HasRunItsTurn(*it, now); });
-  if (!all_had_their_turn || clearing.lost_work > AcceptedLoss(*gang, now))
+  if (!all_had_their_turn || clearing.lost_work > AcceptedLoss(*gang, now)) {
     return;
+  }
   gang->place = reservation_.place;
   StartOrClaim(*gang, clearing,
                "job " + gang->gang.job.str() +
--- a/test/placement/cell_builder.h
+++ b/test/placement/cell_builder.h
@@ -8,6 +8,13 @@
 
 namespace lapishatch::placement {
 
+/// What the checks return when nothing is wrong; shows what is, when it
+/// differs.
+inline const std::string kNoProblem;
+
+/// Memory that goes with one accelerator.
+inline constexpr std::int64_t kShareMb = 32'768;
+
 /// Worker `number` of a cell with `per_rack` workers a rack.
 inline WorkerSpec MakeWorker(int number, int per_rack = 8,
                              int accelerators = 8) {
@@ -15,7 +22,7 @@
           .rack = base::RackName("r" + std::to_string(number / per_rack)),
           .accelerators = accelerators,
           .cores = accelerators * 8,
-          .memory_mb = accelerators * 32'768};
+          .memory_mb = accelerators * kShareMb};
 }
 
 /// A gang that can be checkpointed and run again, and needs the share of its
@@ -29,7 +36,7 @@
   gang.tasks = tasks;
   gang.needs = {.accelerators = accelerators,
                 .cores = accelerators * 8,
-                .memory_mb = accelerators * 32'768};
+                .memory_mb = accelerators * kShareMb};
   gang.adjacency = adjacency;
   gang.checkpoint = true;
   gang.idempotent = true;
--- a/test/placement/cell_facts_test.cc
+++ b/test/placement/cell_facts_test.cc
@@ -34,7 +34,9 @@
   return CheckCell(facts).find(problem) != std::string::npos;
 }
 
-TEST_CASE("a sound cell has no problem") { CHECK(CheckCell(Sound()) == ""); }
+TEST_CASE("a sound cell has no problem") {
+  CHECK(CheckCell(Sound()) == kNoProblem);
+}
 
 TEST_CASE("work on another's block that is not borrowed is found") {
   auto facts = Sound();
@@ -48,7 +50,7 @@
   facts.gangs[1].gang.idempotent = false;
   CHECK(Finds(facts, "can't be evicted"));
   facts.gangs[1].gang.may_be_lost = true;
-  CHECK(CheckCell(facts) == "");
+  CHECK(CheckCell(facts) == kNoProblem);
 }
 
 TEST_CASE("a guarantee without its block is found") {
@@ -93,7 +95,7 @@
   facts.gangs.back().arriving = true;
   CHECK(Finds(facts, "worker w1 will be overfilled"));
   facts.gangs[1].evicting = true;
-  CHECK(CheckCell(facts) == "");
+  CHECK(CheckCell(facts) == kNoProblem);
 }
 
 TEST_CASE("a gang in part, or too far apart, is found") {
--- a/test/placement/invariant_test.cc
+++ b/test/placement/invariant_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "cell_builder.h"
 #include "history.h"
 
 namespace lapishatch::placement {
@@ -68,7 +69,7 @@
                 {StepKind::kSubmit, 0, 22, 4},
                 {StepKind::kSubmit, 0, 14, 16},
                 {StepKind::kConfigure, 6, 0, 0},
-                {StepKind::kSubmit, 4, 13, 8}}) == "");
+                {StepKind::kSubmit, 4, 13, 8}}) == kNoProblem);
   }
 }
 
@@ -79,7 +80,7 @@
               {StepKind::kSubmit, 1, 0, 0},
               {StepKind::kConfigure, 1, 0, 0},
               {StepKind::kSubmit, 0, 0, 18},
-              {StepKind::kNewOwner, 0, 0, 0}}) == "");
+              {StepKind::kNewOwner, 0, 0, 0}}) == kNoProblem);
 }
 
 TEST_CASE("found work takes the free part of a block in use") {
@@ -88,7 +89,7 @@
               {StepKind::kSubmit, 0, 0, 0},
               {StepKind::kConfigure, 0, 0, 0},
               {StepKind::kSubmit, 1, 0, 18},
-              {StepKind::kNewOwner, 0, 0, 0}}) == "");
+              {StepKind::kNewOwner, 0, 0, 0}}) == kNoProblem);
 }
 
 TEST_CASE("a block that was reissued is not guaranteed again") {
@@ -96,7 +97,7 @@
              {{StepKind::kForce, 5, 0, 0},
               {StepKind::kSubmit, 16, 0, 18},
               {StepKind::kSetHealth, 0, 1, 0},
-              {StepKind::kForce, 21, 0, 0}}) == "");
+              {StepKind::kForce, 21, 0, 0}}) == kNoProblem);
 }
 
 TEST_CASE("blocks that gave way to found work are placed again") {
@@ -108,7 +109,7 @@
               {StepKind::kSubmit, 0, 5, 8},
               {StepKind::kSubmit, 0, 0, 0},
               {StepKind::kSubmit, 4, 0, 0},
-              {StepKind::kNewOwner, 0, 0, 0}}) == "");
+              {StepKind::kNewOwner, 0, 0, 0}}) == kNoProblem);
 }
 
 }  // namespace
--- a/test/placement/planner_test.cc
+++ b/test/placement/planner_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "cell_builder.h"
 #include "placement/placement.h"
 
 namespace lapishatch::placement {
@@ -10,27 +11,9 @@
 using base::OrganisationName;
 using base::TimePoint;
 
-WorkerSpec Worker(int number, int per_rack = 8) {
-  return {.name = base::WorkerName("w" + std::to_string(number)),
-          .rack = base::RackName("r" + std::to_string(number / per_rack)),
-          .accelerators = 8,
-          .cores = 64,
-          .memory_mb = 262'144};
-}
-
-Gang MakeGang(const std::string& job, const std::string& organisation,
-              int tasks, int accelerators) {
-  return {.job = JobName(job),
-          .organisation = OrganisationName(organisation),
-          .tasks = tasks,
-          .needs = {.accelerators = accelerators, .cores = accelerators},
-          .checkpoint = true,
-          .idempotent = true};
-}
-
 TEST_CASE("a gang starts whole on free capacity") {
   Planner planner({});
-  for (int i = 0; i < 4; ++i) planner.PutWorker(Worker(i));
+  for (int i = 0; i < 4; ++i) planner.PutWorker(MakeWorker(i));
   const TimePoint now{Duration(1000)};
   REQUIRE(planner.Submit(MakeGang("a", "one", 2, 8), now).empty());
   const auto decisions = planner.Decide(now);
@@ -39,14 +22,15 @@
   CHECK(start.placement.tasks.size() == 2);
   CHECK(start.placement.borrowed);
   CHECK(planner.free_accelerators() == 16);
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
 }
 
 TEST_CASE("a guaranteed gang evicts the borrowed work in its block") {
   Planner planner({});
-  for (int i = 0; i < 2; ++i) planner.PutWorker(Worker(i));
+  for (int i = 0; i < 2; ++i) planner.PutWorker(MakeWorker(i));
   REQUIRE(planner.SetGuarantees(
-              {{OrganisationName("owner"), {16, Adjacency::kRack}, 1}}) == "");
+              {{OrganisationName("owner"), {16, Adjacency::kRack}, 1}}) ==
+          kNoProblem);
   TimePoint now{Duration(1000)};
   planner.Submit(MakeGang("borrowed", "other", 2, 8), now);
   REQUIRE(planner.Decide(now).size() == 1);
@@ -54,25 +38,25 @@
   auto decisions = planner.Decide(now);
   REQUIRE(decisions.size() == 1);
   CHECK(std::get<EvictGang>(decisions[0]).job == JobName("borrowed"));
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
   CHECK(planner.Decide(now).empty());
   planner.Ended(JobName("borrowed"), now);
   decisions = planner.Decide(now);
   REQUIRE(decisions.size() == 1);
   CHECK(std::get<StartGang>(decisions[0]).job == JobName("owned"));
   CHECK_FALSE(std::get<StartGang>(decisions[0]).placement.borrowed);
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
 }
 
 TEST_CASE("guarantees that do not fit together are refused with the reason") {
   Planner planner({});
-  for (int i = 0; i < 2; ++i) planner.PutWorker(Worker(i));
+  for (int i = 0; i < 2; ++i) planner.PutWorker(MakeWorker(i));
   const auto reason = planner.SetGuarantees(
       {{OrganisationName("a"), {16, Adjacency::kRack}, 1},
        {OrganisationName("b"), {8, Adjacency::kWorker}, 1}});
   CHECK(reason.find("organisation b") != std::string::npos);
   CHECK(planner.Shortfalls().empty());
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
 }
 
 }  // namespace
--- a/test/placement/policy_test.cc
+++ b/test/placement/policy_test.cc
@@ -104,7 +104,7 @@
 TEST_CASE("a task that needs more than its share is charged for it") {
   auto planner = MakeCell(1);
   auto gang = MakeGang("a", "a", 1, 1);
-  gang.needs.memory_mb = 4 * 32'768;
+  gang.needs.memory_mb = 4 * kShareMb;
   planner.Submit(gang, At(0));
   planner.Submit(MakeGang("b", "a", 1, 8), At(1));
   planner.Submit(MakeGang("c", "a", 1, 4), At(2));
@@ -115,7 +115,7 @@
 TEST_CASE("work that can't be stopped or repeated is never borrowed") {
   auto planner = MakeCell(2);
   REQUIRE(planner.SetGuarantees(
-              {MakeGuarantee("a", 8, Adjacency::kWorker, 1)}) == "");
+              {MakeGuarantee("a", 8, Adjacency::kWorker, 1)}) == kNoProblem);
   auto claim = MakeGang("claim", "a", 1, 8);
   claim.checkpoint = false;
   claim.idempotent = false;
@@ -132,21 +132,21 @@
 
 TEST_CASE("an unused block moves to free capacity instead of evicting") {
   auto planner = MakeCell(2);
-  REQUIRE(planner.SetGuarantees(
-              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  REQUIRE(planner.SetGuarantees({MakeGuarantee("owner", 8, Adjacency::kWorker,
+                                               1)}) == kNoProblem);
   planner.Submit(MakeGang("borrowed", "other", 1, 8), At(0));
   planner.Decide(At(0));
   planner.Submit(MakeGang("owned", "owner", 1, 8), At(1));
   const auto decisions = planner.Decide(At(1));
   CHECK(Started(decisions) == Jobs{"owned"});
   CHECK(Evicted(decisions).empty());
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
 }
 
 TEST_CASE("the victim is the one that loses least") {
   auto planner = MakeCell(2);
-  REQUIRE(planner.SetGuarantees(
-              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  REQUIRE(planner.SetGuarantees({MakeGuarantee("owner", 8, Adjacency::kWorker,
+                                               1)}) == kNoProblem);
   auto old = MakeGang("old", "other", 1, 8);
   old.checkpoint = false;
   auto young = MakeGang("young", "other", 1, 8);
@@ -163,7 +163,8 @@
   auto planner = MakeCell(1);
   REQUIRE(planner.SetGuarantees(
               {MakeGuarantee("first", 4, Adjacency::kWorker, 1),
-               MakeGuarantee("later", 2, Adjacency::kWorker, 1)}) == "");
+               MakeGuarantee("later", 2, Adjacency::kWorker, 1)}) ==
+          kNoProblem);
   for (int i = 0; i < 4; ++i) {
     planner.Submit(MakeGang("b" + std::to_string(i), "other", 1, 2), At(0));
   }
@@ -181,8 +182,8 @@
 
 TEST_CASE("urgent work takes over the guarantee of its own quiet work") {
   auto planner = MakeCell(2);
-  REQUIRE(planner.SetGuarantees(
-              {MakeGuarantee("owner", 8, Adjacency::kWorker, 1)}) == "");
+  REQUIRE(planner.SetGuarantees({MakeGuarantee("owner", 8, Adjacency::kWorker,
+                                               1)}) == kNoProblem);
   auto quiet = MakeGang("quiet", "owner", 1, 8);
   quiet.work_class = base::WorkClass::kQuiet;
   planner.Submit(quiet, At(0));
@@ -192,7 +193,7 @@
   urgent.work_class = base::WorkClass::kUrgent;
   planner.Submit(urgent, At(1000));
   CHECK(Evicted(planner.Decide(At(1000))).size() == 1);
-  CHECK(planner.CheckInvariant() == "");
+  CHECK(planner.CheckInvariant() == kNoProblem);
 }
 
 TEST_CASE("a wave of cancellations frees whole blocks at once") {
@@ -264,8 +265,7 @@
 
 TEST_CASE("scattered small gangs are moved together for a large one") {
   auto planner = MakeCell(3);
-  std::vector<std::string> names;
-  for (int i = 0; i < 6; ++i) names.push_back("s" + std::to_string(i));
+  const Jobs names = {"s0", "s1", "s2", "s3", "s4", "s5"};
   for (const auto& it : names) {
     planner.Submit(MakeGang(it, "a", 1, 4), At(0));
   }
@@ -314,7 +314,7 @@
 TEST_CASE("a lost worker shows as a shortfall until it is back") {
   auto planner = MakeCell(2);
   REQUIRE(planner.SetGuarantees(
-              {MakeGuarantee("a", 16, Adjacency::kRack, 1)}) == "");
+              {MakeGuarantee("a", 16, Adjacency::kRack, 1)}) == kNoProblem);
   planner.SetHealth(MakeWorker(1).name, WorkerHealth::kUnreachable);
   REQUIRE(planner.Shortfalls().size() == 1);
   CHECK(planner.Shortfalls()[0].missing == 1);
