Name known red scenarios apart from the folder test/scenario

`scenario: NAME` in KNOWN-RED.txt also matched the Catch2 program of the folder test/scenario, which then got a test without cases. Scenarios are listed as `scenarios: NAME` now; ctest -L known-red shows just the three.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -140,9 +140,9 @@
 endfunction()
 
 # Plays scenarios/<name>.toml as ctest `scenario-<name>`, one at a time. KNOWN-RED.txt lists one as
-# `scenario: <name> | cause | issue`.
+# `scenarios: <name> | cause | issue`.
 function(lapishatch_scenarios)
-  lapishatch_known_red(scenario red)
+  lapishatch_known_red(scenarios red)
   foreach(name ${ARGN})
     add_test(NAME scenario-${name}
              COMMAND lapishatch-scenario ${CMAKE_SOURCE_DIR}/scenarios/${name}.toml)
