--- a/src/routing/runner_pool.cc
+++ b/src/routing/runner_pool.cc
@@ -1,6 +1,7 @@
 #include "routing/runner_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace lapishatch::routing {
@@ -289,7 +290,7 @@
 }
 
 base::Duration RunnerPool::mean_latency() const {
-  return base::Duration(static_cast<std::int64_t>(mean_latency_ms_ + 0.5));
+  return base::Duration(std::llround(mean_latency_ms_));
 }
 
 bool RunnerPool::HasRunners() const {
