--- a/bench/claims.cc
+++ b/bench/claims.cc
@@ -103,7 +103,7 @@
         table = groups_.back().get();
       }
       entries_.push_back(std::make_unique<PathEntry>(
-          i, time_, cluster_, table, directory_, seed + 100 * i,
+          i, time_, cluster_, table, directory_, seed + 100UL * i,
           routing::RequestPathOptions{}));
     }
   }
--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -25,15 +25,8 @@
 constexpr double kLargeOrganisation = 0.7;
 
 base::Duration DeadlineOf(base::WorkClass work_class) {
-  switch (work_class) {
-    case base::WorkClass::kUrgent:
-      return base::Duration(3'000);
-    case base::WorkClass::kNormal:
-      return base::Duration(3'000);
-    case base::WorkClass::kQuiet:
-      return base::Duration(10'000);
-  }
-  return base::Duration(0);
+  const bool quiet = work_class == base::WorkClass::kQuiet;
+  return base::Duration(quiet ? 10'000 : 3'000);
 }
 
 class Run {
@@ -42,7 +35,7 @@
       : load_(load), random_(seed), cluster_(time_, seed + 1) {
     for (int i = 0; i < kEntries; ++i) {
       entries_.push_back(std::make_unique<PathEntry>(
-          i, time_, cluster_, nullptr, directory_, seed + 100 * i,
+          i, time_, cluster_, nullptr, directory_, seed + 100UL * i,
           routing::RequestPathOptions{}));
     }
   }
--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -53,7 +53,7 @@
               std::uint64_t seed) {
     for (int i = 0; i < kEntries; ++i) {
       entries_.push_back(std::make_unique<PathEntry>(
-          i, time, cluster, nullptr, directory_, seed + 100 * i,
+          i, time, cluster, nullptr, directory_, seed + 100UL * i,
           routing::RequestPathOptions{}));
     }
   }
