--- a/src/scheduler_main/log_job_feed.cc
+++ b/src/scheduler_main/log_job_feed.cc
@@ -130,7 +130,7 @@
       return;
     }
     mirror_.Refresh([weak = weak_from_this(),
-                     subscriber](std::optional<config::LogHeads> heads) {
+                     subscriber](const std::optional<config::LogHeads>& heads) {
       const auto self = weak.lock();
       if (!self || subscriber->closed()) return;
       if (heads) {
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -156,7 +156,7 @@
     program_.SetReady(true);
   }
 
-  void Stop(std::function<void()> done) {
+  void Stop(const std::function<void()>& done) {
     program_.SetReady(false);
     auto left = std::make_shared<std::atomic<std::size_t>>(cells_.size());
     for (const auto& it : cells_) {
@@ -389,8 +389,8 @@
 
 void SchedulerProcess::Start() { impl_->Start(); }
 
-void SchedulerProcess::Stop(std::function<void()> done) {
-  impl_->Stop(std::move(done));
+void SchedulerProcess::Stop(const std::function<void()>& done) {
+  impl_->Stop(done);
 }
 
 http::Endpoint SchedulerProcess::http_endpoint() const {
--- a/src/scheduler_main/scheduler_process.h
+++ b/src/scheduler_main/scheduler_process.h
@@ -27,7 +27,7 @@
 
   /// Hands the cells over, says goodbye to the other processes and finishes
   /// the requests in progress; then calls `done`.
-  void Stop(std::function<void()> done);
+  void Stop(const std::function<void()>& done);
 
   /// Where it listens, with the ports that were bound.
   http::Endpoint http_endpoint() const;
--- a/src/scheduler_main/status_publisher.cc
+++ b/src/scheduler_main/status_publisher.cc
@@ -72,12 +72,12 @@
     set.changes.push_back({ref, config::Anyway{},
                            config::PutStatus{wanted.status, wanted.version}});
     const auto version = wanted.version;
-    ports_.writer.Submit(
-        std::move(set),
-        [weak = weak_from_this(), job, version](config::ChangeOutcome outcome) {
-          const auto self = weak.lock();
-          if (self) self->Finish(job, version, outcome);
-        });
+    ports_.writer.Submit(std::move(set),
+                         [weak = weak_from_this(), job,
+                          version](const config::ChangeOutcome& outcome) {
+                           const auto self = weak.lock();
+                           if (self) self->Finish(job, version, outcome);
+                         });
   }
 
   void Finish(const base::JobName& job, store::RowVersion version,
--- a/src/scheduler_main/status_tap.cc
+++ b/src/scheduler_main/status_tap.cc
@@ -69,8 +69,9 @@
         const auto* row = std::get_if<std::optional<store::Row>>(&result);
         if (row != nullptr && row->has_value()) {
           auto status = scheduler::DecodeStatusRow((*row)->value);
-          if (status)
+          if (status) {
             on_status(job, std::move(status->status), (*row)->version);
+          }
         }
         done(std::move(result));
       });
