--- a/src/config/validation.cc
+++ b/src/config/validation.cc
@@ -32,8 +32,8 @@
 /// Objects to a spec that stands in the draft.
 class PutJudge {
  public:
-  PutJudge(const Resource& resource, const Judge& judge, const Draft& draft)
-      : resource_(resource), judge_(judge), draft_(draft) {}
+  PutJudge(const Judge& judge, const Draft& draft)
+      : judge_(judge), draft_(draft) {}
 
   std::optional<Objection> operator()(const OrganisationSpec& spec) const {
     const auto limit = spec.limits.running_accelerators;
@@ -105,7 +105,6 @@
     return out.empty() ? "the organisations, and there is none yet" : out;
   }
 
-  const Resource& resource_;
   const Judge& judge_;
   const Draft& draft_;
 };
@@ -147,7 +146,7 @@
 std::optional<Objection> ObjectionToPut(const Resource& resource,
                                         const Judge& judge,
                                         const Draft& draft) {
-  return std::visit(PutJudge(resource, judge, draft), resource.spec);
+  return std::visit(PutJudge(judge, draft), resource.spec);
 }
 
 std::optional<Objection> ObjectionToRemoval(const Resource& resource,
--- a/src/entry/platform_view.cc
+++ b/src/entry/platform_view.cc
@@ -149,7 +149,8 @@
                             [weak = weak_from_this(), &loop = ports_.loop,
                              vm](backends::ReportResult result) {
                               loop.Post([weak, vm, result = std::move(result)] {
-                                if (const auto self = weak.lock())
+                                const auto self = weak.lock();
+                                if (self != nullptr)
                                   self->TakeReport(vm, result);
                               });
                             });
@@ -194,8 +195,8 @@
                       [weak = weak_from_this(), &loop = ports_.loop,
                        found = std::move(found)](store::ScanResult result) {
                         loop.Post([weak, found, result = std::move(result)] {
-                          if (const auto self = weak.lock())
-                            self->TakeCells(found, result);
+                          const auto self = weak.lock();
+                          if (self != nullptr) self->TakeCells(found, result);
                         });
                       });
   }
