Make the owner, its tests and its bench clean under clang-tidy

Cause: 20 findings in these files (copied parameters, missing braces, a moved forwarding reference, unused names).

--- a/bench/owner.cc
+++ b/bench/owner.cc
@@ -21,7 +21,6 @@
 namespace lapishatch::scheduler {
 namespace {
 
-constexpr base::Duration kSecond{1'000};
 constexpr base::Duration kMinute{60'000};
 
 /// The size to design for, per worker: 51,000 tasks and 28,000 jobs a day on
@@ -327,6 +326,7 @@
 template <typename Run>
 void PrintWorst(const char* name, int runs, Run run) {
   std::vector<double> all;
+  all.reserve(static_cast<std::size_t>(runs));
   for (int i = 0; i < runs; ++i) all.push_back(run(i));
   std::sort(all.begin(), all.end());
   Print(std::string(name) + "_median", 50, all[all.size() / 2], "ms_virtual");
--- a/src/lifecycle/cell_lease.cc
+++ b/src/lifecycle/cell_lease.cc
@@ -170,7 +170,7 @@
   using initial_state = Watching;
 
   // clang-format off
-  struct transition_table : mpl::vector<
+  struct transition_table : mpl::vector<  // NOLINT(readability-identifier-naming)
     Row<Watching,  Free,         Taking,    EmitTake,     none>,
     Row<Watching,  LooksExpired, Asking,    EmitAsk,      none>,
     Row<Watching,  StopAsked,    Released,  EmitReleased, none>,
--- a/src/lifecycle/gang_machine.cc
+++ b/src/lifecycle/gang_machine.cc
@@ -190,8 +190,8 @@
     auto& book = *fsm.book;
     book.phase = kPhase;
     book.wake_at.reset();
-    if (const auto limit = LimitOf(book.times))
-      book.wake_at = book.now + *limit;
+    const auto limit = LimitOf(book.times);
+    if (limit) book.wake_at = book.now + *limit;
   }
 
   static std::optional<base::Duration> LimitOf(const GangTimes& times) {
@@ -232,7 +232,7 @@
   using initial_state = Idle;
 
   // clang-format off
-  struct transition_table : mpl::vector<
+  struct transition_table : mpl::vector<  // NOLINT(readability-identifier-naming)
     Row<Idle,          Begun,           Reserving,     Emit<ReserveMembers>, none>,
     Row<Idle,          AdoptedWhole,    Running,       none,                 none>,
     Row<Idle,          Broken,          Stopping,      Emit<StopMembers>,    none>,
--- a/src/scheduler/cell_run.cc
+++ b/src/scheduler/cell_run.cc
@@ -81,7 +81,7 @@
   On(ConfigurationChanged{std::move(event.configuration)});
   recovery_.emplace(
       options_, Recovery::Ports{ports_.loop, ports_.table, workers_, board_},
-      std::move(event.jobs), [this] { OnRecovered(); });
+      event.jobs, [this] { OnRecovered(); });
   workers_.SetWorkers(event.workers);
   recovery_->Begin();
 }
--- a/src/scheduler/gang_runner.cc
+++ b/src/scheduler/gang_runner.cc
@@ -48,7 +48,7 @@
   Run(machine_.Handle(event, loop_.Now()));
 }
 
-void GangRunner::Run(std::vector<lifecycle::GangCommand> commands) {
+void GangRunner::Run(const std::vector<lifecycle::GangCommand>& commands) {
   Arm();
   for (const auto& command : commands) {
     std::visit([this](const auto& it) { Do(it); }, command);
--- a/src/scheduler/internal/callback_scope.h
+++ b/src/scheduler/internal/callback_scope.h
@@ -21,7 +21,7 @@
   template <typename Task>
   auto OnLoop(Task task) {
     return [&loop = loop_, weak = std::weak_ptr<char>(alive_),
-            task = std::move(task)](auto&& result) {
+            task = std::move(task)]<typename Result>(Result result) {
       loop.Post([weak, task, result = std::move(result)]() mutable {
         if (weak.expired()) return;
         task(std::move(result));
--- a/src/scheduler/internal/gang_runner.h
+++ b/src/scheduler/internal/gang_runner.h
@@ -75,7 +75,7 @@
   bool unconfirmed() const;
 
  private:
-  void Run(std::vector<lifecycle::GangCommand> commands);
+  void Run(const std::vector<lifecycle::GangCommand>& commands);
   void Arm();
 
   void Do(const lifecycle::ReserveMembers& command);
--- a/src/scheduler/internal/lease_keeper.h
+++ b/src/scheduler/internal/lease_keeper.h
@@ -38,7 +38,7 @@
   const lifecycle::CellLease& lease() const { return lease_; }
 
  private:
-  void Run(std::vector<lifecycle::LeaseCommand> commands);
+  void Run(const std::vector<lifecycle::LeaseCommand>& commands);
   void Arm();
 
   void Do(const lifecycle::ReadRow& command);
--- a/src/scheduler/internal/recovery.h
+++ b/src/scheduler/internal/recovery.h
@@ -26,7 +26,7 @@
   };
 
   Recovery(const OwnerOptions& options, Ports ports,
-           std::vector<AcceptedJob> jobs, std::function<void()> done);
+           const std::vector<AcceptedJob>& jobs, std::function<void()> done);
 
   void Begin();
 
--- a/src/scheduler/job_board.cc
+++ b/src/scheduler/job_board.cc
@@ -399,8 +399,9 @@
                 [this, guard = scope_.Weak(), worker, incarnation, key](
                     CommandEnd end, const std::string&) {
                   if (guard.expired()) return;
-                  if (end == CommandEnd::kDone || end == CommandEnd::kRefused)
-                    return;
+                  const bool answered =
+                      end == CommandEnd::kDone || end == CommandEnd::kRefused;
+                  if (answered) return;
                   ports_.loop.After(
                       kStrayRetry,
                       scope_.Guard([this, worker, incarnation, key] {
@@ -438,8 +439,8 @@
 
 void JobBoard::OnTableBack() {
   for (auto& [name, job] : jobs_) {
-    if (job.stage == Stage::kParked)
-      SubmitAfter(job, base::Duration(1), "the table is back");
+    if (job.stage != Stage::kParked) continue;
+    SubmitAfter(job, base::Duration(1), "the table is back");
   }
 }
 
--- a/src/scheduler/job_board_ends.cc
+++ b/src/scheduler/job_board_ends.cc
@@ -48,8 +48,8 @@
   ports_.recorder.Record({gang.job(), status, PutIntent{gang.intent()}},
                          [this, guard = scope_.Weak(), name = gang.job(),
                           attempt](RecordResult result) {
-                           if (!guard.expired())
-                             OnIntentWritten(name, attempt, result);
+                           if (guard.expired()) return;
+                           OnIntentWritten(name, attempt, result);
                          });
   // An idempotent job may start unrecorded while the table is out: its workers
   // tell a next owner of it, and a second run would do no harm.
@@ -98,8 +98,8 @@
   if (it == active_.end()) return;
   ports_.recorder.Record({gang.job(), status, PutIntent{gang.intent()}},
                          [gang = it->second](RecordResult result) {
-                           if (result == RecordResult::kRecorded)
-                             gang->AcknowledgeEnds();
+                           if (result != RecordResult::kRecorded) return;
+                           gang->AcknowledgeEnds();
                          });
 }
 
--- a/src/scheduler/lease_keeper.cc
+++ b/src/scheduler/lease_keeper.cc
@@ -68,7 +68,7 @@
   return false;
 }
 
-void LeaseKeeper::Run(std::vector<lifecycle::LeaseCommand> commands) {
+void LeaseKeeper::Run(const std::vector<lifecycle::LeaseCommand>& commands) {
   for (const auto& command : commands) {
     std::visit([this](const auto& it) { Do(it); }, command);
   }
@@ -84,8 +84,9 @@
 }
 
 void LeaseKeeper::Do(const lifecycle::ReadRow&) {
-  table_.Read(CellKey(options_.cell),
-              scope_.OnLoop([this](store::ReadResult it) { OnRow(it); }));
+  table_.Read(
+      CellKey(options_.cell),
+      scope_.OnLoop([this](const store::ReadResult& it) { OnRow(it); }));
 }
 
 void LeaseKeeper::OnRow(const store::ReadResult& result) {
@@ -99,10 +100,11 @@
   // Only a holder needs the fence: every take writes both rows.
   const bool ours = row.row && row.row->holder == options_.incarnation;
   if (!ours) return Tell(row);
-  table_.Read(FenceKey(options_.cell),
-              scope_.OnLoop([this, row = std::move(row)](store::ReadResult it) {
-                OnFence(row, it);
-              }));
+  table_.Read(
+      FenceKey(options_.cell),
+      scope_.OnLoop([this, row = std::move(row)](const store::ReadResult& it) {
+        OnFence(row, it);
+      }));
 }
 
 void LeaseKeeper::OnFence(lifecycle::RowRead row,
@@ -123,7 +125,7 @@
   }
   table_.Commit(
       std::move(transaction),
-      scope_.OnLoop([this](store::CommitResult it) { OnCommit(it); }));
+      scope_.OnLoop([this](const store::CommitResult& it) { OnCommit(it); }));
 }
 
 void LeaseKeeper::OnCommit(const store::CommitResult& result) {
@@ -132,7 +134,7 @@
 
 void LeaseKeeper::Do(const lifecycle::AskHolder& command) {
   probe_.Ask(EndpointOf(command.endpoint), options_.cell, command.holder,
-             scope_.OnLoop([this](ProbeResult it) { OnProbe(it); }));
+             scope_.OnLoop([this](const ProbeResult& it) { OnProbe(it); }));
 }
 
 void LeaseKeeper::OnProbe(const ProbeResult& result) {
--- a/src/scheduler/recorder.cc
+++ b/src/scheduler/recorder.cc
@@ -125,7 +125,7 @@
   ++commits_;
   table_.Commit(
       batch_->transaction,
-      scope_.OnLoop([this](store::CommitResult it) { OnCommit(it); }));
+      scope_.OnLoop([this](const store::CommitResult& it) { OnCommit(it); }));
 }
 
 void Recorder::OnCommit(const store::CommitResult& result) {
@@ -168,8 +168,9 @@
 
 void Recorder::ReadBack() {
   if (!hooks_.may_act()) return;
-  table_.Read(StatusKey(batch_->entries.front().record.job),
-              scope_.OnLoop([this](store::ReadResult it) { OnReadBack(it); }));
+  table_.Read(
+      StatusKey(batch_->entries.front().record.job),
+      scope_.OnLoop([this](const store::ReadResult& it) { OnReadBack(it); }));
 }
 
 void Recorder::OnReadBack(const store::ReadResult& result) {
@@ -194,10 +195,11 @@
     return foreign_.empty() ? Send() : RefuseForeign();
   }
   const auto& job = batch_->entries[index].record.job;
-  table_.Read(StatusKey(job),
-              scope_.OnLoop([this, index, took_effect](store::ReadResult it) {
-                OnStatusVersion(index, took_effect, it);
-              }));
+  table_.Read(
+      StatusKey(job),
+      scope_.OnLoop([this, index, took_effect](const store::ReadResult& it) {
+        OnStatusVersion(index, took_effect, it);
+      }));
 }
 
 void Recorder::OnStatusVersion(std::size_t index, bool took_effect,
@@ -206,10 +208,11 @@
   if (row == nullptr) return Retry(&Recorder::ReadBack);
   const auto& job = batch_->entries[index].record.job;
   versions_[job].status = *row ? (*row)->version : store::kAbsent;
-  table_.Read(IntentKey(job),
-              scope_.OnLoop([this, index, took_effect](store::ReadResult it) {
-                OnIntentVersion(index, took_effect, it);
-              }));
+  table_.Read(
+      IntentKey(job),
+      scope_.OnLoop([this, index, took_effect](const store::ReadResult& it) {
+        OnIntentVersion(index, took_effect, it);
+      }));
 }
 
 void Recorder::OnIntentVersion(std::size_t index, bool took_effect,
--- a/src/scheduler/recovery.cc
+++ b/src/scheduler/recovery.cc
@@ -16,12 +16,13 @@
 }  // namespace
 
 Recovery::Recovery(const OwnerOptions& options, Ports ports,
-                   std::vector<AcceptedJob> jobs, std::function<void()> done)
+                   const std::vector<AcceptedJob>& jobs,
+                   std::function<void()> done)
     : options_(options),
       ports_(ports),
       done_(std::move(done)),
       scope_(ports.loop) {
-  for (auto& job : jobs) jobs_.emplace(job.name, job);
+  for (const auto& job : jobs) jobs_.emplace(job.name, job);
 }
 
 void Recovery::Begin() {
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -57,13 +57,13 @@
   order.worker_incarnation = incarnation_;
   for (const auto& it : sent) order.commands.push_back(it.command);
   ordering_ = true;
-  client_.Send(
-      worker_.endpoint, std::move(order),
-      scope_.OnLoop([this, sent = std::move(sent)](lifecycle::OrderOutcome it) {
-        ordering_ = false;
-        OnOrder(sent, it);
-        if (!waiting_.empty()) ScheduleFlush();
-      }));
+  client_.Send(worker_.endpoint, std::move(order),
+               scope_.OnLoop([this, sent = std::move(sent)](
+                                 const lifecycle::OrderOutcome& it) {
+                 ordering_ = false;
+                 OnOrder(sent, it);
+                 if (!waiting_.empty()) ScheduleFlush();
+               }));
 }
 
 void WorkerLink::OnOrder(std::vector<Waiting> sent,
@@ -121,7 +121,7 @@
   if (wait) query.wait = options_.poll_wait;
   query.renew = hooks_.renewal(*this);
   client_.Report(worker_.endpoint, query,
-                 scope_.OnLoop([this](backends::ReportResult it) {
+                 scope_.OnLoop([this](const backends::ReportResult& it) {
                    polling_ = false;
                    OnReport(it);
                  }));
--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -109,8 +109,9 @@
     }
     return fakes::OrderFault::kNone;
   });
-  for (int i = 0; i < 4; ++i)
+  for (int i = 0; i < 4; ++i) {
     rig.feed.Cancel(base::JobName("other" + std::to_string(i)));
+  }
   rig.feed.Accept(LongJob(rig, "map", 4));
   REQUIRE(rig.time.RunUntil([&] { return rig.RunningTasksOf("map") == 3; },
                             kSecond * 5));
--- a/test/scheduler/owner_rig.h
+++ b/test/scheduler/owner_rig.h
@@ -55,6 +55,7 @@
   explicit OwnerRig(const RigOptions& options)
       : table(time), workers(time), owners(time), feed(time) {
     std::vector<CellWorker> list;
+    list.reserve(static_cast<std::size_t>(options.workers));
     for (int i = 0; i < options.workers; ++i) {
       list.push_back(AddWorker(i, options));
     }
--- a/testing/fakes/fake_owner_probe.h
+++ b/testing/fakes/fake_owner_probe.h
@@ -14,7 +14,7 @@
 /// Who answers at which address; one for all processes of a test.
 class FakeOwners {
  public:
-  explicit FakeOwners(VirtualTime& time) : time_(time) {}
+  explicit FakeOwners(VirtualTime&) {}
 
   /// Does `answer` on the process's loop, so that a paused process is silent.
   void Add(
@@ -33,7 +33,6 @@
     std::function<scheduler::ProbeAnswer(const base::Incarnation&)> answer;
   };
 
-  VirtualTime& time_;
   std::map<http::Endpoint, Answerer> answers_;
 };
 
