--- a/standins/worker/worker_server.cc
+++ b/standins/worker/worker_server.cc
@@ -246,29 +246,29 @@
 
   void StoreCheckpoints() {
     for (auto& write : model_.TakeCheckpointWrites()) {
-      objects_.Put(write.object, CheckpointText(write.done),
-                   [weak = weak_from_this(), write](store::PutResult result) {
-                     const auto self = weak.lock();
-                     if (!self) return;
-                     const bool complete =
-                         std::holds_alternative<store::Stored>(result);
-                     self->Post([write, complete](Impl& it) {
-                       it.model_.CheckpointWritten(write, complete);
-                       it.Step();
-                     });
-                   });
+      objects_.Put(
+          write.object, CheckpointText(write.done),
+          [weak = weak_from_this(), write](const store::PutResult& result) {
+            const auto self = weak.lock();
+            if (!self) return;
+            const bool complete = std::holds_alternative<store::Stored>(result);
+            self->Post([write, complete](Impl& it) {
+              it.model_.CheckpointWritten(write, complete);
+              it.Step();
+            });
+          });
     }
     for (auto& read : model_.TakeCheckpointReads()) {
-      objects_.Get(read.object,
-                   [weak = weak_from_this(), read](store::GetResult result) {
-                     const auto self = weak.lock();
-                     if (!self) return;
-                     const auto done = ParseCheckpoint(result);
-                     self->Post([read, done](Impl& it) {
-                       it.model_.CheckpointRestored(read, done);
-                       it.Step();
-                     });
-                   });
+      objects_.Get(read.object, [weak = weak_from_this(),
+                                 read](const store::GetResult& result) {
+        const auto self = weak.lock();
+        if (!self) return;
+        const auto done = ParseCheckpoint(result);
+        self->Post([read, done](Impl& it) {
+          it.model_.CheckpointRestored(read, done);
+          it.Step();
+        });
+      });
     }
   }
 
--- a/test/backends/runner_health_test.cc
+++ b/test/backends/runner_health_test.cc
@@ -13,7 +13,7 @@
 /// A runner whose pings a test answers or fails.
 class ScriptedRunner final : public RunnerClient {
  public:
-  ScriptedRunner(fakes::VirtualTime& time) : time_(time) {}
+  explicit ScriptedRunner(fakes::VirtualTime& time) : time_(time) {}
 
   void Send(const http::Endpoint& /*runner*/, RunnerRequest /*request*/,
             std::function<void(RunnerOutcome)> done) override {
