--- a/src/ctl/api_client.cc
+++ b/src/ctl/api_client.cc
@@ -55,7 +55,7 @@
     std::size_t begin = 0;
     for (auto end = rest_.find('\n'); end != std::string::npos;
          end = rest_.find('\n', begin)) {
-      const auto line = std::string_view(rest_).substr(begin, end - begin);
+      const auto line = std::string_view{rest_}.substr(begin, end - begin);
       begin = end + 1;
       if (!line.empty() && !sink_(line)) return false;
     }
