--- a/src/config/flags.cc
+++ b/src/config/flags.cc
@@ -71,13 +71,13 @@
       out_.version = true;
       return;
     }
-    Set(std::move(name), std::move(value));
+    Set(name, std::move(value));
   }
 
-  void Set(std::string name, std::optional<std::string> value) {
+  void Set(const std::string& name, std::optional<std::string> value) {
     auto* flag = FindOurs(name);
     if (flag == nullptr && !value && name.starts_with("no")) {
-      flag = FindOurs(std::string_view(name).substr(2));
+      flag = FindOurs(std::string_view{name}.substr(2));
       if (flag != nullptr && !flag->IsOfType<bool>()) flag = nullptr;
       value = "false";
     }
@@ -93,8 +93,8 @@
     }
     std::string error;
     if (flag->ParseFrom(*value, &error)) return;
-    out_.problem = "--" + name + "=" + *value + " is not allowed: " +
-                   (error.empty() ? std::string(flag->Help()) : error);
+    out_.problem = "--" + name + "=" + *value +
+                   " is not allowed: " + (error.empty() ? flag->Help() : error);
   }
 
   std::vector<std::string> rest_;
@@ -113,8 +113,8 @@
   for (const auto& [name, flag] : absl::GetAllFlags()) {
     const std::string key(name);
     if (FindOurs(key) == nullptr) continue;
-    lines[key] = "  --" + key + "  " + std::string(flag->Help()) +
-                 " (default: \"" + std::string(flag->DefaultValue()) + "\")\n";
+    lines[key] = "  --" + key + "  " + flag->Help() + " (default: \"" +
+                 flag->DefaultValue() + "\")\n";
   }
   lines["help"] = "  --help  Prints this and ends.\n";
   lines["version"] = "  --version  Prints the version and ends.\n";
