Count losses and failed sends against a runner

Cause: a runner that breaks connections at once always has room. Sends that did not reach it counted for nothing, lost answers did not enter the service's failure rate, and in a service of three runners the share of a quarter allowed no quarantine at all. So what waited in the queue was drained into it, twice for each request.

Ruled out: choosing by answer times; a quick failure never entered the mean, it was the free room that drew the requests.

Change: losses and failed sends count like failed answers, in a row and in the failure rate of the service. One runner may be quarantined in a small service while another is usable. A runner that is suspect gets one request at a time until a ping answers. The event of a quarantine is logged for every cause. The fake runners can break a connection at once.

--- a/src/routing/runner_pool.cc
+++ b/src/routing/runner_pool.cc
@@ -88,7 +88,10 @@
     return false;
   }
   if (now < runner.quarantined_until) return false;
-  if (runner.on_trial) return runner.in_flight == 0;
+  const bool suspect = runner.health.state() == backends::RunnerState::kSuspect;
+  // A runner that breaks what it gets always has room: one at a time, so that
+  // it draws no more than it takes to find out.
+  if (runner.on_trial || suspect) return runner.in_flight == 0;
   if (runner.in_flight >= options_.max_in_flight) return false;
   const int waiting = runner.refuses_waiting ? 0 : options_.waiting_allowed;
   return runner.others + runner.in_flight < runner.slots + waiting;
@@ -199,13 +202,18 @@
 void RunnerPool::OnNotReached(RunnerIndex index, base::TimePoint now) {
   auto& runner = *runners_[index];
   NoteEnd(runner);
-  runner.health.Lost(now);
+  NoteUnanswered(runner, now);
 }
 
 void RunnerPool::OnLost(RunnerIndex index, base::TimePoint now) {
   auto& runner = *runners_[index];
   NoteEnd(runner);
+  NoteUnanswered(runner, now);
+}
+
+void RunnerPool::NoteUnanswered(Runner& runner, base::TimePoint now) {
   runner.health.Lost(now);
+  Blend(failure_rate_, 1, kNewestOfService);
   NoteFailure(runner, now);
 }
 
@@ -230,13 +238,24 @@
 bool RunnerPool::MayQuarantineMore(base::TimePoint now) const {
   std::size_t listed = 0;
   std::size_t quarantined = 0;
+  std::size_t usable = 0;
   for (const auto& it : runners_) {
     if (!it->listed) continue;
     ++listed;
-    if (now < it->quarantined_until) ++quarantined;
+    if (now < it->quarantined_until) {
+      ++quarantined;
+      continue;
+    }
+    if (it->entry.leaving || it->said_leaving) continue;
+    if (it->health.state() == backends::RunnerState::kUnreachable) continue;
+    ++usable;
   }
-  return static_cast<double>(quarantined + 1) <=
-         options_.max_quarantined_share * static_cast<double>(listed);
+  // The share of a small service is less than one runner; one may go as long
+  // as another is left.
+  const double share =
+      options_.max_quarantined_share * static_cast<double>(listed);
+  return usable > 1 &&
+         static_cast<double>(quarantined + 1) <= std::max(share, 1.0);
 }
 
 std::vector<RunnerIndex> RunnerPool::TakePingsDue(base::TimePoint now,
--- a/src/routing/runner_pool.h
+++ b/src/routing/runner_pool.h
@@ -24,14 +24,15 @@
   /// Requests that may wait inside a runner that keeps some waiting, so that a
   /// slot is taken again at once.
   int waiting_allowed = 1;
-  /// Failures in a row after which a runner is quarantined.
+  /// Failures in a row after which a runner is quarantined: failed answers,
+  /// lost answers and sends that did not reach it.
   int failures_to_quarantine = 5;
   base::Duration first_quarantine{1'000};
   base::Duration longest_quarantine{30'000};
-  /// Part of the runners that failing answers may put in quarantine together;
-  /// a fault of the service itself must not empty it.
+  /// Part of the runners that failures may put in quarantine together, or one
+  /// when that is less; a fault of the service itself must not empty it.
   double max_quarantined_share = 0.25;
-  /// With more of the service's answers failing, no runner is blamed.
+  /// With more of the service's sends failing, no runner is blamed.
   double max_service_failure_rate = 0.5;
   /// A runner whose answers take this many times the median is slow.
   double slow_factor = 3;
@@ -139,6 +140,7 @@
   void NoteEnd(Runner& runner);
   void NoteSuccess(Runner& runner);
   void NoteFailure(Runner& runner, base::TimePoint now);
+  void NoteUnanswered(Runner& runner, base::TimePoint now);
   void Quarantine(Runner& runner, base::TimePoint now);
   bool MayQuarantineMore(base::TimePoint now) const;
   void RebuildGroups();
--- a/src/routing/service_dispatcher.cc
+++ b/src/routing/service_dispatcher.cc
@@ -200,6 +200,7 @@
   if (it == open_.end()) return;
   const auto open = it->second;
   open_.erase(it);
+  const bool was_quarantined = pool_.IsQuarantined(open.runner, loop_.Now());
   std::visit(Overloaded{
                  [&](backends::RunnerAnswer& answer) {
                    OnAnswer(open, std::move(answer));
@@ -213,6 +214,10 @@
                  [&](const backends::RunnerLost& lost) { OnLost(open, lost); },
              },
              outcome);
+  if (!was_quarantined && pool_.IsQuarantined(open.runner, loop_.Now())) {
+    base::Log(base::events::kRunnerQuarantined,
+              {{"runner", pool_.name(open.runner)}, {"service", service_}});
+  }
   Pump();
 }
 
@@ -220,12 +225,7 @@
                                  backends::RunnerAnswer answer) {
   const auto now = loop_.Now();
   const bool failed = answer.status >= kFirstServerError;
-  const bool was_quarantined = pool_.IsQuarantined(open.runner, now);
   pool_.OnAnswer(open.runner, answer.load, failed, now - open.sent_at, now);
-  if (!was_quarantined && pool_.IsQuarantined(open.runner, now)) {
-    base::Log(base::events::kRunnerQuarantined,
-              {{"runner", pool_.name(open.runner)}, {"service", service_}});
-  }
   if (!failed) budget_.OnSuccess();
   const auto it = works_.find(open.token);
   if (it == works_.end()) return;
--- /dev/null
+++ b/test/routing/broken_connections_test.cc
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "fake_entries.h"
+
+namespace lapishatch::routing {
+namespace {
+
+using base::Duration;
+using fakes::RunnerFault;
+
+constexpr base::TimePoint kStart{Duration(1'000'000)};
+
+TEST_CASE("a runner that breaks connections at once does not draw requests") {
+  const auto fault = GENERATE(RunnerFault::kBreaks, RunnerFault::kNotReached);
+  FakeEntries all(1, 3);
+  all.runners.SetLeaving(FakeEntries::EndpointOf(0), true);
+  int broken = 0;
+  all.runners.SetSendFault([&](const auto& runner, const auto&) {
+    if (runner != FakeEntries::EndpointOf(1)) return RunnerFault::kNone;
+    ++broken;
+    return fault;
+  });
+  for (int burst = 0; burst < 3; ++burst) {
+    std::vector<FakeEntries::Caller> callers;
+    for (int i = 0; i < 20; ++i) {
+      callers.push_back(
+          all.Send(0, FakeEntries::Idempotent("b" + std::to_string(i))));
+    }
+    all.time.RunFor(Duration(900));
+    for (const auto& it : callers) {
+      REQUIRE(it->has_value());
+      CHECK(AnswerOf(**it));
+    }
+  }
+  // What was open when the first one broke, and one at each end of a
+  // quarantine.
+  CHECK(broken <= 7 + 3);
+}
+
+TEST_CASE("losses and failed sends in a row leave out a runner of three") {
+  RunnerPool pool(base::DomainName("near"), {}, 1);
+  std::vector<RunnerEntry> entries;
+  for (int i = 0; i < 3; ++i) {
+    entries.push_back({base::RunnerName(std::to_string(i)),
+                       {"10.0.0.1", static_cast<std::uint16_t>(i)},
+                       base::DomainName("near"),
+                       false});
+  }
+  pool.Update(entries, kStart);
+  const auto fail = [&](RunnerIndex runner, bool lost) {
+    pool.OnSent(runner);
+    if (lost) return pool.OnLost(runner, kStart);
+    pool.OnNotReached(runner, kStart);
+  };
+  const bool lost = GENERATE(true, false);
+  for (int i = 0; i < 5; ++i) fail(0, lost);
+  CHECK(pool.IsQuarantined(0, kStart));
+  // The others stay, however much fails.
+  for (int i = 0; i < 50; ++i) fail(1 + i % 2, lost);
+  CHECK_FALSE(pool.IsQuarantined(1, kStart));
+  CHECK_FALSE(pool.IsQuarantined(2, kStart));
+}
+
+TEST_CASE("with half of the sends failing no runner is blamed for losses") {
+  RunnerPoolOptions options;
+  options.max_quarantined_share = 1;
+  RunnerPool pool(base::DomainName("near"), options, 1);
+  std::vector<RunnerEntry> entries;
+  for (int i = 0; i < 100; ++i) {
+    entries.push_back({base::RunnerName(std::to_string(i)),
+                       {"10.0.0.1", static_cast<std::uint16_t>(i)},
+                       base::DomainName("near"),
+                       false});
+  }
+  pool.Update(entries, kStart);
+  for (int round = 0; round < 5; ++round) {
+    for (RunnerIndex i = 0; i < 100; ++i) {
+      pool.OnSent(i);
+      pool.OnLost(i, kStart);
+    }
+  }
+  int quarantined = 0;
+  for (RunnerIndex i = 0; i < 100; ++i) {
+    quarantined += pool.IsQuarantined(i, kStart) ? 1 : 0;
+  }
+  CHECK(quarantined == 0);
+}
+
+}  // namespace
+}  // namespace lapishatch::routing
--- a/testing/fakes/fake_runners.cc
+++ b/testing/fakes/fake_runners.cc
@@ -110,6 +110,10 @@
                  backends::RunnerRefused{"leaving", runners_.LoadOf(target)});
     return;
   }
+  if (fault == RunnerFault::kBreaks) {
+    answer->Give(2 * latency, backends::RunnerLost{false, "connection reset"});
+    return;
+  }
   if (fault == RunnerFault::kFailsFast) {
     ++target.runs;
     ++runners_.runs_of_body_[request.body];
--- a/testing/fakes/fake_runners.h
+++ b/testing/fakes/fake_runners.h
@@ -31,6 +31,9 @@
   /// The runner answers 500 at once without doing the work well; it counts as
   /// run.
   kFailsFast,
+  /// The connection breaks at once, and the sender cannot tell whether the
+  /// work ran; it does not.
+  kBreaks,
 };
 
 struct FakeRunnerOptions {
