Send an idempotent request once more when its connection is silent

Cause: a connection that goes silent was noticed only with its whole runner. The runner went on answering pings and other requests, so what was open on the silent connection waited out its deadline.

Ruled out: a timer for each request; the dispatcher's tick looks through the open sends instead, which are few. Blaming the runner for an overdue request: a slow request is no sign, and its pings tell.

Change: an idempotent request without an answer for three times the 99th percentile of answer times and at least 2 s, but at most a third of its time and never less than that percentile, is sent once more to another runner, as its second run and within the retry budget, unless requests wait in the queue. The first answer is given, the other dropped. A send that is lost or refused ends the request only when no other is open.

Before: "requests on connections that go silent are answered in time", "of two answers the first is given and the other dropped", "a second send that breaks leaves the first its time" and "silent connections are sent no more often than the budget allows" failed. After: all pass.

--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -5,6 +5,7 @@
 /// admission to its truthful answer.
 
 #include "routing/adaptive_window.h"
+#include "routing/answer_times.h"
 #include "routing/claim.h"
 #include "routing/claim_keeper.h"
 #include "routing/claim_machine.h"
--- a/src/routing/service_dispatcher.h
+++ b/src/routing/service_dispatcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backends/backends.h"
+#include "routing/answer_times.h"
 #include "routing/class_rates.h"
 #include "routing/directory.h"
 #include "routing/request.h"
@@ -30,6 +31,14 @@
   /// Second runs allowed per successful answer, and how many may be saved up.
   double retry_share = 0.1;
   double retry_limit = 20;
+  /// An idempotent request without an answer for so many times the usual
+  /// longest answer time, but at least the floor, is sent once more to another
+  /// runner: its connection may have gone silent.
+  double progress_factor = 3;
+  base::Duration progress_floor{2'000};
+  /// Most part of the time it had at its send that a request is waited for
+  /// before that, unless answers that take longer are usual.
+  double max_progress_share = 1.0 / 3;
   /// Longest part of a request's time that it may be expected to wait.
   double max_wait_share = 0.15;
   /// Mean answer times that must be left when a request is expected to start.
@@ -77,6 +86,8 @@
 /// The queue, the runners and the retries of one service at one entry. An
 /// idempotent request may run a second time, on another runner, within the
 /// retry budget; any other is sent again only when it certainly did not run.
+/// When a request is open on two runners the first answer is its answer, and
+/// what the other brings is dropped.
 /// Used from the callbacks of one loop.
 class ServiceDispatcher
     : public std::enable_shared_from_this<ServiceDispatcher> {
@@ -106,6 +117,8 @@
     DispatchJob job;
     int sends = 0;
     int runs = 0;
+    /// Sends that have not ended; two while the first is overdue.
+    int open_sends = 0;
     std::vector<RunnerIndex> tried;
     base::TimerId timer = 0;
   };
@@ -116,6 +129,8 @@
     RequestToken token = 0;
     RunnerIndex runner = 0;
     base::TimePoint sent_at{};
+    /// When it counts as overdue; never for a request that may run only once.
+    base::TimePoint overdue_at = base::TimePoint::max();
   };
 
   void Enqueue(RequestToken token);
@@ -133,6 +148,11 @@
   void SendElsewhere(RequestToken token, const std::string& detail);
   bool MayRunAgain(const Work& work, RunnerIndex runner);
   void GiveUpSends(RunnerIndex silent);
+  /// When a send of now counts as overdue.
+  base::TimePoint OverdueAt(const Work& work) const;
+  /// Sends overdue requests once more.
+  void SendOverdue();
+  void SendOverdue(RequestToken token);
   void End(RequestToken token, DispatchResult result);
   bool CanMeet(const RoutedRequest& request, double weight,
                base::TimePoint deadline);
@@ -154,6 +174,7 @@
   RunnerPool pool_;
   RetryBudget budget_;
   ClassRates rates_;
+  AnswerTimes answer_times_;
   std::unordered_map<RequestToken, WorkPtr> works_;
   std::unordered_map<std::uint64_t, Open> open_;
   RequestToken last_token_ = 0;
