--- a/src/routing/runner_pool.cc
+++ b/src/routing/runner_pool.cc
@@ -82,6 +82,10 @@
          backends::RunnerState::kUnreachable;
 }
 
+bool RunnerPool::IsSuspect(RunnerIndex runner) const {
+  return runners_[runner]->health.state() == backends::RunnerState::kSuspect;
+}
+
 bool RunnerPool::CanTake(const Runner& runner, base::TimePoint now) const {
   if (runner.entry.leaving || runner.said_leaving) return false;
   if (runner.health.state() == backends::RunnerState::kUnreachable) {
--- a/src/routing/runner_pool.h
+++ b/src/routing/runner_pool.h
@@ -96,6 +96,8 @@
   bool IsQuarantined(RunnerIndex runner, base::TimePoint now) const;
   bool IsSlow(RunnerIndex runner, base::TimePoint now) const;
   bool IsUnreachable(RunnerIndex runner) const;
+  /// Something was lost on it, and neither an answer nor a ping came since.
+  bool IsSuspect(RunnerIndex runner) const;
 
   /// Requests of this entry that are open on all runners.
   int in_flight() const { return in_flight_; }
--- a/test/routing/broken_connections_test.cc
+++ b/test/routing/broken_connections_test.cc
@@ -39,6 +39,27 @@
   CHECK(broken <= 7 + 3);
 }
 
+TEST_CASE("a request that was lost does not go back to the same runner") {
+  FakeEntries all(1, 2, {}, {2, Duration(20), Duration(1)});
+  // Teaches the entry how few slots there are.
+  all.time.RunFor(Duration(2'000));
+  all.runners.SetSendFault([](const auto& runner, const auto&) {
+    return runner == FakeEntries::EndpointOf(1) ? RunnerFault::kBreaks
+                                                : RunnerFault::kNone;
+  });
+  // Fills both; what breaks is too little to leave out the second.
+  std::vector<FakeEntries::Caller> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.push_back(
+        all.Send(0, FakeEntries::Idempotent("b" + std::to_string(i))));
+  }
+  all.time.RunFor(Duration(900));
+  for (const auto& it : callers) {
+    REQUIRE(it->has_value());
+    CHECK(AnswerOf(**it));
+  }
+}
+
 TEST_CASE("losses and failed sends in a row leave out a runner of three") {
   RunnerPool pool(base::DomainName("near"), {}, 1);
   std::vector<RunnerEntry> entries;
