--- a/test/routing/broken_connections_test.cc
+++ b/test/routing/broken_connections_test.cc
@@ -12,6 +12,19 @@
 
 constexpr base::TimePoint kStart{Duration(1'000'000)};
 
+/// `n` runners of the own domain.
+std::vector<RunnerEntry> Runners(int n) {
+  std::vector<RunnerEntry> entries;
+  entries.reserve(static_cast<std::size_t>(n));
+  for (int i = 0; i < n; ++i) {
+    entries.push_back({base::RunnerName(std::to_string(i)),
+                       {"10.0.0.1", static_cast<std::uint16_t>(i)},
+                       base::DomainName("near"),
+                       false});
+  }
+  return entries;
+}
+
 TEST_CASE("a runner that breaks connections at once does not draw requests") {
   const auto fault = GENERATE(RunnerFault::kBreaks, RunnerFault::kNotReached);
   FakeEntries all(1, 3);
@@ -24,6 +37,7 @@
   });
   for (int burst = 0; burst < 3; ++burst) {
     std::vector<FakeEntries::Caller> callers;
+    callers.reserve(20);
     for (int i = 0; i < 20; ++i) {
       callers.push_back(
           all.Send(0, FakeEntries::Idempotent("b" + std::to_string(i))));
@@ -49,6 +63,7 @@
   });
   // Fills both; what breaks is too little to leave out the second.
   std::vector<FakeEntries::Caller> callers;
+  callers.reserve(6);
   for (int i = 0; i < 6; ++i) {
     callers.push_back(
         all.Send(0, FakeEntries::Idempotent("b" + std::to_string(i))));
@@ -62,14 +77,7 @@
 
 TEST_CASE("losses and failed sends in a row leave out a runner of three") {
   RunnerPool pool(base::DomainName("near"), {}, 1);
-  std::vector<RunnerEntry> entries;
-  for (int i = 0; i < 3; ++i) {
-    entries.push_back({base::RunnerName(std::to_string(i)),
-                       {"10.0.0.1", static_cast<std::uint16_t>(i)},
-                       base::DomainName("near"),
-                       false});
-  }
-  pool.Update(entries, kStart);
+  pool.Update(Runners(3), kStart);
   const auto fail = [&](RunnerIndex runner, bool lost) {
     pool.OnSent(runner);
     if (lost) return pool.OnLost(runner, kStart);
@@ -88,14 +96,7 @@
   RunnerPoolOptions options;
   options.max_quarantined_share = 1;
   RunnerPool pool(base::DomainName("near"), options, 1);
-  std::vector<RunnerEntry> entries;
-  for (int i = 0; i < 100; ++i) {
-    entries.push_back({base::RunnerName(std::to_string(i)),
-                       {"10.0.0.1", static_cast<std::uint16_t>(i)},
-                       base::DomainName("near"),
-                       false});
-  }
-  pool.Update(entries, kStart);
+  pool.Update(Runners(100), kStart);
   for (int round = 0; round < 5; ++round) {
     for (RunnerIndex i = 0; i < 100; ++i) {
       pool.OnSent(i);
--- a/test/routing/silent_connections_test.cc
+++ b/test/routing/silent_connections_test.cc
@@ -32,6 +32,7 @@
     return ++sends <= 10 ? RunnerFault::kLostBefore : RunnerFault::kNone;
   });
   std::vector<FakeEntries::Caller> callers;
+  callers.reserve(10);
   for (int i = 0; i < 10; ++i) {
     callers.push_back(all.Send(0, Plan("p" + std::to_string(i))));
   }
