--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -79,6 +79,7 @@
 std::vector<double> Collect(const std::vector<Row>& rows, std::size_t method,
                             Value value) {
   std::vector<double> values;
+  values.reserve(rows.size());
   for (const auto& row : rows) {
     values.push_back(static_cast<double>(value(row[method], row)));
   }
@@ -223,6 +224,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) threads.emplace_back(work);
   for (auto& it : threads) it.join();
   return rows;
--- a/src/entry/platform_view.cc
+++ b/src/entry/platform_view.cc
@@ -150,8 +150,8 @@
                              vm](backends::ReportResult result) {
                               loop.Post([weak, vm, result = std::move(result)] {
                                 const auto self = weak.lock();
-                                if (self != nullptr)
-                                  self->TakeReport(vm, result);
+                                if (self == nullptr) return;
+                                self->TakeReport(vm, result);
                               });
                             });
     }
--- a/src/store/read_back.cc
+++ b/src/store/read_back.cc
@@ -58,7 +58,7 @@
   if (ec || !parsed.is_object()) return false;
   const auto* found = parsed.as_object().if_contains("attempt");
   if (found == nullptr || !found->is_string()) return false;
-  return std::string_view(found->as_string()) == attempt.str();
+  return found->as_string() == attempt.str();
 }
 
 ReadBackResult Interpret(const UnknownWrite& write, const ReadResult& reading) {
--- a/test/config/change_log_test.cc
+++ b/test/config/change_log_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<std::string> TextsOf(const std::vector<LogEntryPtr>& entries) {
   std::vector<std::string> out;
+  out.reserve(entries.size());
   for (const auto& it : entries) out.push_back(ToText(*it));
   return out;
 }
--- a/test/config/program_test.cc
+++ b/test/config/program_test.cc
@@ -1,3 +1,4 @@
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -32,6 +33,7 @@
   args.insert(args.begin(), "program");
   args.push_back("--nocheck");
   std::vector<const char*> argv;
+  argv.reserve(args.size());
   for (const auto& it : args) argv.push_back(it.c_str());
   return program.Start(static_cast<int>(argv.size()), argv.data());
 }
--- a/test/config/settings_test.cc
+++ b/test/config/settings_test.cc
@@ -81,7 +81,8 @@
 [[disk]]
 name = "b"
 size = 8
-)") == "");
+)")
+            .empty());
   CHECK(sample.count == 9);
   CHECK(sample.share == 1);
   CHECK(sample.on);
@@ -99,7 +100,7 @@
 
 TEST_CASE("what a file leaves out keeps its default") {
   Sample sample;
-  CHECK(Load(sample, "[sample]\ndomain = \"a\"\n") == "");
+  CHECK(Load(sample, "[sample]\ndomain = \"a\"\n").empty());
   CHECK(sample.count == 3);
   CHECK(sample.note == "n");
 }
--- a/test/entry/api_world.h
+++ b/test/entry/api_world.h
@@ -48,6 +48,7 @@
         api({}, {loop, mirror, writer, system, explainer}),
         time_(world_time) {
     std::vector<placement::WorkerSpec> workers;
+    workers.reserve(4);
     for (int i = 0; i < 4; ++i) {
       workers.push_back({base::WorkerName("w" + std::to_string(i)),
                          base::RackName("r"), 8, 64, 262'144});
--- a/test/entry/resource_api_test.cc
+++ b/test/entry/resource_api_test.cc
@@ -345,6 +345,7 @@
   CHECK(entries[0]->Create("organisations/o", "{}").status == 201);
   time.RunFor(base::Duration(3'000));
   std::vector<std::shared_ptr<FakeExchange>> watches;
+  watches.reserve(entries.size());
   for (const auto& it : entries) {
     watches.push_back(it->Begin("GET", "/v1/organisations?watch=true&since=0"));
   }
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -73,7 +73,7 @@
   std::atomic<int> called{0};
   const auto send = [&](const Endpoint& endpoint) {
     const std::lock_guard lock(mutex);
-    it.client.Send(endpoint, {}, kLong, [&](ClientResult) {
+    it.client.Send(endpoint, {}, kLong, [&](const ClientResult&) {
       const std::lock_guard inner(mutex);
       ++called;
     });
--- a/test/routing/at_most_once_test.cc
+++ b/test/routing/at_most_once_test.cc
@@ -51,6 +51,7 @@
 TEST_CASE("the same key at several entries at once runs once") {
   FakeEntries all(4);
   std::vector<FakeEntries::Caller> callers;
+  callers.reserve(4);
   for (int i = 0; i < 4; ++i) {
     callers.push_back(all.Send(i, FakeEntries::Keyed("k")));
   }
--- a/test/routing/claim_test.cc
+++ b/test/routing/claim_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 TEST_CASE("a claim read back is the claim that was written") {
-  CHECK(rc::check("round trip", [](std::string body, std::string type) {
+  CHECK(rc::check("round trip", [](const std::string& body, std::string type) {
     // JSON text carries the content type as text; bodies are any bytes.
     for (auto& it : type) it = static_cast<char>('a' + (it & 15));
     Claim claim;
@@ -49,7 +49,7 @@
 }
 
 TEST_CASE("a dispatch follows only a standing claim, whatever happens") {
-  CHECK(rc::check("random histories", [](std::vector<unsigned> history) {
+  CHECK(rc::check("random histories", [](const std::vector<unsigned>& history) {
     ClaimMachine machine;
     machine.Start();
     bool stands = false;
--- a/test/routing/limits_test.cc
+++ b/test/routing/limits_test.cc
@@ -14,6 +14,7 @@
   FakeEntries all(2, 5);
   all.directory.organisations[kBertolini].requests_in_progress = 6;
   std::vector<FakeEntries::Caller> callers;
+  callers.reserve(10);
   for (int i = 0; i < 10; ++i) {
     callers.push_back(
         all.Send(i % 2, FakeEntries::Idempotent("b" + std::to_string(i))));
--- a/test/routing/platform_out_test.cc
+++ b/test/routing/platform_out_test.cc
@@ -86,6 +86,7 @@
   options.claims.keeper.max_pending = 10;
   FakeEntries all(1, 5, options, {8, Duration(1'000), Duration(1)});
   std::vector<FakeEntries::Caller> callers;
+  callers.reserve(30);
   for (int i = 0; i < 30; ++i) {
     callers.push_back(all.Send(0, FakeEntries::Keyed("k" + std::to_string(i))));
   }
--- a/test/routing/request_queue_test.cc
+++ b/test/routing/request_queue_test.cc
@@ -76,7 +76,7 @@
 }
 
 TEST_CASE("what is pushed is popped or removed exactly once") {
-  CHECK(rc::check("random histories", [](std::vector<unsigned> history) {
+  CHECK(rc::check("random histories", [](const std::vector<unsigned>& history) {
     RequestQueue queue({8, 3});
     std::set<RequestToken> inside;
     RequestToken token = 0;
--- a/test/routing/runner_pool_test.cc
+++ b/test/routing/runner_pool_test.cc
@@ -15,6 +15,7 @@
 RunnerPool MakePool(int n, RunnerPoolOptions options = {}) {
   RunnerPool pool(base::DomainName("near"), options, 1);
   std::vector<RunnerEntry> entries;
+  entries.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     entries.push_back({base::RunnerName(std::to_string(i)),
                        {"10.0.0.1", static_cast<std::uint16_t>(i)},
--- a/test/scheduler_main/child_process.h
+++ b/test/scheduler_main/child_process.h
@@ -13,8 +13,6 @@
 #include <string>
 #include <vector>
 
-extern char** environ;
-
 namespace lapishatch::testing {
 
 /// A program that a test runs. Killed with the object.
@@ -29,6 +27,7 @@
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (auto& it : arguments) argv.push_back(it.data());
     argv.push_back(nullptr);
     const int error =
--- a/test/scheduler_main/feed_and_status_test.cc
+++ b/test/scheduler_main/feed_and_status_test.cc
@@ -106,7 +106,7 @@
     transaction.writes.push_back(
         {key, scheduler::EncodeStatusRow(
                   {base::AttemptId("w" + std::to_string(version)), status})});
-    tap.Commit(transaction, [](store::CommitResult) {});
+    tap.Commit(transaction, [](const store::CommitResult&) {});
   }
 
   fakes::VirtualTime time;
@@ -249,7 +249,7 @@
   it.store.Apply(
       {{{key, 0}},
        {{key, scheduler::EncodeStatusRow({base::AttemptId("w"), status})}}});
-  it.tap.Read(key, [](store::ReadResult) {});
+  it.tap.Read(key, [](const store::ReadResult&) {});
   CHECK(
       it.time.RunUntil([&] { return it.Phase("plan") == JobPhase::kFinished; },
                        Duration(10'000)));
--- a/test/scheduler_main/process_test.cc
+++ b/test/scheduler_main/process_test.cc
@@ -138,7 +138,8 @@
 
   void Put(const http::Endpoint& at, const std::string& path,
            std::string body) {
-    CHECK(Call(at, {"PUT", path, {}, std::move(body)}).status == 200);
+    const auto response = Call(at, {"PUT", path, {}, std::move(body)});
+    CHECK(response.status == 200);
   }
 
   /// The cell as a scheduler shows it.
@@ -159,8 +160,9 @@
               config::Spec spec) {
     std::promise<bool> accepted;
     config::ChangeSet set;
-    set.changes.push_back(
-        {{kind, name}, config::MustBeNewOrSame{}, config::PutSpec{spec}});
+    set.changes.push_back({{kind, name},
+                           config::MustBeNewOrSame{},
+                           config::PutSpec{std::move(spec)}});
     writer->Submit(set, [&](const config::ChangeOutcome& it) {
       accepted.set_value(std::holds_alternative<config::ChangesAccepted>(it));
     });
--- a/test/standins/worker_model_test.cc
+++ b/test/standins/worker_model_test.cc
@@ -32,8 +32,10 @@
   explicit Bench(WorkerModelOptions options = {}) : model(std::move(options)) {}
 
   OrderDone Do(std::vector<WorkerCommand> commands) {
-    return std::get<OrderDone>(model.Handle(
-        {base::CellName("cell"), epoch, model.incarnation(), commands}, now));
+    return std::get<OrderDone>(
+        model.Handle({base::CellName("cell"), epoch, model.incarnation(),
+                      std::move(commands)},
+                     now));
   }
 
   /// Reserves and starts task 0 with `payload`.
--- a/test/store/group_commit_test.cc
+++ b/test/store/group_commit_test.cc
@@ -106,7 +106,7 @@
 
 struct Fixture {
   explicit Fixture(GroupCommitOptions options = {})
-      : table(inner, time, options) {}
+      : table(inner, time, std::move(options)) {}
 
   void InsertMany(int n, const std::string& prefix = "k") {
     for (int i = 0; i < n; ++i) {
--- a/test/store/http_platform_test.cc
+++ b/test/store/http_platform_test.cc
@@ -17,7 +17,7 @@
 
 /// The HTTP implementations against the stand-in platform over loopback.
 struct Fixture {
-  explicit Fixture(standins::PlatformOptions options = {},
+  explicit Fixture(const standins::PlatformOptions& options = {},
                    Duration timeout = kTimeout)
       : platform(threads.io(), options),
         client(threads.io(), {}),
--- a/testing/fakes/fake_workers.cc
+++ b/testing/fakes/fake_workers.cc
@@ -37,8 +37,9 @@
   return n;
 }
 
-void FakeWorkers::Carry(Worker& worker, lifecycle::WorkerOrder order,
-                        std::function<void(lifecycle::OrderOutcome)> answer) {
+void FakeWorkers::Carry(
+    Worker& worker, lifecycle::WorkerOrder order,
+    const std::function<void(lifecycle::OrderOutcome)>& answer) {
   if (change_) change_(*worker.model, order);
   auto outcome = worker.model->Handle(order, time_.Now());
   AnswerPolls(worker);
--- a/testing/fakes/fake_workers.h
+++ b/testing/fakes/fake_workers.h
@@ -88,7 +88,7 @@
   };
 
   void Carry(Worker& worker, lifecycle::WorkerOrder order,
-             std::function<void(lifecycle::OrderOutcome)> answer);
+             const std::function<void(lifecycle::OrderOutcome)>& answer);
   void AnswerPolls(Worker& worker);
   void Arm(Worker& worker);
 
--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -46,8 +46,8 @@
 constexpr base::Duration kAfterPlannedStop{15'000};
 
 const base::CellName& Cell() {
-  static const base::CellName name("caxias-hall-1");
-  return name;
+  static const base::CellName kName("caxias-hall-1");
+  return kName;
 }
 
 http::Endpoint WorkerEndpoint(int i) {
--- a/testing/matrix/request_world.cc
+++ b/testing/matrix/request_world.cc
@@ -37,13 +37,13 @@
 constexpr std::int64_t kUnixMsAtStart = 1'700'000'000'000;
 
 const base::OrganisationName& Organisation() {
-  static const base::OrganisationName name("bertolini");
-  return name;
+  static const base::OrganisationName kName("bertolini");
+  return kName;
 }
 
 const base::ServiceName& Service() {
-  static const base::ServiceName name("plans");
-  return name;
+  static const base::ServiceName kName("plans");
+  return kName;
 }
 
 http::Endpoint RunnerEndpoint(int i) {
@@ -70,6 +70,7 @@
   std::vector<routing::RunnerEntry> Runners(
       const base::ServiceName& /*service*/) const override {
     std::vector<routing::RunnerEntry> out;
+    out.reserve(kRunners);
     for (int i = 0; i < kRunners; ++i) {
       out.push_back({base::RunnerName("runner-" + std::to_string(i)),
                      RunnerEndpoint(i), base::DomainName("caxias-hall"),
