Compare versions in their own type in the mirror link's test

Cause: the linter's last remark, a widening multiplication. Change: the version waited for is the count of accepted changes, which the line above requires to be 3 a round, so the check is as strict.

--- a/test/membership/mirror_link_test.cc
+++ b/test/membership/mirror_link_test.cc
@@ -95,7 +95,8 @@
     world.Write(*world.followers[round % 9], 3);
     REQUIRE(world.Time().RunUntil([&] { return world.accepted == 3 * round; },
                                   5 * kSecond));
-    CHECK(world.Time().RunUntil([&] { return world.AllAt(3 * round); },
+    const auto version = static_cast<config::LogVersion>(world.accepted);
+    CHECK(world.Time().RunUntil([&] { return world.AllAt(version); },
                                 Duration(60)));
   }
 }
