--- a/standins/common/common.h
+++ b/standins/common/common.h
@@ -6,6 +6,7 @@
 
 #include "common/backend_server.h"
 #include "common/fault_request.h"
+#include "common/gathered_stats.h"
 #include "common/standin_program.h"
 
 #endif  // LAPISHATCH_STANDINS_COMMON_COMMON_H_
--- a/standins/runner/main.cc
+++ b/standins/runner/main.cc
@@ -98,7 +98,7 @@
     } else if (request.method == "GET" && target.path == "/ran") {
       exchange->Respond(JsonAnswer(Ran(target)));
     } else if (request.method == "GET" && target.path == "/stats") {
-      AnswerStats(exchange);
+      AnswerGatheredStats(runners_, "runners", exchange);
     } else if (request.method == "GET" && target.path == "/vms") {
       exchange->Respond(JsonAnswer(VmLines()));
     } else {
@@ -127,26 +127,6 @@
     return json::object{{"body", body}, {"runs", log_.RunsOfBody(body)}};
   }
 
-  /// Answers when the last runner has told its part.
-  void AnswerStats(const http::ExchangePtr& exchange) {
-    struct Gathered {
-      std::mutex mutex;
-      json::array runners;
-      std::size_t left = 0;
-    };
-    auto gathered = std::make_shared<Gathered>();
-    gathered->left = runners_.size();
-    for (const auto& it : runners_) {
-      it->Stats([gathered, exchange](json::object stats) {
-        const std::lock_guard lock(gathered->mutex);
-        gathered->runners.emplace_back(std::move(stats));
-        if (--gathered->left > 0) return;
-        exchange->Respond(
-            JsonAnswer({{"runners", std::move(gathered->runners)}}));
-      });
-    }
-  }
-
   /// The lines that the platform's VM list has for these runners.
   json::value VmLines() const {
     json::array lines;
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -112,7 +112,7 @@
             return Apply(fault, it);
           }));
     } else if (request.method == "GET" && target.path == "/stats") {
-      AnswerStats(exchange);
+      AnswerGatheredStats(workers_, "workers", exchange);
     } else if (request.method == "GET" && target.path == "/vms") {
       exchange->Respond(JsonAnswer(VmLines()));
     } else {
@@ -134,26 +134,6 @@
     return found;
   }
 
-  /// Answers when the last worker has told its part.
-  void AnswerStats(const http::ExchangePtr& exchange) {
-    struct Gathered {
-      std::mutex mutex;
-      json::array workers;
-      std::size_t left = 0;
-    };
-    auto gathered = std::make_shared<Gathered>();
-    gathered->left = workers_.size();
-    for (const auto& it : workers_) {
-      it->Stats([gathered, exchange](json::object stats) {
-        const std::lock_guard lock(gathered->mutex);
-        gathered->workers.emplace_back(std::move(stats));
-        if (--gathered->left > 0) return;
-        exchange->Respond(
-            JsonAnswer({{"workers", std::move(gathered->workers)}}));
-      });
-    }
-  }
-
   /// The lines that the platform's VM list has for these workers.
   json::value VmLines() const {
     json::array lines;
