Never let a dropped stream look whole

A handler that drops a stream marked it ended and only then asked the connection to close. When the connection's last write completed between the two, it saw the end mark, sent the last chunk, and the peer took a cut stream (a watch, a listing) for a whole one. A fault of the product, not of the test.

Ruled out: the test's reading (ReadToEnd returned the bytes "0 CRLF CRLF", which only the last chunk writes); load as a cause by itself (load only widens the gap between the write's completion and the peer's reading).

Change: StreamBuffer::Break marks a stream ended and dead under one lock, and ended() is true only for one that was not given up.

Conclusion: the end of a stream is one decision, taken in one place.

--- a/src/http/internal/stream_buffer.h
+++ b/src/http/internal/stream_buffer.h
@@ -48,6 +48,17 @@
     return !std::exchange(ended_, true);
   }
 
+  /// Given up by its writer before its end; false when it had ended. Both marks
+  /// are set at once: a broken stream is never seen as a whole one.
+  bool Break() {
+    const std::lock_guard lock(mutex_);
+    if (ended_) return false;
+    ended_ = true;
+    dead_ = true;
+    waiting_.clear();
+    return true;
+  }
+
   /// The peer is gone or too slow.
   void Kill() {
     const std::lock_guard lock(mutex_);
@@ -55,9 +66,10 @@
     waiting_.clear();
   }
 
+  /// Whether all of it was added and it was not given up.
   bool ended() const {
     const std::lock_guard lock(mutex_);
-    return ended_;
+    return ended_ && !dead_;
   }
 
   bool dead() const {
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -14,6 +14,8 @@
 
 #include "http/internal/convert.h"
 #include "http/internal/deadline.h"
+#include "http/internal/exchange_impl.h"
+#include "http/internal/input_problems.h"
 #include "http/internal/socket_options.h"
 #include "http/internal/stream_buffer.h"
 
@@ -37,92 +39,11 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-Response MakeNotRun(int status, std::string_view type, std::string_view title,
-                    std::string_view detail) {
-  return MakeWorkProblem(status, type, title, detail, base::WorkDone::kNotRun,
-                         "");
-}
-
-/// What a peer is told whose request cannot be read.
-Response MakeInputProblem(const error_code& ec, const ServerLimits& limits) {
-  using beast_http::error;
-  if (ec == error::header_limit || ec == error::buffer_overflow) {
-    return MakeNotRun(431, "headers-too-large", "Request head too large",
-                      "The request line and header fields may have " +
-                          std::to_string(limits.max_header_bytes) + " bytes.");
-  }
-  if (ec == error::body_limit) {
-    return MakeNotRun(413, "body-too-large", "Request body too large",
-                      "The body may have " +
-                          std::to_string(limits.max_body_bytes) + " bytes.");
-  }
-  if (ec == error::partial_message || ec == error::end_of_stream) {
-    return MakeNotRun(400, "truncated", "Request cut short",
-                      "The connection ended before the request did.");
-  }
-  return MakeNotRun(400, "malformed", "Malformed request",
-                    "The request is not HTTP/1.1: " + ec.message() + ".");
-}
-
-Response MakeTimeoutProblem(bool in_head) {
-  return MakeNotRun(408, "too-slow", "Request too slow",
-                    in_head ? "The request's head took too long to arrive."
-                            : "The request's body took too long to arrive.");
-}
-
-Response MakeFullProblem() {
-  auto out = MakeNotRun(503, "too-many-connections", "Too many connections",
-                        "The server has as many connections as it is allowed.");
-  out.headers.Set("Retry-After", "1");
-  return out;
-}
-
-Response MakeDroppedProblem() {
-  return MakeWorkProblem(500, "no-answer", "No answer",
-                         "The request was taken but never answered.",
-                         base::WorkDone::kUnknown, "");
-}
-
 /// Whether a response of this status has no body by definition.
 bool IsBodiless(int status) {
   return status == 204 || status == 304 || status < 200;
 }
 
-class SessionImpl;
-
-/// The handler's side of one request.
-class ExchangeImpl final : public Exchange {
- public:
-  ExchangeImpl(std::shared_ptr<SessionImpl> session, Request request)
-      : session_(std::move(session)), request_(std::move(request)) {}
-  ~ExchangeImpl() override;
-  ExchangeImpl(const ExchangeImpl&) = delete;
-  ExchangeImpl& operator=(const ExchangeImpl&) = delete;
-
-  const Request& request() const override { return request_; }
-  void Respond(Response response) override;
-  void StartStream(Response head) override;
-  bool Write(std::string bytes) override;
-  void End() override;
-  void OnGone(std::function<void()> gone) override;
-
-  /// The peer left.
-  void FireGone();
-
- private:
-  /// Forgets the callback: the response is complete.
-  void ForgetGone();
-
-  std::shared_ptr<SessionImpl> session_;
-  Request request_;
-  std::atomic<bool> answered_{false};
-  std::shared_ptr<StreamBuffer> stream_;
-  std::mutex gone_mutex_;
-  bool is_gone_ = false;
-  bool is_complete_ = false;
-  std::function<void()> gone_;
-};
-
 enum class Phase {
   kIdle,
   kHead,
@@ -138,6 +59,7 @@
 /// read stays pending to notice that the peer leaves; what it brings is the
 /// beginning of the next request.
 class SessionImpl final : public Session,
+                          public AnswerSink,
                           public std::enable_shared_from_this<SessionImpl> {
  public:
   SessionImpl(tcp::socket socket, std::shared_ptr<ServerState> state)
@@ -180,14 +102,14 @@
     OnStrand([this] { Close(); });
   }
 
-  void Answer(Response response) {
+  void Answer(Response response) override {
     OnStrand([this, response = std::move(response)]() mutable {
       if (phase_ != Phase::kHandling) return FinishExchange();
       SendResponse(std::move(response), WantsKeepAlive());
     });
   }
 
-  std::shared_ptr<StreamBuffer> BeginStream(Response head) {
+  std::shared_ptr<StreamBuffer> BeginStream(Response head) override {
     auto stream =
         std::make_shared<StreamBuffer>(state_->limits.max_stream_backlog_bytes);
     OnStrand([this, stream, head = std::move(head)] {
@@ -200,21 +122,18 @@
     return stream;
   }
 
-  /// More waits in the stream, or its end.
-  void WakeStream() {
+  void WakeStream() override {
     OnStrand([this] { FlushStream(); });
   }
 
-  /// The stream was given up, by either side.
-  void BreakStream() {
+  void BreakStream() override {
     OnStrand([this] {
       Close();
       FinishExchange();
     });
   }
 
-  /// The stream's writer has ended it; nothing is waited for if the peer left.
-  void FinishStream() {
+  void FinishStream() override {
     OnStrand([this] {
       if (phase_ != Phase::kStreaming) return FinishExchange();
       FlushStream();
@@ -336,11 +255,6 @@
     return head.count(beast_http::field::host) == 1;
   }
 
-  static Response MakeHostProblem() {
-    return MakeNotRun(400, "malformed", "Malformed request",
-                      "An HTTP/1.1 request has exactly one Host field.");
-  }
-
   bool ExpectsContinue() const {
     const auto value = parser_->get()[beast_http::field::expect];
     return beast::iequals(value, "100-continue");
@@ -622,78 +536,6 @@
   bool is_refused_ = false;
 };
 
-ExchangeImpl::~ExchangeImpl() {
-  if (!answered_.exchange(true)) {
-    session_->Answer(MakeDroppedProblem());
-  } else if (stream_ && stream_->End()) {
-    session_->BreakStream();
-  }
-}
-
-void ExchangeImpl::Respond(Response response) {
-  if (answered_.exchange(true)) return;
-  ForgetGone();
-  session_->Answer(std::move(response));
-}
-
-void ExchangeImpl::StartStream(Response head) {
-  if (answered_.exchange(true)) return;
-  stream_ = session_->BeginStream(std::move(head));
-}
-
-bool ExchangeImpl::Write(std::string bytes) {
-  if (!stream_) return false;
-  if (bytes.empty()) return !stream_->dead();
-  switch (stream_->Add(std::move(bytes))) {
-    case StreamBuffer::Added::kFirst:
-      session_->WakeStream();
-      return true;
-    case StreamBuffer::Added::kMore:
-      return true;
-    case StreamBuffer::Added::kRefused:
-      session_->WakeStream();
-      return false;
-  }
-  return false;
-}
-
-void ExchangeImpl::End() {
-  if (!stream_ || !stream_->End()) return;
-  ForgetGone();
-  session_->FinishStream();
-}
-
-void ExchangeImpl::OnGone(std::function<void()> gone) {
-  {
-    const std::lock_guard lock(gone_mutex_);
-    if (is_complete_) return;
-    if (!is_gone_) {
-      gone_ = std::move(gone);
-      return;
-    }
-  }
-  gone();
-}
-
-void ExchangeImpl::FireGone() {
-  std::function<void()> gone;
-  {
-    const std::lock_guard lock(gone_mutex_);
-    is_gone_ = true;
-    gone = std::exchange(gone_, nullptr);
-  }
-  if (gone) gone();
-}
-
-void ExchangeImpl::ForgetGone() {
-  // Destroyed after the lock is released: it may hold the last reference to
-  // anything.
-  std::function<void()> gone;
-  const std::lock_guard lock(gone_mutex_);
-  is_complete_ = true;
-  gone.swap(gone_);
-}
-
 }  // namespace
 
 std::shared_ptr<Session> MakeSession(tcp::socket socket,
--- a/test/http/exchange_test.cc
+++ b/test/http/exchange_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "http/http.h"
+#include "http/internal/stream_buffer.h"
 #include "net/io_threads.h"
 #include "net/raw_socket.h"
 
@@ -172,6 +173,40 @@
   CHECK(net::AwaitThat([&] { return it.server.in_progress() == 0; }));
 }
 
+TEST_CASE("a broken stream never counts as ended") {
+  internal::StreamBuffer broken(1024);
+  broken.Add("line\n");
+  CHECK(broken.Break());
+  CHECK(broken.dead());
+  CHECK_FALSE(broken.ended());
+  CHECK(broken.Take().empty());
+  internal::StreamBuffer whole(1024);
+  whole.Add("line\n");
+  CHECK(whole.End());
+  CHECK_FALSE(whole.Break());
+  CHECK(whole.ended());
+  CHECK(whole.Take() == "line\n");
+}
+
+// The peer may have the bytes before the session hears that they are written:
+// the drop then falls between that and its next look at the stream.
+TEST_CASE("a stream dropped at any moment never looks whole") {
+  constexpr int kDrops = 2000;
+  Fixture it;
+  int looked_whole = 0;
+  for (int i = 0; i < kDrops; ++i) {
+    RawSocket socket(it.server.endpoint());
+    socket.Send(kGet);
+    auto exchange = it.Take();
+    exchange->StartStream({});
+    exchange->Write("line\n");
+    socket.ReadTo("line\n\r\n");
+    exchange.reset();
+    if (!socket.ReadToEnd().empty()) ++looked_whole;
+  }
+  CHECK(looked_whole == 0);
+}
+
 TEST_CASE("a stream whose peer does not read is closed, its backlog bounded") {
   ServerLimits limits;
   std::size_t written = 0;
