--- a/src/config/change_writer.cc
+++ b/src/config/change_writer.cc
@@ -1,24 +1,20 @@
 #include "config/change_writer.h"
 
 #include <algorithm>
-#include <boost/msm/back/state_machine.hpp>
-#include <boost/msm/front/functor_row.hpp>
-#include <boost/msm/front/state_machine_def.hpp>
 #include <chrono>
 #include <deque>
 #include <utility>
 
 #include "config/change_batch.h"
+#include "config/internal/writer_machine.h"
 #include "config/log_compactor.h"
 #include "config/loop_table.h"
 
 namespace lapishatch::config {
 namespace {
 
-namespace msm = boost::msm;
-namespace front = boost::msm::front;
-using front::none;
-using front::Row;
+using internal::WriterActions;
+using internal::WriterEvent;
 
 constexpr std::size_t kLogCount = base::kEnumSize<LogId>;
 
@@ -26,136 +22,6 @@
 constexpr int kShrinkNumerator = 7;
 constexpr int kShrinkDenominator = 8;
 
-/// What the machine tells its writer to do; see WriterImpl.
-class WriterActions {
- public:
-  virtual ~WriterActions() = default;
-  virtual void TakeWaiting() = 0;
-  virtual void ReadHeads() = 0;
-  virtual void Prepare() = 0;
-  virtual void SendAgain() = 0;
-  virtual void Pause() = 0;
-  virtual void Resolve() = 0;
-  virtual void PauseResolving() = 0;
-  virtual void AnswerWritten() = 0;
-  virtual void AnswerUnwritten() = 0;
-  virtual void AnswerUnknown() = 0;
-  virtual bool knows_heads() const = 0;
-  virtual bool may_be_written() const = 0;
-};
-
-// Events.
-struct SetsWait {};
-struct HeadsRead {};
-struct ReadingFailed {};
-/// Nothing was judged acceptable, against heads read after the sets came.
-struct NothingToWrite {};
-struct HeadsNeeded {};
-struct CommitDone {};
-struct CommitConflict {};
-struct CommitRefused {};
-struct CommitUnknown {};
-struct FoundWritten {};
-struct FoundUnwritten {};
-/// The heads have not moved: the transaction may yet arrive.
-struct NotThereYet {};
-struct PauseOver {};
-struct PatienceOver {};
-
-/// How sets get into the table: the sets that wait become one transaction; a
-/// lost race is run again against what won; an outcome that is not known is
-/// looked up in the log before anything else is written.
-struct WriterMachineDef : front::state_machine_def<WriterMachineDef> {
-  explicit WriterMachineDef(WriterActions& writer) : actions(writer) {}
-
-  struct Idle : front::state<> {};
-  struct Reading : front::state<> {};
-  struct Writing : front::state<> {};
-  struct Pausing : front::state<> {};
-  struct Resolving : front::state<> {};
-  using initial_state = Idle;
-
-  struct TakeAndRead {
-    template <typename Event, typename Machine, typename From, typename To>
-    void operator()(const Event&, Machine& machine, From&, To&) const {
-      machine.actions.TakeWaiting();
-      machine.actions.ReadHeads();
-    }
-  };
-  struct TakeAndPrepare {
-    template <typename Event, typename Machine, typename From, typename To>
-    void operator()(const Event&, Machine& machine, From&, To&) const {
-      machine.actions.TakeWaiting();
-      machine.actions.Prepare();
-    }
-  };
-
-  /// Calls one of the writer's actions.
-  template <void (WriterActions::*kAction)()>
-  struct Do {
-    template <typename Event, typename Machine, typename From, typename To>
-    void operator()(const Event&, Machine& machine, From&, To&) const {
-      (machine.actions.*kAction)();
-    }
-  };
-
-  struct KnowsHeads {
-    template <typename Event, typename Machine, typename From, typename To>
-    bool operator()(const Event&, Machine& machine, From&, To&) const {
-      return machine.actions.knows_heads();
-    }
-  };
-  struct MayBeWritten {
-    template <typename Event, typename Machine, typename From, typename To>
-    bool operator()(const Event&, Machine& machine, From&, To&) const {
-      return machine.actions.may_be_written();
-    }
-  };
-
-  using Prepare = Do<&WriterActions::Prepare>;
-  using SendAgain = Do<&WriterActions::SendAgain>;
-  using Pause = Do<&WriterActions::Pause>;
-  using Resolve = Do<&WriterActions::Resolve>;
-  using PauseResolving = Do<&WriterActions::PauseResolving>;
-  using AnswerWritten = Do<&WriterActions::AnswerWritten>;
-  using AnswerUnwritten = Do<&WriterActions::AnswerUnwritten>;
-  using AnswerUnknown = Do<&WriterActions::AnswerUnknown>;
-
-  // NOLINTBEGIN(readability-identifier-naming): the name is Boost.MSM's.
-  // Of two rows for one state and event, the later one is tried first.
-  struct transition_table
-      : boost::mpl::vector<
-            Row<Idle, SetsWait, Reading, TakeAndRead, none>,
-            Row<Idle, SetsWait, Writing, TakeAndPrepare, KnowsHeads>,
-            Row<Reading, HeadsRead, Writing, Prepare, none>,
-            Row<Reading, ReadingFailed, Pausing, Pause, none>,
-            Row<Writing, NothingToWrite, Idle, AnswerWritten, none>,
-            Row<Writing, HeadsNeeded, Reading, TakeAndRead, none>,
-            Row<Writing, CommitDone, Idle, AnswerWritten, none>,
-            Row<Writing, CommitConflict, Pausing, Pause, none>,
-            Row<Writing, CommitConflict, Resolving, Resolve, MayBeWritten>,
-            Row<Writing, CommitRefused, Pausing, Pause, none>,
-            Row<Writing, CommitRefused, Resolving, PauseResolving,
-                MayBeWritten>,
-            Row<Writing, CommitUnknown, Resolving, Resolve, none>,
-            Row<Pausing, PauseOver, Reading, TakeAndRead, none>,
-            Row<Pausing, PatienceOver, Idle, AnswerUnwritten, none>,
-            Row<Resolving, FoundWritten, Idle, AnswerWritten, none>,
-            Row<Resolving, FoundUnwritten, Pausing, Pause, none>,
-            Row<Resolving, NotThereYet, Writing, SendAgain, none>,
-            Row<Resolving, ReadingFailed, Resolving, PauseResolving, none>,
-            Row<Resolving, PauseOver, Resolving, Resolve, none>,
-            Row<Resolving, PatienceOver, Idle, AnswerUnknown, none>> {};
-  // NOLINTEND(readability-identifier-naming)
-
-  template <typename Machine, typename Event>
-  void no_transition(const Event&, Machine&, int) {}
-
-  WriterActions& actions;
-};
-
-using WriterMachine = msm::back::state_machine<WriterMachineDef>;
-
 std::int64_t SystemClockMs() {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
@@ -178,9 +44,7 @@
         table_(ports_.loop, ports_.table),
         backoff_(options.retry_first, options.retry_limit),
         random_(options.seed),
-        machine_(std::ref(static_cast<WriterActions&>(*this))) {
-    machine_.start();
-  }
+        machine_(*this) {}
 
   void Submit(ChangeSet set, Done done) {
     ports_.loop.Post([weak = weak_from_this(), set = std::move(set),
@@ -233,12 +97,12 @@
   /// transaction demands.
   void Prepare() override {
     if (sets_.empty()) {
-      machine_.process_event(NothingToWrite());
+      machine_.Process(WriterEvent::kNothingToWrite);
       return;
     }
     if (!IsMirrorAtHeads()) {
       heads_known_ = false;
-      machine_.process_event(HeadsNeeded());
+      machine_.Process(WriterEvent::kHeadsNeeded);
       return;
     }
     batch_ = MakeBatch(sets_, ports_.mirror, heads_,
@@ -249,9 +113,9 @@
       return;
     }
     if (heads_are_fresh_) {
-      machine_.process_event(NothingToWrite());
+      machine_.Process(WriterEvent::kNothingToWrite);
     } else {
-      machine_.process_event(HeadsNeeded());
+      machine_.Process(WriterEvent::kHeadsNeeded);
     }
   }
 
@@ -262,11 +126,11 @@
     DropStaleStatuses();
     DropImpatient();
     if (sets_.empty()) {
-      machine_.process_event(PatienceOver());
+      machine_.Process(WriterEvent::kPatienceOver);
       return;
     }
     table_.After(backoff_.Next(random_),
-                 [this] { machine_.process_event(PauseOver()); });
+                 [this] { machine_.Process(WriterEvent::kPauseOver); });
   }
 
   void Resolve() override {
@@ -281,11 +145,11 @@
 
   void PauseResolving() override {
     if (table_.Now() - batch_sent_ >= options_.unknown_patience) {
-      machine_.process_event(PatienceOver());
+      machine_.Process(WriterEvent::kPatienceOver);
       return;
     }
     table_.After(backoff_.Next(random_),
-                 [this] { machine_.process_event(PauseOver()); });
+                 [this] { machine_.Process(WriterEvent::kPauseOver); });
   }
 
   void AnswerWritten() override {
@@ -337,7 +201,7 @@
     const auto delay = std::max(not_before_ - table_.Now(), base::Duration(0));
     table_.After(delay, [this] {
       is_waking_ = false;
-      machine_.process_event(SetsWait());
+      machine_.Process(WriterEvent::kSetsWait);
     });
   }
 
@@ -369,13 +233,13 @@
 
   void OnHeads(const std::optional<LogHeads>& heads) {
     if (!heads) {
-      machine_.process_event(ReadingFailed());
+      machine_.Process(WriterEvent::kReadingFailed);
       return;
     }
     heads_ = *heads;
     heads_known_ = true;
     heads_are_fresh_ = true;
-    machine_.process_event(HeadsRead());
+    machine_.Process(WriterEvent::kHeadsRead);
   }
 
   bool IsMirrorAtHeads() const {
@@ -405,7 +269,7 @@
     ++committed_;
     Count("committed");
     GiveWay();
-    machine_.process_event(CommitDone());
+    machine_.Process(WriterEvent::kCommitDone);
   }
 
   void operator()(const store::Conflict& conflict) {
@@ -417,18 +281,18 @@
       Count("conflict");
       WidenWindow();
     }
-    machine_.process_event(CommitConflict());
+    machine_.Process(WriterEvent::kCommitConflict);
   }
 
   void operator()(const store::NotDone&) {
     Count("not_done");
-    machine_.process_event(CommitRefused());
+    machine_.Process(WriterEvent::kCommitRefused);
   }
 
   void operator()(const store::UnknownOutcome&) {
     Count("unknown");
     may_be_written_ = true;
-    machine_.process_event(CommitUnknown());
+    machine_.Process(WriterEvent::kCommitUnknown);
   }
 
  private:
@@ -483,7 +347,7 @@
   /// version carries its attempt, or another's.
   void OnHeadsResolving(const std::optional<LogHeads>& heads) {
     if (!heads) {
-      machine_.process_event(ReadingFailed());
+      machine_.Process(WriterEvent::kReadingFailed);
       return;
     }
     for (std::size_t i = 0; i < kLogCount; ++i) {
@@ -496,11 +360,11 @@
       const bool ours = entry->attempt == batch_.attempt;
       if (ours) {
         ++committed_;
-        machine_.process_event(FoundWritten());
+        machine_.Process(WriterEvent::kFoundWritten);
       } else {
         ++conflicts_;
         may_be_written_ = false;
-        machine_.process_event(FoundUnwritten());
+        machine_.Process(WriterEvent::kFoundUnwritten);
       }
       return;
     }
@@ -508,14 +372,14 @@
     // that demands one cannot take effect any more.
     if (!moved_status_row_.empty()) {
       may_be_written_ = false;
-      machine_.process_event(FoundUnwritten());
+      machine_.Process(WriterEvent::kFoundUnwritten);
       return;
     }
     if (table_.Now() - batch_sent_ >= options_.unknown_patience) {
-      machine_.process_event(PatienceOver());
+      machine_.Process(WriterEvent::kPatienceOver);
       return;
     }
-    machine_.process_event(NotThereYet());
+    machine_.Process(WriterEvent::kNotThereYet);
   }
 
   /// Brings what was written into force here.
@@ -593,7 +457,7 @@
   std::string moved_status_row_;
   std::uint64_t committed_ = 0;
   std::uint64_t conflicts_ = 0;
-  WriterMachine machine_;
+  internal::WriterMachine machine_;
 };
 
 ChangeWriter::ChangeWriter(WriterOptions options, WriterPorts ports)
