--- a/standins/common/common.h
+++ b/standins/common/common.h
@@ -4,6 +4,7 @@
 /// Umbrella header of what the stand-ins share: the frame of their programs and
 /// the requests of their fault port.
 
+#include "common/backend_fleet.h"
 #include "common/backend_server.h"
 #include "common/fault_request.h"
 #include "common/gathered_stats.h"
--- a/standins/runner/main.cc
+++ b/standins/runner/main.cc
@@ -1,11 +1,10 @@
 #include <absl/flags/flag.h>
 
-#include <atomic>
-#include <boost/json.hpp>
+#include <functional>
 #include <memory>
-#include <mutex>
+#include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "common/common.h"
 #include "config/config.h"
@@ -31,11 +30,6 @@
 namespace lapishatch::standins {
 namespace {
 
-namespace json = boost::json;
-
-constexpr int kNotFound = 404;
-const char* const kAddress = "127.0.0.1";
-
 RunnerModelOptions OptionsOf(int i) {
   RunnerModelOptions out;
   out.name = absl::GetFlag(FLAGS_name) + "-" + std::to_string(i);
@@ -46,119 +40,51 @@
   return out;
 }
 
-/// All runners of the process and their fault port.
-class Runners {
- public:
-  explicit Runners(StandinProgram& program)
-      : program_(program),
-        log_(static_cast<std::size_t>(absl::GetFlag(FLAGS_ran_limit))) {
-    const int port = absl::GetFlag(FLAGS_port);
-    const auto connections =
-        static_cast<std::size_t>(absl::GetFlag(FLAGS_connections));
-    for (int i = 0; i < absl::GetFlag(FLAGS_runners); ++i) {
-      const int own = port == 0 ? 0 : port + i;
-      const http::Endpoint endpoint{kAddress, static_cast<std::uint16_t>(own)};
-      runners_.push_back(std::make_unique<RunnerServer>(
-          program.io(), endpoint, OptionsOf(i), connections, log_));
-    }
-    const http::Endpoint fault_endpoint{
-        kAddress, static_cast<std::uint16_t>(absl::GetFlag(FLAGS_fault_port))};
-    fault_server_ = std::make_unique<http::Server>(
-        program.io(), fault_endpoint, http::ServerLimits{},
-        [this](const http::ExchangePtr& exchange) { Receive(exchange); });
-    fault_server_->Start();
-  }
-
-  void Announce() const {
-    for (const auto& it : runners_) {
-      StandinProgram::Announce("listening", it->endpoint());
-    }
-    StandinProgram::Announce("faults", fault_server_->endpoint());
-  }
-
-  void Leave() {
-    auto left = std::make_shared<std::atomic<std::size_t>>(runners_.size());
-    for (const auto& it : runners_) {
-      it->Leave([this, left] {
-        if (left->fetch_sub(1) == 1) program_.Finish();
-      });
-    }
-  }
+using Fleet = BackendFleet<RunnerServer, RunnerFault>;
 
- private:
-  void Receive(const http::ExchangePtr& exchange) {
-    const auto& request = exchange->request();
-    const auto target = http::ParseTarget(request.target);
-    if (request.method == "POST" && target.path == "/faults") {
-      exchange->Respond(AnswerFaultRequest<RunnerFault>(
-          request.body, "runner",
-          [this](RunnerFault fault, const FaultRequest& it) {
-            return Apply(fault, it);
-          }));
-    } else if (request.method == "GET" && target.path == "/ran") {
-      exchange->Respond(JsonAnswer(Ran(target)));
-    } else if (request.method == "GET" && target.path == "/stats") {
-      AnswerGatheredStats(runners_, "runners", exchange);
-    } else if (request.method == "GET" && target.path == "/vms") {
-      exchange->Respond(JsonAnswer(VmLines()));
-    } else {
-      exchange->Respond(
-          http::MakeProblem(kNotFound, "path", "No such resource",
-                            "POST /faults, GET /ran, GET /stats or GET /vms"));
-    }
-  }
-
-  bool Apply(RunnerFault fault, const FaultRequest& request) {
-    bool found = false;
-    for (const auto& it : runners_) {
-      const bool meant =
-          request.target.empty() || it->options().name == request.target;
-      if (!meant) continue;
-      it->Apply(fault, request.time);
-      found = true;
-    }
-    return found;
-  }
+FleetOptions OptionsOfFleet() {
+  return {"runner", absl::GetFlag(FLAGS_failure_domain),
+          absl::GetFlag(FLAGS_fault_port)};
+}
 
-  /// All counts, or the count of one body with ?body=.
-  json::value Ran(const http::Target& target) const {
-    const std::string body(target.Query("body"));
-    if (body.empty()) return log_.ToJson();
-    return json::object{{"body", body}, {"runs", log_.RunsOfBody(body)}};
-  }
+/// All counts, or the count of one body with ?body=.
+std::optional<http::Response> AnswerRan(const RunLog& log,
+                                        const http::Target& target) {
+  if (target.path != "/ran") return std::nullopt;
+  const std::string body(target.Query("body"));
+  if (body.empty()) return JsonAnswer(log.ToJson());
+  return JsonAnswer({{"body", body}, {"runs", log.RunsOfBody(body)}});
+}
 
-  /// The lines that the platform's VM list has for these runners.
-  json::value VmLines() const {
-    json::array lines;
-    for (const auto& it : runners_) {
-      const auto endpoint = it->endpoint();
-      lines.emplace_back(
-          json::object{{"name", it->options().name},
-                       {"kind", "runner"},
-                       {"state", "live"},
-                       {"failure_domain", absl::GetFlag(FLAGS_failure_domain)},
-                       {"address", endpoint.address},
-                       {"port", endpoint.port},
-                       {"rack", ""},
-                       {"service", it->options().service.str()}});
-    }
-    return json::object{{"vms", std::move(lines)}};
+void AddRunners(StandinProgram& program, RunLog& log, Fleet& fleet) {
+  const auto connections =
+      static_cast<std::size_t>(absl::GetFlag(FLAGS_connections));
+  for (int i = 0; i < absl::GetFlag(FLAGS_runners); ++i) {
+    const auto options = OptionsOf(i);
+    fleet.Add(std::make_unique<RunnerServer>(
+                  program.io(), LoopbackPort(absl::GetFlag(FLAGS_port), i),
+                  options, connections, log),
+              {options.name, "", options.service.str()});
   }
+}
 
-  StandinProgram& program_;
-  RunLog log_;
-  std::vector<std::unique_ptr<RunnerServer>> runners_;
-  std::unique_ptr<http::Server> fault_server_;
-};
+void LeaveOne(RunnerServer& server, std::function<void()> done) {
+  server.Leave(std::move(done));
+}
 
 int Main(int argc, const char* const* argv) {
   StandinProgram program("standin-runner",
                          "plays runners of the platform, for tests",
                          LAPISHATCH_VERSION);
   if (const auto code = program.ParseFlags(argc, argv)) return *code;
-  Runners runners(program);
-  runners.Announce();
-  return program.Run(absl::GetFlag(FLAGS_threads), [&] { runners.Leave(); });
+  RunLog log(static_cast<std::size_t>(absl::GetFlag(FLAGS_ran_limit)));
+  Fleet fleet(program, OptionsOfFleet(), [&log](const http::Target& target) {
+    return AnswerRan(log, target);
+  });
+  AddRunners(program, log, fleet);
+  fleet.Start();
+  return program.Run(absl::GetFlag(FLAGS_threads),
+                     [&] { fleet.Leave(LeaveOne); });
 }
 
 }  // namespace
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -1,13 +1,12 @@
 #include <absl/flags/flag.h>
 
 #include <algorithm>
-#include <atomic>
-#include <boost/json.hpp>
+#include <functional>
 #include <iostream>
 #include <memory>
-#include <mutex>
+#include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "common/common.h"
 #include "config/config.h"
@@ -40,11 +39,6 @@
 namespace lapishatch::standins {
 namespace {
 
-namespace json = boost::json;
-
-constexpr int kNotFound = 404;
-const char* const kAddress = "127.0.0.1";
-
 WorkerModelOptions OptionsOf(int i) {
   WorkerModelOptions out;
   const auto number = std::to_string(i);
@@ -62,101 +56,27 @@
   return out;
 }
 
-/// All workers of the process and their fault port.
-class Workers {
- public:
-  Workers(StandinProgram& program, store::ObjectStore& objects)
-      : program_(program) {
-    const int port = absl::GetFlag(FLAGS_port);
-    for (int i = 0; i < absl::GetFlag(FLAGS_workers); ++i) {
-      const int own = port == 0 ? 0 : port + i;
-      const http::Endpoint endpoint{kAddress, static_cast<std::uint16_t>(own)};
-      auto options = OptionsOf(i);
-      racks_.push_back(options.rack);
-      workers_.push_back(std::make_unique<WorkerServer>(
-          program.io(), endpoint, std::move(options), objects));
-    }
-    const http::Endpoint fault_endpoint{
-        kAddress, static_cast<std::uint16_t>(absl::GetFlag(FLAGS_fault_port))};
-    fault_server_ = std::make_unique<http::Server>(
-        program.io(), fault_endpoint, http::ServerLimits{},
-        [this](const http::ExchangePtr& exchange) { Receive(exchange); });
-    fault_server_->Start();
-  }
-
-  void Announce() const {
-    for (const auto& it : workers_) {
-      StandinProgram::Announce("listening", it->endpoint());
-    }
-    StandinProgram::Announce("faults", fault_server_->endpoint());
-  }
-
-  void Leave() {
-    const base::Duration limit(absl::GetFlag(FLAGS_leave_ms));
-    auto left = std::make_shared<std::atomic<std::size_t>>(workers_.size());
-    for (const auto& it : workers_) {
-      it->Leave(limit, [this, left] {
-        if (left->fetch_sub(1) == 1) program_.Finish();
-      });
-    }
-  }
+using Fleet = BackendFleet<WorkerServer, WorkerFault>;
 
- private:
-  void Receive(const http::ExchangePtr& exchange) {
-    const auto& request = exchange->request();
-    const auto target = http::ParseTarget(request.target);
-    if (request.method == "POST" && target.path == "/faults") {
-      exchange->Respond(AnswerFaultRequest<WorkerFault>(
-          request.body, "worker",
-          [this](WorkerFault fault, const FaultRequest& it) {
-            return Apply(fault, it);
-          }));
-    } else if (request.method == "GET" && target.path == "/stats") {
-      AnswerGatheredStats(workers_, "workers", exchange);
-    } else if (request.method == "GET" && target.path == "/vms") {
-      exchange->Respond(JsonAnswer(VmLines()));
-    } else {
-      exchange->Respond(
-          http::MakeProblem(kNotFound, "path", "No such resource",
-                            "POST /faults, GET /stats or GET /vms"));
-    }
-  }
-
-  bool Apply(WorkerFault fault, const FaultRequest& request) {
-    bool found = false;
-    for (const auto& it : workers_) {
-      const bool meant =
-          request.target.empty() || it->name().str() == request.target;
-      if (!meant) continue;
-      it->Apply(fault, request.time);
-      found = true;
-    }
-    return found;
-  }
+FleetOptions OptionsOfFleet() {
+  return {"worker", absl::GetFlag(FLAGS_failure_domain),
+          absl::GetFlag(FLAGS_fault_port)};
+}
 
-  /// The lines that the platform's VM list has for these workers.
-  json::value VmLines() const {
-    json::array lines;
-    for (std::size_t i = 0; i < workers_.size(); ++i) {
-      const auto endpoint = workers_[i]->endpoint();
-      lines.emplace_back(
-          json::object{{"name", workers_[i]->name().str()},
-                       {"kind", "worker"},
-                       {"state", "live"},
-                       {"failure_domain", absl::GetFlag(FLAGS_failure_domain)},
-                       {"address", endpoint.address},
-                       {"port", endpoint.port},
-                       {"rack", racks_[i].str()},
-                       {"service", ""}});
-    }
-    return json::object{{"vms", std::move(lines)}};
+void AddWorkers(StandinProgram& program, store::ObjectStore& objects,
+                Fleet& fleet) {
+  for (int i = 0; i < absl::GetFlag(FLAGS_workers); ++i) {
+    const auto options = OptionsOf(i);
+    fleet.Add(std::make_unique<WorkerServer>(
+                  program.io(), LoopbackPort(absl::GetFlag(FLAGS_port), i),
+                  options, objects),
+              {options.name.str(), options.rack.str(), ""});
   }
+}
 
-  StandinProgram& program_;
-  std::vector<base::RackName> racks_;
-  std::vector<std::unique_ptr<WorkerServer>> workers_;
-  std::unique_ptr<http::Server> fault_server_;
-};
+void LeaveOne(WorkerServer& server, std::function<void()> done) {
+  server.Leave(base::Duration(absl::GetFlag(FLAGS_leave_ms)), std::move(done));
+}
 
 /// Where checkpoints go: the platform's object store, or memory.
 std::unique_ptr<store::ObjectStore> MakeObjects(
@@ -180,9 +100,11 @@
   }
   http::Client client(program.io(), http::ClientLimits{});
   const auto objects = MakeObjects(client, endpoint);
-  Workers workers(program, *objects);
-  workers.Announce();
-  return program.Run(absl::GetFlag(FLAGS_threads), [&] { workers.Leave(); });
+  Fleet fleet(program, OptionsOfFleet());
+  AddWorkers(program, *objects, fleet);
+  fleet.Start();
+  return program.Run(absl::GetFlag(FLAGS_threads),
+                     [&] { fleet.Leave(LeaveOne); });
 }
 
 }  // namespace
