Take back only the bytes of a refused request that were counted

Cause: when an entry had its most requests in progress, the count of their bytes was not raised (the second half of a short-circuited condition), but was lowered on refusal. Each such refusal took its body's bytes off the count; below zero it wrapped, and the entry refused every later request with "too much is in progress" until it was restarted. Ruled out: the other counts that are given back (the organisation's limit, sessions and refusals of the HTTP server) are raised before they are judged. Change: both counts are raised before either is judged. Conclusion: an entry that was full once goes on serving.

--- a/src/routing/request_path.cc
+++ b/src/routing/request_path.cc
@@ -110,12 +110,14 @@
     return shard;
   }
 
+  /// Both are counted before either is judged, so that GivePlaceBack always
+  /// takes back what was added.
   bool TakePlace(const RoutedRequest& request) {
     const auto bytes = request.body.size();
-    if (in_progress_.fetch_add(1) < options_.max_in_progress &&
-        bytes_.fetch_add(bytes) + bytes <= options_.max_bytes_in_progress) {
-      return true;
-    }
+    const bool has_place = in_progress_.fetch_add(1) < options_.max_in_progress;
+    const bool has_bytes =
+        bytes_.fetch_add(bytes) + bytes <= options_.max_bytes_in_progress;
+    if (has_place && has_bytes) return true;
     GivePlaceBack(bytes);
     return false;
   }
--- a/test/routing/limits_test.cc
+++ b/test/routing/limits_test.cc
@@ -68,6 +68,40 @@
   CHECK(retry_after.size() > 20);
 }
 
+TEST_CASE("an entry that was full takes requests again when it has room") {
+  RequestPathOptions options;
+  options.max_in_progress = 2;
+  FakeEntries all(1, 1, options);
+  std::vector<FakeEntries::Caller> taken;
+  for (int i = 0; i < 2; ++i) {
+    taken.push_back(
+        all.Send(0, FakeEntries::Idempotent("t" + std::to_string(i))));
+  }
+  for (int i = 0; i < 10; ++i) {
+    const auto refused =
+        all.Send(0, FakeEntries::Idempotent("r" + std::to_string(i)));
+    REQUIRE(refused->has_value());
+    CHECK(RefusalOf(**refused)->reason == Refusal::kCannotNow);
+  }
+  all.time.RunFor(Duration(5'000));
+  for (const auto& it : taken) CHECK(AnswerOf(**it));
+  CHECK(AnswerOf(all.Ask(0, FakeEntries::Idempotent("after"))));
+}
+
+TEST_CASE("refused requests leave the bound on bytes as it is") {
+  RequestPathOptions options;
+  options.max_in_progress = 2;
+  options.max_bytes_in_progress = 10;
+  FakeEntries all(1, 1, options);
+  all.Send(0, FakeEntries::Idempotent("1234"));
+  CHECK(RefusalOf(all.Ask(0, FakeEntries::Idempotent("7 bytes"))));
+  all.Send(0, FakeEntries::Idempotent("1234"));
+  CHECK(RefusalOf(all.Ask(0, FakeEntries::Idempotent("12345678"))));
+  all.time.RunFor(Duration(5'000));
+  CHECK(RefusalOf(all.Ask(0, FakeEntries::Idempotent("eleven byte"))));
+  CHECK(AnswerOf(all.Ask(0, FakeEntries::Idempotent("ten bytes."))));
+}
+
 TEST_CASE("a request that waits in vain is told before its deadline") {
   FakeEntries all(1, 1, {}, {8, Duration(5'000), Duration(1)});
   for (int i = 0; i < 7; ++i) {
