Close a stream over its backlog though a write of it is stuck

Cause: a stream that has gone over its backlog is dead, but the session looked at that only between two writes. With a peer that reads nothing the write under way never ends, so the connection, its backlog and the handler were held until the stall time-out (30 s) rather than at once. Ruled out: a lost wake-up (the refused Write posts one, which returned early). Change: a dead stream is closed before the look at the write under way. Before: build/test/test_http "a stream over its backlog*": fails, the handler does not hear within 60 s. Conclusion: the backlog bounds a stream whatever the peer does.

--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -388,8 +388,10 @@
   }
 
   void FlushStream() {
-    if (phase_ != Phase::kStreaming || writing_) return;
+    if (phase_ != Phase::kStreaming) return;
+    // First of all: the write under way may be stuck.
     if (stream_->dead()) return Close();
+    if (writing_) return;
     // In this order: bytes added before the end are then never missed.
     const bool ended = stream_->ended();
     chunk_ = stream_->Take();
--- a/test/http/exchange_test.cc
+++ b/test/http/exchange_test.cc
@@ -242,6 +242,25 @@
   }
 }
 
+TEST_CASE("a stream over its backlog is closed though a write is stuck") {
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  ServerLimits limits;
+  limits.max_stream_backlog_bytes = 64 * kMegabyte;
+  limits.stream_stall_timeout = 2 * net::kTestLimit;
+  Fixture it(limits);
+  RawSocket socket(it.server.endpoint());
+  socket.Send(kGet);
+  const auto exchange = it.Take();
+  std::atomic<bool> gone{false};
+  exchange->OnGone([&] { gone = true; });
+  exchange->StartStream({});
+  // More than the kernel's buffers take, and the write of it has begun.
+  REQUIRE(exchange->Write(std::string(48 * kMegabyte, 'x')));
+  socket.ReadTo("x");
+  CHECK_FALSE(exchange->Write(std::string(32 * kMegabyte, 'x')));
+  CHECK(net::AwaitThat([&] { return gone.load(); }));
+}
+
 TEST_CASE("a peer that does not read its answer is given up in bounded time") {
   ServerLimits limits;
   limits.stream_stall_timeout = Duration(50);
