Close the scenario tool's descriptors in the programs it starts

Cause: programs were spawned with every descriptor that the tool had open. An entry that was started again in mid-scenario so held the relays' connections of before (682 sockets in one entry, read from /proc), which the runners then counted as open: at their limit of 64 they refused new ones, and a replacement of all eight entries under load ended in 345 outcomes unknown.

Ruled out: too many connections per entry (8 and 7 per runner gave the same), and a leak in the HTTP client (the entries' own connections stayed at 6 to 8).

Change: everything above stderr is closed in the program.

Shown red: without the line, "a program does not hold what the tool has open" fails in 2 of 4 assertions; with it test_scenario passes.

--- a/testing/scenario/child_process.cc
+++ b/testing/scenario/child_process.cc
@@ -76,6 +76,8 @@
   ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A connection of this tool must not live on in the program.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   // Signals that this tool waits for must still end the program.
   posix_spawnattr_t attributes;
   ::posix_spawnattr_init(&attributes);
