--- a/test/load/load_test.cc
+++ b/test/load/load_test.cc
@@ -1,6 +1,7 @@
 #include "load/load.h"
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <set>
 #include <string>
 
@@ -102,5 +103,78 @@
         report.sent);
 }
 
+/// A server that counts its requests and says whether it is ready.
+struct Entry {
+  explicit Entry(boost::asio::io_context& io)
+      : server(io, {"127.0.0.1", 0}, {}, [this](const http::ExchangePtr& it) {
+          if (it->request().target == "/readyz") {
+            ++looks;
+            return it->Respond({is_ready ? 200 : 503, {}, ""});
+          }
+          ++requests;
+          it->Respond({});
+        }) {
+    server.Start();
+  }
+
+  std::atomic<bool> is_ready{true};
+  std::atomic<int> looks{0};
+  std::atomic<int> requests{0};
+  http::Server server;
+};
+
+TEST_CASE("a balanced load leaves an entry that is not ready, until it is") {
+  net::IoThreads threads;
+  Entry steady(threads.io());
+  Entry changing(threads.io());
+  LoadOptions options;
+  options.targets = {steady.server.endpoint(), changing.server.endpoint()};
+  options.ready_period = base::Duration(1);
+  options.connections = 4;
+  options.warm_up = base::Duration(0);
+  options.duration = base::Duration(0);
+  std::promise<std::shared_ptr<LoadReport>> ended;
+  const auto stop = StartLoad(threads.io(), options, [&](LoadReport it) {
+    ended.set_value(std::make_shared<LoadReport>(std::move(it)));
+  });
+  CHECK(net::AwaitThat([&] { return changing.requests > 0; }));
+  changing.is_ready = false;
+  // The second look from now began when the entry was not ready.
+  const int looks = changing.looks;
+  CHECK(net::AwaitThat([&] { return changing.looks > looks + 2; }));
+  const int before = changing.requests;
+  const int steady_before = steady.requests;
+  CHECK(net::AwaitThat([&] { return steady.requests > steady_before + 100; }));
+  // What was sent before the look may have come a little later.
+  CHECK(changing.requests <= before + 4);
+  changing.is_ready = true;
+  CHECK(net::AwaitThat([&] { return changing.requests > before + 4; }));
+  stop();
+  const auto report = ended.get_future().get();
+  CHECK(report->sent == report->answered);
+  CHECK(report->sent ==
+        static_cast<std::uint64_t>(steady.requests + changing.requests));
+  threads.Stop();
+}
+
+TEST_CASE("a load that is told to stop first sends what it owes") {
+  net::IoThreads threads;
+  Entry entry(threads.io());
+  LoadOptions options;
+  options.targets = {entry.server.endpoint()};
+  options.warm_up = base::Duration(0);
+  options.duration = base::Duration(0);
+  options.least_requests = 500;
+  std::promise<std::uint64_t> sent;
+  const auto stop = StartLoad(threads.io(), options, [&](const LoadReport& it) {
+    sent.set_value(it.sent);
+  });
+  stop();
+  const auto n = sent.get_future().get();
+  CHECK(n >= 500);
+  CHECK(n < 500 + options.connections);
+  threads.Stop();
+}
+
 }  // namespace
 }  // namespace lapishatch::load
--- a/test/scenario/scenario_reader_test.cc
+++ b/test/scenario/scenario_reader_test.cc
@@ -53,11 +53,21 @@
 [[step]]
 link = "platform-mixco"
 mode = "silent-open"
+[[step]]
+load = "claims"
+as = "the checks"
+organisation = "fianza"
+connections = 4
+at_least = 70
+[[step]]
+replace = ["entry-mixco-0"]
+[[step]]
+loaded = "the checks"
 )",
                               problem);
   INFO(problem);
   REQUIRE(scenario.has_value());
-  REQUIRE(scenario->steps.size() == 3);
+  REQUIRE(scenario->steps.size() == 6);
   const auto& call = std::get<CallAction>(scenario->steps[0].action);
   REQUIRE(call.calls.size() == 3);
   CHECK(call.calls[2].request.body == "claim-2");
@@ -69,6 +79,14 @@
   CHECK(wait.path == "status.phase");
   const auto& link = std::get<LinkAction>(scenario->steps[2].action);
   CHECK(link.mode == LinkMode::kSilentOpen);
+  const auto& load = std::get<LoadAction>(scenario->steps[3].action);
+  CHECK_FALSE(load.is_idempotent);
+  CHECK(load.connections == 4);
+  CHECK(load.least_requests == 70);
+  const auto& replace = std::get<ProcessAction>(scenario->steps[4].action);
+  CHECK(replace.verb == ProcessVerb::kReplace);
+  const auto& loaded = std::get<LoadedAction>(scenario->steps[5].action);
+  CHECK(loaded.again_at_most == 0);
 }
 
 TEST_CASE("a spec reaches the API with the values as they are written") {
--- a/testing/load/load.h
+++ b/testing/load/load.h
@@ -3,6 +3,7 @@
 
 /// Umbrella header of the load package: HTTP load and its measurement.
 
+#include "load/balancer.h"
 #include "load/latency_histogram.h"
 #include "load/load_generator.h"
 
--- a/testing/load/main.cc
+++ b/testing/load/main.cc
@@ -3,6 +3,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <charconv>
 #include <csignal>
 #include <iostream>
@@ -20,7 +21,14 @@
     double, rate, 0,
     "requests a second of an open load; 0: each connection sends its next "
     "request after its answer");
-ABSL_FLAG(double, duration_s, 5, "measured time");
+ABSL_FLAG(double, duration_s, 5, "measured time; 0: until SIGTERM");
+ABSL_FLAG(std::uint64_t, requests, 0,
+          "at SIGTERM, sends up to so many before it ends");
+ABSL_FLAG(int, ready_ms, 0,
+          "looks so often at /readyz of each target, as a balancer, and sends "
+          "only to those that are ready; 0: does not look");
+ABSL_FLAG(std::string, id_prefix, "",
+          "of request ids and idempotency keys; otherwise one of its own");
 ABSL_FLAG(double, warm_up_s, 0.5, "load before the measured time");
 ABSL_FLAG(int, timeout_ms, 10'000, "time-out of a request");
 ABSL_FLAG(std::string, organisation, "",
@@ -76,15 +84,15 @@
     }
     out.targets.push_back(*endpoint);
   }
-  const bool is_bad = out.targets.empty() ||
-                      absl::GetFlag(FLAGS_connections) < 1 ||
-                      absl::GetFlag(FLAGS_threads) < 1 ||
-                      absl::GetFlag(FLAGS_duration_s) <= 0 ||
-                      absl::GetFlag(FLAGS_body_bytes) < 0 ||
-                      absl::GetFlag(FLAGS_timeout_ms) < 1;
+  const bool is_bad =
+      out.targets.empty() || absl::GetFlag(FLAGS_connections) < 1 ||
+      absl::GetFlag(FLAGS_threads) < 1 || absl::GetFlag(FLAGS_duration_s) < 0 ||
+      absl::GetFlag(FLAGS_ready_ms) < 0 ||
+      absl::GetFlag(FLAGS_body_bytes) < 0 ||
+      absl::GetFlag(FLAGS_timeout_ms) < 1;
   if (is_bad) {
-    std::cerr << "lapishatch-load: --target, --connections, --threads, "
-                 "--duration_s and --timeout_ms must be positive\n";
+    std::cerr << "lapishatch-load: --target, --connections, --threads and "
+                 "--timeout_ms must be positive\n";
     return std::nullopt;
   }
   out.path = absl::GetFlag(FLAGS_path);
@@ -92,6 +100,9 @@
   out.rate = absl::GetFlag(FLAGS_rate);
   out.duration = Seconds(absl::GetFlag(FLAGS_duration_s));
   out.warm_up = Seconds(absl::GetFlag(FLAGS_warm_up_s));
+  out.least_requests = absl::GetFlag(FLAGS_requests);
+  out.ready_period = Duration(absl::GetFlag(FLAGS_ready_ms));
+  out.id_prefix = absl::GetFlag(FLAGS_id_prefix);
   out.timeout = Duration(absl::GetFlag(FLAGS_timeout_ms));
   out.organisations = SplitList(absl::GetFlag(FLAGS_organisation));
   out.work_class = absl::GetFlag(FLAGS_work_class);
@@ -106,10 +117,13 @@
   asio::io_context io;
   auto work = asio::make_work_guard(io);
   load::LoadReport out;
-  load::StartLoad(io, std::move(options), [&](load::LoadReport report) {
-    out = std::move(report);
-    io.stop();
-  });
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  const auto stop =
+      load::StartLoad(io, std::move(options), [&](load::LoadReport report) {
+        out = std::move(report);
+        io.stop();
+      });
+  signals.async_wait([&](const boost::system::error_code&, int) { stop(); });
   std::vector<std::jthread> others;
   for (int i = 1; i < threads; ++i) others.emplace_back([&] { io.run(); });
   io.run();
@@ -139,6 +153,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   const auto report =
       RunLoad(std::move(*options), absl::GetFlag(FLAGS_threads));
+  for (const auto& it : report.first_failures) {
+    std::cerr << "failed " << it << '\n';
+  }
   std::cout << load::Render(report, absl::GetFlag(FLAGS_prefix));
   return report.answered > 0 ? config::kExitDone : config::kExitFailed;
 }
--- a/testing/scenario/cluster.cc
+++ b/testing/scenario/cluster.cc
@@ -190,7 +190,9 @@
         Add(name, {place_.programs + "/" + program, Flag("config", file)});
     if (!child.Start()) return Fail("cannot start " + program);
   }
-  for (const auto& it : system_) BOOST_LEAF_CHECK(WaitReady(it.first));
+  for (const auto& it : system_) {
+    BOOST_LEAF_CHECK(WaitReady(it.first, kStartLimit));
+  }
   return {};
 }
 
@@ -236,9 +238,11 @@
   return file;
 }
 
-leaf::result<void> Cluster::WaitReady(const std::string& name) {
+leaf::result<void> Cluster::WaitReady(const std::string& name,
+                                      base::Duration limit) {
   const base::SteadyClock clock;
-  const auto deadline = clock.Now() + kStartLimit;
+  const auto deadline = clock.Now() + limit;
+  if (!system_.contains(name)) return Fail(name + " is no entry or scheduler");
   auto* child = Find(name);
   http::Request request;
   request.target = "/readyz";
--- a/testing/scenario/cluster.h
+++ b/testing/scenario/cluster.h
@@ -49,6 +49,10 @@
   /// names of those that did not end with 0.
   std::vector<std::string> Stop();
 
+  /// Waits until an entry or scheduler that was started is ready.
+  boost::leaf::result<void> WaitReady(const std::string& name,
+                                      base::Duration limit);
+
   /// Nothing when no process is called so.
   ChildProcess* Find(const std::string& name);
   Relay* FindLink(const std::string& name);
@@ -79,7 +83,6 @@
   Done AddVms(const std::string& standin);
   Done TellVms();
   Done StartSystem();
-  Done WaitReady(const std::string& name);
   void PlanSystem();
   std::string WriteSettings(const std::string& name,
                             const SystemProcess& process,
--- a/testing/scenario/player.cc
+++ b/testing/scenario/player.cc
@@ -125,6 +125,7 @@
     : scenario_(scenario),
       cluster_(cluster),
       caller_(caller),
+      figures_(cluster, caller),
       out_(out),
       began_(clock_.Now()),
       deadline_(began_) {}
@@ -139,6 +140,7 @@
                             step.action);
         },
         [&](const StepFailed& it) { return problem = it.text; },
+        [&](const ClusterError& it) { return problem = it.text; },
         [&] { return problem = "failed for an unknown reason"; });
     Write(step, problem.empty() ? "ok" : "FAILED", what);
     if (problem.empty()) continue;
@@ -266,10 +268,24 @@
         return Fail(process.name() + " cannot be started");
       }
       return {};
+    case ProcessVerb::kReplace:
+      return Replace(process);
   }
   return {};
 }
 
+leaf::result<void> Player::Replace(ChildProcess& process) {
+  process.Signal(SIGTERM);
+  const auto code = process.WaitEnd(deadline_ - clock_.Now());
+  if (!code) return Fail(process.name() + " still runs");
+  if (*code != 0) {
+    return Fail(process.name() + " ended with " + std::to_string(*code) +
+                "; see " + process.log());
+  }
+  if (!process.Start()) return Fail(process.name() + " cannot be started");
+  return cluster_.WaitReady(process.name(), deadline_ - clock_.Now());
+}
+
 Player::Outcome Player::Do(const ExitAction& action) {
   auto* process = cluster_.Find(action.name);
   if (process == nullptr) return Fail("no process is called " + action.name);
@@ -324,32 +340,9 @@
   return what;
 }
 
-leaf::result<std::uint64_t> Player::Count(const CountAction& action) {
-  const bool runs = action.counted == Counted::kRuns;
-  std::uint64_t n = 0;
-  for (const auto& port : cluster_.FaultPorts(runs ? "runners-" : "workers-")) {
-    http::Request request;
-    request.target = runs ? "/ran" : "/stats";
-    const auto result = caller_.Send(port, request, kShortCall).get();
-    const auto* response = std::get_if<http::Response>(&result);
-    if (response == nullptr) return Fail("a stand-in does not answer");
-    const auto body = JsonOfBody(*response);
-    const std::string_view field = runs ? "by_body" : "workers";
-    const auto* found = ctl::FindPath(body, field);
-    if (found == nullptr) return Fail("a stand-in does not tell its figures");
-    if (runs) {
-      const auto* count = found->as_object().if_contains(action.key);
-      if (count != nullptr) n += count->to_number<std::uint64_t>();
-      continue;
-    }
-    for (const auto& worker : found->as_array()) {
-      const auto* starts = ctl::FindPath(worker, "starts");
-      if (starts == nullptr) continue;
-      const auto* count = starts->as_object().if_contains(action.key);
-      if (count != nullptr) n += count->to_number<std::uint64_t>();
-    }
-  }
-  return n;
+leaf::result<std::uint64_t> Player::Count(const CountAction& action) const {
+  return action.counted == Counted::kRuns ? figures_.RunsOfBody(action.key)
+                                          : figures_.StartsOfJob(action.key);
 }
 
 Player::Outcome Player::Do(const CtlAction& action) {
@@ -410,6 +403,36 @@
   return action.label + " showed\n" + said;
 }
 
+Player::Outcome Player::Do(const LoadAction& action) {
+  if (loads_.contains(action.label)) {
+    return Fail("a load is called " + action.label + " already");
+  }
+  const auto id = absl::StrCat("load-", loads_.size());
+  auto load = std::make_unique<LoadRun>(action, id, cluster_);
+  if (!load->Start()) return Fail("cannot start lapishatch-load");
+  loads_[action.label] = std::move(load);
+  return absl::StrCat(action.connections, " callers of ", action.service,
+                      ", go on");
+}
+
+Player::Outcome Player::Do(const LoadedAction& action) {
+  const auto it = loads_.find(action.label);
+  if (it == loads_.end()) return Fail("no load is called " + action.label);
+  auto& load = *it->second;
+  const bool ended = load.Finish(deadline_ - clock_.Now());
+  const auto printed = FileText(load.log());
+  if (!ended) return Fail("lapishatch-load did not end well: " + printed);
+  const auto ends = ReadLoadEnds(printed);
+  BOOST_LEAF_AUTO(by_id, figures_.RunsOfIds(load.id_prefix()));
+  const auto runs = SumRuns(by_id);
+  const auto again = load.is_idempotent() ? action.again_at_most : 0;
+  const auto complaint = ComplaintOf(ends, runs, again);
+  if (!complaint.empty()) return Fail(complaint + ": " + printed);
+  return absl::StrCat(action.label, " -> ", ends.text,
+                      "\nat runners: ", runs.requests, " requests ran, ",
+                      runs.again, " a second time");
+}
+
 leaf::result<http::Endpoint> Player::EntryFor(const std::string& at) {
   if (!at.empty()) {
     const auto* endpoint = cluster_.FindEntry(at);
--- a/testing/scenario/player.h
+++ b/testing/scenario/player.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "scenario/cluster.h"
+#include "scenario/load_run.h"
 #include "scenario/scenario.h"
+#include "scenario/standin_figures.h"
 
 namespace lapishatch::scenario {
 
@@ -43,6 +45,8 @@
   Outcome Do(const CountAction& action);
   Outcome Do(const CtlAction& action);
   Outcome Do(const SeenAction& action);
+  Outcome Do(const LoadAction& action);
+  Outcome Do(const LoadedAction& action);
 
   Outcome WaitAt(const WaitAction& action, const std::string& at);
   Outcome Await(Answers answers, const Expectation& expectation);
@@ -50,8 +54,9 @@
   /// Calls an entry, or each in turn until one answers.
   http::ClientResult CallAny(const std::string& at,
                              const http::Request& request);
-  boost::leaf::result<std::uint64_t> Count(const CountAction& action);
+  boost::leaf::result<std::uint64_t> Count(const CountAction& action) const;
   boost::leaf::result<void> DoTo(ProcessVerb verb, ChildProcess& process);
+  boost::leaf::result<void> Replace(ChildProcess& process);
   void Write(const Step& step, const std::string& verdict,
              const std::string& what);
   base::Duration Elapsed() const;
@@ -59,6 +64,7 @@
   const Scenario& scenario_;
   Cluster& cluster_;
   Caller& caller_;
+  StandinFigures figures_;
   std::ostream& out_;
   base::SteadyClock clock_;
   base::TimePoint began_;
@@ -67,6 +73,7 @@
   int ctl_runs_ = 0;
   std::map<std::string, Answers> labelled_;
   std::map<std::string, std::unique_ptr<ChildProcess>> screens_;
+  std::map<std::string, std::unique_ptr<LoadRun>> loads_;
 };
 
 }  // namespace lapishatch::scenario
--- a/testing/scenario/scenario.h
+++ b/testing/scenario/scenario.h
@@ -79,7 +79,16 @@
   std::vector<std::string> is;
 };
 
-enum class ProcessVerb : std::uint8_t { kKill, kStop, kPause, kResume, kStart };
+enum class ProcessVerb : std::uint8_t {
+  kKill,
+  kStop,
+  kPause,
+  kResume,
+  kStart,
+  /// A planned stop, and after its end a fresh one in its place until it is
+  /// ready.
+  kReplace,
+};
 
 /// Does something to processes by name.
 struct ProcessAction {
@@ -143,9 +152,32 @@
   std::vector<std::string> says;
 };
 
+/// Starts callers that send one request after another until a LoadedAction
+/// ends them. They go to entries as the platform's balancer does and repeat
+/// nothing.
+struct LoadAction {
+  std::string label;
+  std::string service;
+  std::string organisation;
+  bool is_idempotent = false;
+  /// Callers at once.
+  int connections = 16;
+  /// They are not ended before they have sent so many.
+  std::uint64_t least_requests = 0;
+  /// How often the balancer looks whether an entry is ready.
+  base::Duration ready_period{100};
+};
+
+/// Ends a load: every request must have been answered, and have run once.
+struct LoadedAction {
+  std::string label;
+  /// Second runs that are allowed, of idempotent requests only.
+  std::uint64_t again_at_most = 0;
+};
+
 using Action = std::variant<CallAction, AnswerAction, WaitAction, ProcessAction,
                             ExitAction, FaultAction, LinkAction, CountAction,
-                            CtlAction, SeenAction>;
+                            CtlAction, SeenAction, LoadAction, LoadedAction>;
 
 struct Step {
   /// Line of the file, for messages.
@@ -170,8 +202,8 @@
 namespace lapishatch::base {
 template <>
 struct EnumNames<scenario::ProcessVerb> {
-  static constexpr std::array<std::string_view, 5> kNames = {
-      "kill", "stop", "pause", "resume", "start"};
+  static constexpr std::array<std::string_view, 6> kNames = {
+      "kill", "stop", "pause", "resume", "start", "replace"};
 };
 template <>
 struct EnumNames<scenario::LinkMode> {
--- a/testing/scenario/scenario_reader.cc
+++ b/testing/scenario/scenario_reader.cc
@@ -40,7 +40,8 @@
  private:
   bool ReadAction() {
     return ReadCalls() || ReadAnswer() || ReadWait() || ReadProcess() ||
-           ReadFault() || ReadLink() || ReadCount() || ReadCtl() || ReadSeen();
+           ReadFault() || ReadLink() || ReadCount() || ReadCtl() ||
+           ReadSeen() || ReadLoad() || ReadLoaded();
   }
 
   bool ReadCalls() {
@@ -264,6 +265,39 @@
     return true;
   }
 
+  bool ReadLoad() {
+    const auto service = in_.Text("load");
+    if (!service) return false;
+    LoadAction action;
+    action.service = *service;
+    action.label = in_.Text("as").value_or("");
+    action.organisation = in_.Text("organisation").value_or("");
+    action.is_idempotent = in_.Flag("idempotent").value_or(false);
+    if (const auto n = in_.Integer("connections")) {
+      action.connections = static_cast<int>(*n);
+    }
+    if (const auto n = in_.Integer("at_least")) {
+      action.least_requests = static_cast<std::uint64_t>(*n);
+    }
+    if (const auto ms = in_.Integer("ready_ms")) {
+      action.ready_period = base::Duration(*ms);
+    }
+    if (action.label.empty()) in_.Refuse("as", "must be given");
+    if (action.ready_period.count() < 1) {
+      in_.Refuse("ready_ms", "must be above 0");
+    }
+    step_.action = std::move(action);
+    return true;
+  }
+
+  bool ReadLoaded() {
+    const auto label = in_.Text("loaded");
+    if (!label) return false;
+    const auto again = in_.Integer("again_at_most").value_or(0);
+    step_.action = LoadedAction{*label, static_cast<std::uint64_t>(again)};
+    return true;
+  }
+
   TableReader in_;
   Step step_;
 };
