Pin a job's failure domain when it is accepted

Ruled out: choosing by what a scheduler sees of the domains (two cells take the same job); hash over the domains that fit (the fit changes with the configuration, so processes at two versions differ); a guarantee however full; least demand alone.

Change: the accepting transaction chooses and writes `pinned_domain` into the record. It demands the heads of both logs, so the choice rests on exactly the guarantees and accepted jobs that it was judged against. ChooseDomain is a pure function: a guarantee with room, the least used; else the least demand per accelerator; ties by rendezvous hash. Capacity::JudgeJob now tells every domain that could hold a job, and keeps the empty cells that it judges on. Records without a pin keep the hash. status.domain and explain show the domain from acceptance on; spec stays as written.

Conclusion: a job goes where its guarantee is, and stays with one cell.

--- a/src/config/capacity.cc
+++ b/src/config/capacity.cc
@@ -24,6 +24,24 @@
   return out;
 }
 
+/// Why a gang could never run in a cell, which is left as it was.
+std::string WhyNever(placement::Planner& planner, const placement::Gang& gang) {
+  auto reason = planner.Submit(gang, base::TimePoint());
+  planner.Cancel(gang.job);
+  return reason;
+}
+
+bool IsHeldByGuarantee(placement::Planner& planner, placement::Gang gang) {
+  gang.borrow = false;
+  return WhyNever(planner, gang).empty();
+}
+
+std::int64_t AcceleratorsOf(const std::vector<placement::WorkerSpec>& workers) {
+  std::int64_t n = 0;
+  for (const auto& it : workers) n += it.accelerators;
+  return n;
+}
+
 }  // namespace
 
 placement::Gang GangOf(const base::JobName& name, const JobSpec& spec) {
@@ -45,7 +63,10 @@
 void WorkerCapacity::SetWorkers(const base::DomainName& domain,
                                 std::vector<placement::WorkerSpec> workers) {
   const std::lock_guard lock(mutex_);
-  workers_[domain] = std::move(workers);
+  auto& known = workers_[domain];
+  if (known == workers) return;
+  known = std::move(workers);
+  cells_.erase(domain);
 }
 
 std::map<base::DomainName, WorkerCapacity::Workers> WorkerCapacity::All()
@@ -71,24 +92,45 @@
   return DoesNotFit{"failure domain " + domain.str() + ": " + reason};
 }
 
-CapacityVerdict WorkerCapacity::JudgeJob(
-    const JobSpec& job, const DomainGuarantees& guarantees) const {
-  const auto all = All();
-  const auto known = NamesOf(all);
+placement::Planner& WorkerCapacity::CellOf(const base::DomainName& domain,
+                                           const Workers& workers,
+                                           const Guarantees& guarantees) const {
+  const auto found = cells_.find(domain);
+  if (found != cells_.end() && found->second.guarantees == guarantees) {
+    return found->second.planner;
+  }
+  auto planner = EmptyCell(workers);
+  planner.ForceGuarantees(guarantees);
+  const auto made = cells_.insert_or_assign(
+      domain, JudgingCell{guarantees, std::move(planner)});
+  return made.first->second.planner;
+}
+
+JobVerdict WorkerCapacity::JudgeJob(const JobSpec& job,
+                                    const DomainGuarantees& guarantees) const {
+  const std::lock_guard lock(mutex_);
+  const auto known = NamesOf(workers_);
   if (known.empty()) return HardwareNotKnown{"no worker is known yet"};
+  const auto gang = GangOf(base::JobName("job"), job);
+  JobFits fits;
   std::string reasons;
-  for (const auto& [domain, workers] : all) {
+  for (const auto& [domain, workers] : workers_) {
     if (workers.empty()) continue;
     if (!job.failure_domain.empty() && domain != job.failure_domain) continue;
-    auto planner = EmptyCell(workers);
     const auto held = guarantees.find(domain);
-    if (held != guarantees.end()) planner.ForceGuarantees(held->second);
-    const auto reason =
-        planner.Submit(GangOf(base::JobName("job"), job), base::TimePoint());
-    if (reason.empty()) return Fits{};
+    auto& planner =
+        CellOf(domain, workers,
+               held == guarantees.end() ? Guarantees() : held->second);
+    const auto reason = WhyNever(planner, gang);
+    if (reason.empty()) {
+      fits.domains.push_back(
+          {domain, AcceleratorsOf(workers), IsHeldByGuarantee(planner, gang)});
+      continue;
+    }
     if (!reasons.empty()) reasons += "; ";
     reasons += domain.str() + ": " + reason;
   }
+  if (!fits.domains.empty()) return fits;
   if (reasons.empty()) {
     reasons = "no worker of failure domain " + job.failure_domain.str() +
               " is known; workers are known in " + known;
--- a/src/config/capacity.h
+++ b/src/config/capacity.h
@@ -26,6 +26,22 @@
 
 using CapacityVerdict = std::variant<Fits, DoesNotFit, HardwareNotKnown>;
 
+/// A failure domain that could hold a job.
+struct DomainFit {
+  base::DomainName domain;
+  /// Of all its workers.
+  std::int64_t accelerators = 0;
+  /// The guarantee of the job's organisation alone could hold it.
+  bool in_guarantee = false;
+};
+
+/// Every domain that could hold a job; at least one.
+struct JobFits {
+  std::vector<DomainFit> domains;
+};
+
+using JobVerdict = std::variant<JobFits, DoesNotFit, HardwareNotKnown>;
+
 /// Guarantees of one failure domain, of all organisations.
 using DomainGuarantees =
     std::map<base::DomainName, std::vector<placement::Guarantee>>;
@@ -40,9 +56,9 @@
       const base::DomainName& domain,
       const std::vector<placement::Guarantee>& guarantees) const = 0;
 
-  /// Whether a job could ever run in some failure domain.
-  virtual CapacityVerdict JudgeJob(
-      const JobSpec& job, const DomainGuarantees& guarantees) const = 0;
+  /// Where a job could ever run.
+  virtual JobVerdict JudgeJob(const JobSpec& job,
+                              const DomainGuarantees& guarantees) const = 0;
 };
 
 /// Capacity by the workers that are known, judged by the scheduler's own
@@ -57,16 +73,29 @@
       const base::DomainName& domain,
       const std::vector<placement::Guarantee>& guarantees) const override;
 
-  CapacityVerdict JudgeJob(const JobSpec& job,
-                           const DomainGuarantees& guarantees) const override;
+  JobVerdict JudgeJob(const JobSpec& job,
+                      const DomainGuarantees& guarantees) const override;
 
  private:
   using Workers = std::vector<placement::WorkerSpec>;
+  using Guarantees = std::vector<placement::Guarantee>;
+
+  /// An empty cell with guarantees in force, kept from one job to the next.
+  struct JudgingCell {
+    Guarantees guarantees;
+    placement::Planner planner;
+  };
 
   std::map<base::DomainName, Workers> All() const;
 
+  /// Under the lock.
+  placement::Planner& CellOf(const base::DomainName& domain,
+                             const Workers& workers,
+                             const Guarantees& guarantees) const;
+
   mutable std::mutex mutex_;
   std::map<base::DomainName, Workers> workers_;
+  mutable std::map<base::DomainName, JudgingCell> cells_;
 };
 
 /// The gang of a job as the planner takes it.
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -8,6 +8,7 @@
 #include "config/change.h"
 #include "config/change_source.h"
 #include "config/change_writer.h"
+#include "config/domain_choice.h"
 #include "config/flags.h"
 #include "config/housekeeper.h"
 #include "config/json_reader.h"
--- a/src/config/draft.cc
+++ b/src/config/draft.cc
@@ -1,5 +1,6 @@
 #include "config/draft.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "config/validation.h"
@@ -23,6 +24,14 @@
   return out;
 }
 
+bool PutsJob(const ChangeSet& set) {
+  return std::any_of(set.changes.begin(), set.changes.end(),
+                     [](const Change& it) {
+                       return it.ref.kind == ResourceKind::kJob &&
+                              std::holds_alternative<PutSpec>(it.action);
+                     });
+}
+
 /// Applies one set to a draft, change by change.
 class Planner {
  public:
@@ -178,6 +187,13 @@
         Object(std::move(*objection));
         return;
       }
+      if (resource->ref.kind != ResourceKind::kJob) continue;
+      auto verdict = JudgePin(*resource, judge_, draft_);
+      if (auto* objection = std::get_if<Objection>(&verdict)) {
+        Object(std::move(*objection));
+        return;
+      }
+      Pin(resource, std::get<base::DomainName>(verdict));
     }
     for (const auto index : removals_) {
       index_ = index;
@@ -191,6 +207,19 @@
     }
   }
 
+  /// Records the domain of a job that this set submits.
+  void Pin(const ResourcePtr& job, const base::DomainName& domain) {
+    if (domain.empty()) return;
+    auto next = *job;
+    next.pinned_domain = domain;
+    const auto pinned = std::make_shared<const Resource>(std::move(next));
+    draft_.Put(pinned);
+    plan_.changes[index_].resource = pinned;
+    for (auto& it : plan_.entries) {
+      if (it.resource == job) it.resource = pinned;
+    }
+  }
+
   void Object(Objection objection) {
     Refuse(objection.reason, std::move(objection.problem.path),
            std::move(objection.problem.detail));
@@ -240,7 +269,35 @@
   return out;
 }
 
+void Draft::Put(ResourcePtr resource) {
+  const auto ref = resource->ref;
+  Replace(ref, std::move(resource));
+}
+
+void Draft::Erase(const ResourceRef& ref) { Replace(ref, nullptr); }
+
+void Draft::CountDemand() {
+  if (demand_) return;
+  DemandBook demand;
+  for (const auto& it : mirror_.List(ResourceKind::kJob).resources) {
+    if (!changed_.contains(it->ref)) demand.Add(*it);
+  }
+  for (const auto& [ref, resource] : changed_) {
+    if (ref.kind == ResourceKind::kJob && resource) demand.Add(*resource);
+  }
+  demand_ = std::move(demand);
+}
+
+void Draft::Replace(const ResourceRef& ref, ResourcePtr resource) {
+  if (demand_ && ref.kind == ResourceKind::kJob) {
+    if (const auto before = Find(ref)) demand_->Remove(*before);
+    if (resource) demand_->Add(*resource);
+  }
+  changed_[ref] = std::move(resource);
+}
+
 PlanResult Plan(const ChangeSet& set, const Judge& judge, Draft& draft) {
+  if (judge.capacity != nullptr && PutsJob(set)) draft.CountDemand();
   auto trial = draft;
   auto result = Planner(set, judge, trial).Run();
   if (std::holds_alternative<PlannedChanges>(result) && !set.dry_run) {
--- a/src/config/draft.h
+++ b/src/config/draft.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "config/capacity.h"
 #include "config/change.h"
+#include "config/domain_choice.h"
 #include "config/mirror.h"
 
 namespace lapishatch::config {
@@ -31,23 +33,32 @@
     return ++versions_[static_cast<std::size_t>(log)];
   }
 
-  void Put(ResourcePtr resource) {
-    auto ref = resource->ref;
-    changed_[std::move(ref)] = std::move(resource);
-  }
-  void Erase(const ResourceRef& ref) { changed_[ref] = nullptr; }
+  void Put(ResourcePtr resource);
+  void Erase(const ResourceRef& ref);
+
+  /// Counts what all jobs ask for, once; kept up to date from then on.
+  void CountDemand();
+
+  /// After CountDemand.
+  const DemandBook& demand() const { return *demand_; }
 
   /// Takes over the changes of another draft of the same mirror.
   void Adopt(Draft&& other) {
     versions_ = other.versions_;
     changed_ = std::move(other.changed_);
+    demand_ = std::move(other.demand_);
   }
 
  private:
+  /// Puts `resource`, or nothing, in the place of what is there.
+  void Replace(const ResourceRef& ref, ResourcePtr resource);
+
   const Mirror& mirror_;
   std::array<LogVersion, base::kEnumSize<LogId>> versions_;
   /// Null for what is gone.
   std::map<ResourceRef, ResourcePtr> changed_;
+  /// Nothing until it is asked for.
+  std::optional<DemandBook> demand_;
 };
 
 /// One log entry to be, without the attempt.
--- a/src/config/resource.h
+++ b/src/config/resource.h
@@ -56,6 +56,10 @@
   /// that an operator's If-Match does not race with what the system reports.
   LogVersion version = 0;
   Spec spec;
+  /// Jobs only: the failure domain that takes it, chosen when it was accepted
+  /// and never changed. Empty when its spec names one, and in records from
+  /// before there was a choice.
+  base::DomainName pinned_domain;
   /// Jobs only: an operator has asked for the job's end.
   bool cancel_requested = false;
   /// Jobs only: nothing until the owner of a cell has taken the job on.
@@ -77,6 +81,10 @@
 /// The job's phase; queued as long as no cell has taken it on.
 JobPhase PhaseOf(const Resource& job);
 
+/// The failure domain that takes a job, as its spec, its pin or else its status
+/// says; empty when none of them does.
+base::DomainName DomainOf(const Resource& job);
+
 }  // namespace lapishatch::config
 
 #endif  // LAPISHATCH_CONFIG_RESOURCE_H_
--- a/src/config/resource_codec.cc
+++ b/src/config/resource_codec.cc
@@ -330,7 +330,9 @@
   if (resource.ref.kind != ResourceKind::kJob) return out;
   JobStatus waiting;
   waiting.reason = "no cell has taken it on yet";
-  out["status"] = ToJson(resource.status.value_or(waiting));
+  auto status = resource.status.value_or(waiting);
+  status.domain = DomainOf(resource);
+  out["status"] = ToJson(status);
   out["status_version"] = resource.status_version;
   out["cancel_requested"] = resource.cancel_requested;
   return out;
@@ -380,6 +382,9 @@
                    {"changed_by", resource.changed_by},
                    {"changed_at_ms", resource.changed_at_ms},
                    {"created_at_ms", resource.created_at_ms}};
+  if (!resource.pinned_domain.empty()) {
+    out["pinned_domain"] = resource.pinned_domain.str();
+  }
   if (resource.cancel_requested) out["cancel_requested"] = true;
   if (resource.status) {
     out["status"] = ToJson(*resource.status);
@@ -399,6 +404,7 @@
   reader.Text("changed_by", resource.changed_by, kMostTextBytes);
   reader.Integer("changed_at_ms", resource.changed_at_ms, 0, INT64_MAX);
   reader.Integer("created_at_ms", resource.created_at_ms, 0, INT64_MAX);
+  reader.Id("pinned_domain", resource.pinned_domain);
   reader.Flag("cancel_requested", resource.cancel_requested);
   reader.Object("status", [&](ObjectReader& item) {
     resource.status = ReadJobStatus(item);
--- a/src/config/validation.cc
+++ b/src/config/validation.cc
@@ -9,8 +9,8 @@
 /// Job names shown in a refusal.
 constexpr int kMostNamed = 3;
 
-std::optional<Objection> FromVerdict(const CapacityVerdict& verdict,
-                                     std::string path) {
+template <typename Verdict>
+std::optional<Objection> FromVerdict(const Verdict& verdict, std::string path) {
   if (const auto* it = std::get_if<DoesNotFit>(&verdict)) {
     return Objection{RefusalReason::kInvalid, {std::move(path), it->reason}};
   }
@@ -59,12 +59,7 @@
                                                  "\" is not allowed: one of " +
                                                  Organisations()}};
     }
-    if (auto objection = JudgeSize(spec, *owner)) return objection;
-    if (judge_.capacity == nullptr) return std::nullopt;
-    return FromVerdict(
-        judge_.capacity->JudgeJob(
-            spec, GuaranteesOf(draft_.List(ResourceKind::kOrganisation))),
-        "spec.gang");
+    return JudgeSize(spec, *owner);
   }
 
  private:
@@ -129,8 +124,41 @@
                    "): cancel them first"}};
 }
 
+std::int64_t GuaranteedTo(const base::OrganisationName& organisation,
+                          const base::DomainName& domain,
+                          const DomainGuarantees& guarantees) {
+  const auto here = guarantees.find(domain);
+  if (here == guarantees.end()) return 0;
+  std::int64_t n = 0;
+  for (const auto& it : here->second) {
+    if (it.organisation != organisation) continue;
+    n += std::int64_t{it.shape.accelerators} * it.count;
+  }
+  return n;
+}
+
 }  // namespace
 
+PinVerdict JudgePin(const Resource& job, const Judge& judge,
+                    const Draft& draft) {
+  if (judge.capacity == nullptr) return base::DomainName();
+  const auto& spec = std::get<JobSpec>(job.spec);
+  const auto guarantees = GuaranteesOf(draft.List(ResourceKind::kOrganisation));
+  const auto verdict = judge.capacity->JudgeJob(spec, guarantees);
+  if (auto objection = FromVerdict(verdict, "spec.gang")) return *objection;
+  if (!spec.failure_domain.empty()) return base::DomainName();
+  std::vector<DomainOffer> offers;
+  for (const auto& it : std::get<JobFits>(verdict).domains) {
+    offers.push_back({it.domain, it.accelerators,
+                      GuaranteedTo(spec.organisation, it.domain, guarantees),
+                      it.in_guarantee,
+                      draft.demand().Of(it.domain, spec.organisation),
+                      draft.demand().Total(it.domain)});
+  }
+  const auto asked = std::int64_t{spec.tasks} * spec.needs.accelerators;
+  return ChooseDomain(base::JobName(job.ref.name), asked, offers);
+}
+
 DomainGuarantees GuaranteesOf(const std::vector<ResourcePtr>& organisations) {
   DomainGuarantees out;
   for (const auto& resource : organisations) {
--- a/src/config/validation.h
+++ b/src/config/validation.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_CONFIG_VALIDATION_H_
 
 #include <optional>
+#include <variant>
 
 #include "config/draft.h"
 
@@ -18,6 +19,14 @@
 std::optional<Objection> ObjectionToPut(const Resource& resource,
                                         const Judge& judge, const Draft& draft);
 
+/// The failure domain to pin, empty for none.
+using PinVerdict = std::variant<base::DomainName, Objection>;
+
+/// Judges where a job that stands in `draft` could run, and chooses the domain
+/// of one that names none. Needs CountDemand of the draft.
+PinVerdict JudgePin(const Resource& job, const Judge& judge,
+                    const Draft& draft);
+
 /// Judges the whole configuration in `draft`, from which `resource` is gone
 /// already.
 std::optional<Objection> ObjectionToRemoval(const Resource& resource,
--- a/src/entry/explanation.cc
+++ b/src/entry/explanation.cc
@@ -56,9 +56,6 @@
 std::string StatusText(const config::JobStatus& status) {
   std::string out;
   if (!status.cell.empty()) out += "cell          " + status.cell.str() + "\n";
-  if (!status.domain.empty()) {
-    out += "domain        " + status.domain.str() + "\n";
-  }
   if (status.attempts > 0) {
     out += "attempts      " + std::to_string(status.attempts) + "\n";
   }
@@ -95,6 +92,8 @@
         "recorded.\n";
   }
   out += "\n" + SpecText(spec);
+  const auto domain = config::DomainOf(job);
+  if (!domain.empty()) out += "domain        " + domain.str() + "\n";
   if (job.status) out += StatusText(*job.status);
   return out;
 }
--- a/src/scheduler_main/home_domain.cc
+++ b/src/scheduler_main/home_domain.cc
@@ -1,26 +1,19 @@
 #include "scheduler_main/home_domain.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace lapishatch::scheduler_main {
-namespace {
-
-XXH64_hash_t RankOf(const base::JobName& job, const base::DomainName& domain) {
-  const auto seed = XXH3_64bits(domain.str().data(), domain.str().size());
-  return XXH3_64bits_withSeed(job.str().data(), job.str().size(), seed);
-}
-
-}  // namespace
 
-base::DomainName HomeDomainOf(const base::JobName& job,
-                              const config::JobSpec& spec,
+base::DomainName HomeDomainOf(const config::Resource& job,
                               const std::vector<base::DomainName>& domains) {
+  const auto& spec = std::get<config::JobSpec>(job.spec);
   if (!spec.failure_domain.empty()) return spec.failure_domain;
+  if (!job.pinned_domain.empty()) return job.pinned_domain;
+  const base::JobName name(job.ref.name);
   const auto best = std::max_element(domains.begin(), domains.end(),
-                                     [&job](const auto& a, const auto& b) {
-                                       return RankOf(job, a) < RankOf(job, b);
+                                     [&name](const auto& a, const auto& b) {
+                                       return config::RendezvousRank(name, a) <
+                                              config::RendezvousRank(name, b);
                                      });
   return best == domains.end() ? base::DomainName() : *best;
 }
--- a/src/scheduler_main/home_domain.h
+++ b/src/scheduler_main/home_domain.h
@@ -8,11 +8,11 @@
 namespace lapishatch::scheduler_main {
 
 /// The failure domain whose cell takes a job: the one that its spec names, else
-/// one of `domains` by rendezvous hashing of the job's name. Depends on nothing
-/// that processes could see differently, so that never two cells take the same
-/// job. Empty when there are no domains.
-base::DomainName HomeDomainOf(const base::JobName& job,
-                              const config::JobSpec& spec,
+/// the one pinned in its record, else (in records without a pin) one of
+/// `domains` by rendezvous hashing of the job's name. Depends on nothing that
+/// processes could see differently, so that never two cells take the same job.
+/// Empty when there are no domains.
+base::DomainName HomeDomainOf(const config::Resource& job,
                               const std::vector<base::DomainName>& domains);
 
 }  // namespace lapishatch::scheduler_main
--- a/src/scheduler_main/log_job_feed.cc
+++ b/src/scheduler_main/log_job_feed.cc
@@ -209,9 +209,7 @@
   }
 
   bool IsOurs(const Resource& job) const {
-    const auto& spec = std::get<config::JobSpec>(job.spec);
-    return HomeDomainOf(base::JobName(job.ref.name), spec, options_.domains) ==
-           options_.domain;
+    return HomeDomainOf(job, options_.domains) == options_.domain;
   }
 
   AcceptedJob Accepted(const Resource& job) const {
--- a/test/config/config_world.h
+++ b/test/config/config_world.h
@@ -33,6 +33,8 @@
   fakes::FakeTable table;
   /// Whether processes tell each other.
   bool peers_talk = false;
+  /// What processes that are added from now on know of the hardware.
+  const Capacity* capacity = nullptr;
   std::vector<std::unique_ptr<Process>> processes;
 };
 
@@ -44,7 +46,7 @@
       : loop(world.time),
         table(world.table, loop),
         mirror(mirror_options, {loop, table, this}),
-        writer(writer_options, {loop, table, mirror, nullptr, nullptr,
+        writer(writer_options, {loop, table, mirror, world.capacity, nullptr,
                                 [] { return std::int64_t{1'000}; }}),
         world_(world) {
     mirror.Listen([this](LogId log, const std::vector<LogEntryPtr>& entries) {
--- a/test/entry/resource_api_test.cc
+++ b/test/entry/resource_api_test.cc
@@ -215,7 +215,10 @@
       "jobs/j", R"({"organisation":"o","gang":{"accelerators_per_task":8}})");
   CHECK(unsafe.status == 422);
   CHECK_THAT(unsafe.body, Catch::Contains("may not run on capacity"));
-  CHECK(api.Create("jobs/j", kJob).status == 201);
+  const auto submitted = api.Create("jobs/j", kJob);
+  CHECK(submitted.status == 201);
+  CHECK(BodyOf(submitted).at("status").at("domain") == "mixco");
+  CHECK(!BodyOf(submitted).at("spec").as_object().contains("failure_domain"));
   CHECK(api.Create("jobs/j", kJob).status == 412);
   api.explainer.word = "third in the queue";
   const auto page = api.Call("GET", "/v1/jobs/j/explain");
@@ -224,7 +227,8 @@
                             Catch::Contains("queued"));
   const auto text =
       api.Call("GET", "/v1/jobs/j/explain", "", {{"Accept", "text/plain"}});
-  CHECK_THAT(text.body, Catch::StartsWith("Job j is queued."));
+  CHECK_THAT(text.body, Catch::StartsWith("Job j is queued.") &&
+                            Catch::Contains("domain        mixco"));
   const auto changed = api.Call("PUT", "/v1/jobs/j",
                                 R"({"spec":{"organisation":"o","class":"urgent",
                  "gang":{"accelerators_per_task":8}}})",
--- a/test/scheduler_main/feed_and_status_test.cc
+++ b/test/scheduler_main/feed_and_status_test.cc
@@ -124,18 +124,29 @@
   std::vector<scheduler::FeedEvent> events;
 };
 
-TEST_CASE("a job that names no domain has one home, and all get some") {
+config::Resource Record(const std::string& name,
+                        const base::DomainName& named) {
+  config::Resource job;
+  job.ref = {ResourceKind::kJob, name};
+  job.spec = JobIn(named);
+  return job;
+}
+
+TEST_CASE("a record without domain or pin has one home, and all get some") {
   const std::vector<base::DomainName> domains = {kMixco, kZona};
   std::set<base::DomainName> homes;
   for (int i = 0; i < 100; ++i) {
-    const base::JobName job("job-" + std::to_string(i));
-    const auto home = HomeDomainOf(job, JobIn({}), domains);
-    CHECK(home == HomeDomainOf(job, JobIn({}), {kZona, kMixco}));
+    auto job = Record("job-" + std::to_string(i), {});
+    const auto home = HomeDomainOf(job, domains);
+    CHECK(home == HomeDomainOf(job, {kZona, kMixco}));
     homes.insert(home);
+    // A pin goes before the hash.
+    job.pinned_domain = home == kZona ? kMixco : kZona;
+    CHECK(HomeDomainOf(job, domains) == job.pinned_domain);
   }
   CHECK(homes.size() == 2);
-  CHECK(HomeDomainOf(base::JobName("j"), JobIn(kZona), domains) == kZona);
-  CHECK(HomeDomainOf(base::JobName("j"), JobIn({}), {}).empty());
+  CHECK(HomeDomainOf(Record("j", kZona), domains) == kZona);
+  CHECK(HomeDomainOf(Record("j", {}), {}).empty());
 }
 
 TEST_CASE("the list of failure domains is read without blanks and repeats") {
