Let the command line do what its pages say

Cause: read as a newcomer against a live system.

Change: a dash in a flag's name is as good as its underscore, and the help prints dashes; lapishatchctl sends Lapishatch-Operator (--operator, then LAPISHATCH_OPERATOR, then USER); workers, runners, cells and drains have columns, and names come as people count; apply lists what it did, or would do.

--- a/src/config/flags.cc
+++ b/src/config/flags.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/commandlineflag.h>
 #include <absl/flags/reflection.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -23,11 +24,23 @@
   std::optional<std::string> value;
 };
 
+/// Abseil's name of a flag that people write with dashes.
+std::string WithUnderscores(std::string_view name) {
+  std::string out(name);
+  std::replace(out.begin(), out.end(), '-', '_');
+  return out;
+}
+
+std::string WithDashes(std::string name) {
+  std::replace(name.begin(), name.end(), '_', '-');
+  return name;
+}
+
 FlagArgument Split(std::string_view argument) {
   const auto text = argument.substr(argument.find_first_not_of('-'));
   const auto equals = text.find('=');
-  if (equals == std::string_view::npos) return {std::string(text), {}};
-  return {std::string(text.substr(0, equals)),
+  if (equals == std::string_view::npos) return {WithUnderscores(text), {}};
+  return {WithUnderscores(text.substr(0, equals)),
           std::string(text.substr(equals + 1))};
 }
 
@@ -82,18 +95,18 @@
       value = "false";
     }
     if (flag == nullptr) {
-      out_.problem = "--" + name + " is unknown; see --help";
+      out_.problem = "--" + WithDashes(name) + " is unknown; see --help";
       return;
     }
     if (!value && flag->IsOfType<bool>()) value = "true";
     if (!value && next_ < rest_.size()) value = rest_[next_++];
     if (!value) {
-      out_.problem = "--" + name + " needs a value";
+      out_.problem = "--" + WithDashes(name) + " needs a value";
       return;
     }
     std::string error;
     if (flag->ParseFrom(*value, &error)) return;
-    out_.problem = "--" + name + "=" + *value +
+    out_.problem = "--" + WithDashes(name) + "=" + *value +
                    " is not allowed: " + (error.empty() ? flag->Help() : error);
   }
 
@@ -113,8 +126,8 @@
   for (const auto& [name, flag] : absl::GetAllFlags()) {
     const std::string key(name);
     if (FindOurs(key) == nullptr) continue;
-    lines[key] = "  --" + key + "  " + flag->Help() + " (default: \"" +
-                 flag->DefaultValue() + "\")\n";
+    lines[key] = "  --" + WithDashes(key) + "  " + flag->Help() +
+                 " (default: \"" + flag->DefaultValue() + "\")\n";
   }
   lines["help"] = "  --help  Prints this and ends.\n";
   lines["version"] = "  --version  Prints the version and ends.\n";
--- a/src/config/flags.h
+++ b/src/config/flags.h
@@ -23,7 +23,8 @@
 };
 
 /// Sets the Abseil flags that the program declares from `--name=value`, `--name
-/// value`, `--name` and `--noname`; "--" ends them. absl::ParseCommandLine does
+/// value`, `--name` and `--noname`; "--" ends them, and a dash within a name is
+/// as good as its underscore. absl::ParseCommandLine does
 /// the same but exits by itself, with 1 on bad usage and on --help, where our
 /// programs give 2 and 0.
 CommandLine ParseCommandLine(int argc, const char* const* argv);
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -59,22 +59,6 @@
   return asked == present;
 }
 
-http::Request Write(const std::string& method, const std::string& target,
-                    const json::value& body,
-                    const http::HeaderField& condition) {
-  http::Request out;
-  out.method = method;
-  out.target = target;
-  if (!body.is_null()) {
-    out.headers.Set("Content-Type", "application/json");
-    out.body = json::serialize(body);
-  }
-  if (!condition.name.empty()) {
-    out.headers.Set(condition.name, condition.value);
-  }
-  return out;
-}
-
 std::string ETag(std::uint64_t version) {
   return "\"" + std::to_string(version) + "\"";
 }
@@ -89,6 +73,17 @@
   return ec ? json::value(response.body) : value;
 }
 
+/// What an apply did to each resource, a line each.
+std::string ChangesIn(const json::value& answer) {
+  std::string out;
+  for (const auto& it : ListFrom(answer)) {
+    out += "  " + TextAt(it, "kind");
+    out += "/" + TextAt(it, "name");
+    out += " " + TextAt(it, "change") + "\n";
+  }
+  return out;
+}
+
 leaf::result<std::string> KindFrom(const std::string& word) {
   const auto kind = KindFor(word);
   if (!kind.empty()) return std::string(kind);
@@ -191,8 +186,9 @@
   if (!IsOk(answer.response)) {
     return leaf::new_error(RefusalFrom(answer.entry, answer.response));
   }
-  Say(options_.dry_run ? "would be accepted" : "accepted",
-      BodyOf(answer.response));
+  const auto body = BodyOf(answer.response);
+  Say(options_.dry_run ? "would be accepted" : "accepted", body);
+  if (options_.output == Output::kTable) out_ << ChangesIn(body);
   return config::kExitDone;
 }
 
@@ -253,7 +249,11 @@
 
 Commands::ResultCode Commands::Explain(const Words& words) {
   BOOST_LEAF_AUTO(body, Read("/v1/jobs/" + words[0] + "/explain"));
-  Print(body);
+  if (options_.output == Output::kJson) {
+    Print(body);
+  } else {
+    out_ << TextAt(body, "explanation");
+  }
   return config::kExitDone;
 }
 
@@ -276,6 +276,26 @@
   return config::kExitDone;
 }
 
+http::Request Commands::Write(const std::string& method,
+                              const std::string& target,
+                              const json::value& body,
+                              const http::HeaderField& condition) const {
+  http::Request out;
+  out.method = method;
+  out.target = target;
+  if (!options_.operator_name.empty()) {
+    out.headers.Set("Lapishatch-Operator", options_.operator_name);
+  }
+  if (!body.is_null()) {
+    out.headers.Set("Content-Type", "application/json");
+    out.body = json::serialize(body);
+  }
+  if (!condition.name.empty()) {
+    out.headers.Set(condition.name, condition.value);
+  }
+  return out;
+}
+
 leaf::result<json::value> Commands::Read(const std::string& target) {
   http::Request request;
   request.target = target;
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -43,6 +43,8 @@
   bool undo = false;
   /// drain: for people.
   std::string reason;
+  /// Who makes the changes, for people; empty: not told.
+  std::string operator_name;
 };
 
 /// One line of the help.
@@ -81,6 +83,10 @@
   ResultCode Status(const Words& words);
   ResultCode Drain(const Words& words);
 
+  /// A request that changes something, in the operator's name.
+  http::Request Write(const std::string& method, const std::string& target,
+                      const boost::json::value& body,
+                      const http::HeaderField& condition) const;
   /// The body of a GET.
   boost::leaf::result<boost::json::value> Read(const std::string& target);
   boost::leaf::result<boost::json::value> ReadFile(const std::string& file);
--- a/src/ctl/error.cc
+++ b/src/ctl/error.cc
@@ -42,6 +42,16 @@
   }
 }
 
+/// One entry of the list of problems: "field: detail".
+std::string ProblemText(const json::value& problem) {
+  auto out = TextAt(problem, "field");
+  const auto detail = TextAt(problem, "detail");
+  if (out.empty() || detail.empty()) return ShortText(problem);
+  out += ": ";
+  out += detail;
+  return out;
+}
+
 void AddLine(std::string& out, const std::string& line) {
   if (line.empty()) return;
   if (!out.empty()) out += '\n';
@@ -68,7 +78,7 @@
   const auto* problems = body.as_object().if_contains("problems");
   if (problems == nullptr || !problems->is_array()) return out;
   for (const auto& it : problems->as_array()) {
-    out.problems.push_back(ShortText(it));
+    out.problems.push_back(ProblemText(it));
   }
   return out;
 }
@@ -81,7 +91,10 @@
   std::string out = "refused (" + std::to_string(error.status) + ")";
   if (!error.title.empty()) out += ": " + error.title;
   AddLine(out, error.detail);
-  for (const auto& it : error.problems) AddLine(out, "  " + it);
+  for (const auto& it : error.problems) {
+    const bool is_told = error.detail.find(it) != std::string::npos;
+    if (!is_told) AddLine(out, "  " + it);
+  }
   if (error.work == "unknown") {
     AddLine(out, "Whether it took effect is unknown.");
   }
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -40,6 +40,9 @@
 ABSL_FLAG(bool, wait, false, "submit, cancel: until the job has ended.");
 ABSL_FLAG(bool, undo, false, "drain: end the drain.");
 ABSL_FLAG(std::string, reason, "", "drain: why, for people.");
+ABSL_FLAG(std::string, operator, "",
+          "Who makes the change, for people. Otherwise LAPISHATCH_OPERATOR, "
+          "otherwise USER.");
 ABSL_FLAG(int, call_ms, 10'000, "Longest time of one try, in milliseconds.");
 ABSL_FLAG(int, retry_ms, 30'000,
           "Longest time with all tries, in milliseconds.");
@@ -98,6 +101,17 @@
                "--config"});
 }
 
+/// The first of flag and environment that names the operator.
+std::string FindOperator() {
+  auto from_flag = absl::GetFlag(FLAGS_operator);
+  if (!from_flag.empty()) return from_flag;
+  for (const auto* name : {"LAPISHATCH_OPERATOR", "USER"}) {
+    const char* value = std::getenv(name);
+    if (value != nullptr && *value != '\0') return value;
+  }
+  return {};
+}
+
 leaf::result<CommandOptions> OptionsFromFlags() {
   CommandOptions out;
   const auto output = base::ParseEnum<Output>(absl::GetFlag(FLAGS_o));
@@ -114,6 +128,7 @@
   out.wait = absl::GetFlag(FLAGS_wait);
   out.undo = absl::GetFlag(FLAGS_undo);
   out.reason = absl::GetFlag(FLAGS_reason);
+  out.operator_name = FindOperator();
   return out;
 }
 
--- a/src/ctl/views.cc
+++ b/src/ctl/views.cc
@@ -1,5 +1,6 @@
 #include "ctl/views.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "config/config.h"
@@ -37,12 +38,89 @@
             {"borrowed", "status.borrowed"},
             {"reason", "status.reason"}};
   }
+  if (kind == "workers") {
+    return {{"name", "name"},
+            {"state", "status.state"},
+            {"takes new work", "status.takes_new_work"},
+            {"drained", "spec.drain"},
+            {"domain", "status.failure_domain"},
+            {"rack", "status.rack"},
+            {"accelerators", "status.accelerators"},
+            {"cores", "status.cores"},
+            {"memory mb", "status.memory_mb"},
+            {"address", "status.address"}};
+  }
+  if (kind == "runners") {
+    return {{"name", "name"},
+            {"state", "status.state"},
+            {"takes new work", "status.takes_new_work"},
+            {"drained", "spec.drain"},
+            {"domain", "status.failure_domain"},
+            {"service", "status.service"},
+            {"address", "status.address"}};
+  }
+  if (kind == "cells") {
+    return {{"name", "name"},
+            {"domain", "status.failure_domain"},
+            {"owner", "status.owner"},
+            {"owner state", "status.owner_state"},
+            {"epoch", "status.epoch"}};
+  }
+  if (kind == "drains") {
+    return {{"name", "name"},
+            {"version", "version"},
+            {"reason", "spec.reason"},
+            {"by", "changed_by"}};
+  }
   return {{"name", "name"},
           {"version", "version"},
           {"spec", "spec"},
           {"status", "status"}};
 }
 
+/// The number that begins at `at`, past its leading zeros, as its digits.
+std::string_view DigitsAt(std::string_view text, std::size_t at) {
+  const auto end =
+      std::min(text.find_first_not_of("0123456789", at), text.size());
+  const auto begin = std::min(text.find_first_not_of('0', at), end);
+  return text.substr(begin, end - begin);
+}
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+/// Names as people count: worker-2 before worker-10.
+bool ComesBefore(std::string_view a, std::string_view b) {
+  std::size_t i = 0;
+  std::size_t j = 0;
+  while (i < a.size() && j < b.size()) {
+    if (!IsDigit(a[i]) || !IsDigit(b[j])) {
+      if (a[i] != b[j]) return a[i] < b[j];
+      ++i;
+      ++j;
+      continue;
+    }
+    const auto left = DigitsAt(a, i);
+    const auto right = DigitsAt(b, j);
+    if (left.size() != right.size()) return left.size() < right.size();
+    if (left != right) return left < right;
+    i = static_cast<std::size_t>(left.data() + left.size() - a.data());
+    j = static_cast<std::size_t>(right.data() + right.size() - b.data());
+  }
+  if (a.size() - i != b.size() - j) return a.size() - i < b.size() - j;
+  return a < b;
+}
+
+/// The resources by name.
+std::vector<const json::value*> InOrder(const json::array& resources) {
+  std::vector<const json::value*> out;
+  out.reserve(resources.size());
+  for (const auto& it : resources) out.push_back(&it);
+  std::stable_sort(out.begin(), out.end(), [](const auto* a, const auto* b) {
+    return ComesBefore(TextAt(*a, "name"), TextAt(*b, "name"));
+  });
+  return out;
+}
+
 }  // namespace
 
 std::string_view KindFor(std::string_view word) {
@@ -58,10 +136,10 @@
   headings.reserve(columns.size());
   for (const auto& it : columns) headings.emplace_back(it.heading);
   TextTable table(std::move(headings));
-  for (const auto& resource : resources) {
+  for (const auto* resource : InOrder(resources)) {
     std::vector<std::string> cells;
     cells.reserve(columns.size());
-    for (const auto& it : columns) cells.push_back(TextAt(resource, it.path));
+    for (const auto& it : columns) cells.push_back(TextAt(*resource, it.path));
     table.Add(std::move(cells));
   }
   return table.Render();
--- a/src/ctl/views.h
+++ b/src/ctl/views.h
@@ -16,7 +16,8 @@
 /// The kind that `word` means: its name or its singular, or empty.
 std::string_view KindFor(std::string_view word);
 
-/// A table of resources of one kind, a row each.
+/// A table of resources of one kind, a row each, in the order of their names:
+/// worker-2 before worker-10.
 std::string TableOf(std::string_view kind, const boost::json::array& resources);
 
 /// One line for one resource, as in a watch.
--- a/test/config/program_test.cc
+++ b/test/config/program_test.cc
@@ -1,3 +1,5 @@
+#include <absl/flags/flag.h>
+
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -8,6 +10,8 @@
 
 #include "config/config.h"
 
+ABSL_FLAG(int, of_two_words, 0, "For the test of flags.");
+
 namespace lapishatch::config {
 namespace {
 
@@ -92,7 +96,14 @@
   CHECK_THAT(parse({"--check=maybe"}).problem, Catch::Contains("not allowed"));
   CHECK_THAT(parse({"--config"}).problem, Catch::Contains("needs a value"));
   CHECK_THAT(parse({"--noconfig"}).problem, Catch::Contains("unknown"));
+  CHECK(parse({"--of-two-words=3"}).problem.empty());
+  CHECK(absl::GetFlag(FLAGS_of_two_words) == 3);
+  CHECK(parse({"--of_two_words", "4"}).problem.empty());
+  CHECK(absl::GetFlag(FLAGS_of_two_words) == 4);
+  CHECK_THAT(parse({"--of-two-words=x-y"}).problem,
+             Catch::Contains("--of-two-words=x-y is not allowed"));
   CHECK_FALSE(parse({"---"}).problem.empty());
+  CHECK_THAT(FlagsHelp(), Catch::Contains("  --of-two-words  "));
   CHECK_THAT(FlagsHelp(),
              Catch::Contains("--config") && !Catch::Contains("flagfile"));
 }
--- a/test/ctl/api_client_test.cc
+++ b/test/ctl/api_client_test.cc
@@ -184,6 +184,63 @@
   CHECK(ran.err.find("Correct the fields") != std::string::npos);
 }
 
+TEST_CASE("a problem that the detail names is not told twice") {
+  FakeEntry entry([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(JsonResponse(
+        422, {{"title", "Not valid"},
+              {"detail", "jobs/big: spec.gang: too large"},
+              {"problems",
+               json::array{{{"field", "spec.gang"}, {"detail", "too large"}},
+                           {{"field", "spec.class"}, {"detail", "odd"}}}}}));
+  });
+  FakePauses pauses;
+  const auto ran =
+      RunWords(pauses.OptionsFor({entry.endpoint()}), {"apply", "-"}, {}, "{}");
+  CHECK(ran.err.find("too large") == ran.err.rfind("too large"));
+  CHECK(ran.err.find("\n  spec.class: odd") != std::string::npos);
+}
+
+TEST_CASE("a dry run says what would change") {
+  FakeEntry entry([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(
+        JsonResponse(200, {{"dry_run", true},
+                           {"changes", json::array{{{"kind", "services"},
+                                                    {"name", "align"},
+                                                    {"change", "created"}}}}}));
+  });
+  FakePauses pauses;
+  CommandOptions options;
+  options.dry_run = true;
+  const auto ran = RunWords(pauses.OptionsFor({entry.endpoint()}),
+                            {"apply", "-"}, options, "{}");
+  CHECK(entry.requests().at(0).target == "/v1/apply?dry_run=true");
+  CHECK(ran.out == "would be accepted\n  services/align created\n");
+}
+
+TEST_CASE("a change is made in the operator's name") {
+  FakeEntry entry([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(JsonResponse(201, {{"name", "w"}}));
+  });
+  FakePauses pauses;
+  CommandOptions options;
+  options.operator_name = "ana";
+  const auto ran =
+      RunWords(pauses.OptionsFor({entry.endpoint()}), {"drain", "w"}, options);
+  CHECK(ran.code == 0);
+  CHECK(entry.requests().at(0).headers.Find("Lapishatch-Operator") == "ana");
+}
+
+TEST_CASE("an explanation is a page for people") {
+  FakeEntry entry([](const http::ExchangePtr& exchange, int) {
+    exchange->Respond(JsonResponse(
+        200, {{"name", "map"}, {"explanation", "Job map is queued.\n"}}));
+  });
+  FakePauses pauses;
+  const auto ran =
+      RunWords(pauses.OptionsFor({entry.endpoint()}), {"explain", "map"});
+  CHECK(ran.out == "Job map is queued.\n");
+}
+
 TEST_CASE("bad usage is told and ends with 2") {
   FakePauses pauses;
   const auto options = pauses.OptionsFor({DeadEndpoint()});
