Leave the event loop alone once the wire's transport has stopped

Cause: the transport's links outlive their owner until the pending handlers have run, but use the owner's event loop, which may be destroyed right after the transport: a connection that opened, a write, or a frame that arrived between Stop and the closing of the sockets asked the loop for the time. The thread sanitizer reports it as heap-use-after-free in OnFrame (written by ~AsioEventLoop) in test_membership, "processes over loopback find each other, spread a log and see a death", where one process dies while others run. Ruled out: the other uses of the loop, which look at `stopped_` under the same lock; Asio's own handlers. Change: these three look at it too. Conclusion: nothing of a stopped transport uses the loop.

--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -69,7 +69,8 @@
     });
   }
 
-  /// Ends at once; no callback runs afterwards.
+  /// Ends at once; no callback runs afterwards, and the loop, which may be
+  /// gone before the pending handlers, is not used.
   void Stop() {
     {
       const std::lock_guard lock(mutex_);
@@ -307,6 +308,7 @@
                  TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     {
       const std::lock_guard lock(mutex_);
+      if (stopped_) return;
       connection->connected = true;
       connection->opened_at = loop_.Now();
       connection->queue.push_front(hello_);
@@ -318,8 +320,8 @@
   void Write(const ConnectionPtr& connection) {
     {
       const std::lock_guard lock(mutex_);
-      if (connection->closed || !connection->writing.empty()) return;
-      if (connection->queue.empty()) return;
+      if (stopped_ || connection->closed) return;
+      if (!connection->writing.empty() || connection->queue.empty()) return;
       counts_.messages_sent += connection->queue.size();
       for (auto& it : connection->queue) connection->writing += it;
       counts_.bytes_sent += connection->writing.size();
@@ -383,6 +385,7 @@
     auto message = std::get<Message>(std::move(result));
     {
       const std::lock_guard lock(mutex_);
+      if (stopped_) return;
       ++counts_.messages_received;
       counts_.bytes_received += kFrameHeaderBytes + connection->payload.size();
       connection->last_received = loop_.Now();
