Hold the view that the loopback test counts

Cause: `for (... : node->view()->members)` lets the view go before the loop's body, since only the vector's reference is kept: the test read members that a newer view had freed. The thread sanitizer reports data races with the view's destructor in 6 of 7 reports of one run of test_membership. Ruled out: the same in the product; every loop over a function's result there holds the whole result. Change: the test holds the view. What it claims is the same. Before: build-thread/test/test_membership "processes over loopback*", reports in 1 of 1 runs. After: 5 of 5 runs without a report. Conclusion: a fault of the test, not of Node.

--- a/test/membership/loopback_test.cc
+++ b/test/membership/loopback_test.cc
@@ -40,7 +40,8 @@
 
   int Present() const {
     int n = 0;
-    for (const auto& it : node->view()->members) n += IsPresent(it.state);
+    const auto view = node->view();
+    for (const auto& it : view->members) n += IsPresent(it.state);
     return n;
   }
 
