Stop a process that a newer life has superseded

Cause: a superseded life logged 706 and called OnSuperseded, on which no program acted: an entry went on serving, a scheduler kept its cells.

Change: both programs log 104 and begin their planned stop from within (Program::BeginStop), which ends with exit code 1. /readyz turns at once; an entry refuses what is new as not-run with Retry-After and finishes what it has; a scheduler places nothing, takes no cell and releases on condition that the row is still the one it wrote.

"a stop leaves the row to the owner that has taken it meanwhile" (virtual time) guards what was right before.

--- a/src/config/program.cc
+++ b/src/config/program.cc
@@ -49,13 +49,14 @@
     signals.async_wait([this](const boost::system::error_code& ec, int) {
       if (ec) return;
       WaitForSignal();
-      BeginStop();
+      BeginStop(kExitDone);
     });
   }
 
-  void BeginStop() {
+  void BeginStop(int code) {
     if (stopping.exchange(true)) return;
     ready = false;
+    stop_code = code;
     base::Log(base::events::kProcessStopping, {{"name", process.name}});
     stop_timer.expires_after(process.stop_limit);
     stop_timer.async_wait([this](const boost::system::error_code& ec) {
@@ -67,7 +68,7 @@
     if (stop) {
       stop();
     } else {
-      End(kExitDone);
+      End(code);
     }
   }
 
@@ -101,6 +102,8 @@
   std::atomic<bool> ready{false};
   std::atomic<bool> stopping{false};
   std::atomic<int> exit_code{kExitDone};
+  /// Of a stop that goes well.
+  std::atomic<int> stop_code{kExitDone};
   std::function<void()> stop;
   asio::io_context io;
   asio::executor_work_guard<asio::io_context::executor_type> work =
@@ -230,7 +233,11 @@
   return impl_->exit_code;
 }
 
-void Program::Finish(int code) { impl_->End(code); }
+void Program::BeginStop(int code) { impl_->BeginStop(code); }
+
+void Program::Finish(int code) {
+  impl_->End(code == kExitDone ? impl_->stop_code.load() : code);
+}
 
 Section Describe(ProcessSettings& process) {
   Section section("process", "Who this process is and where it is reached.");
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -107,13 +107,19 @@
   /// ends at once.
   void OnPlannedStop(std::function<void()> stop);
 
+  /// Begins the planned stop from within, as SIGTERM does from outside; the
+  /// program then ends with `code`, however well the stop went. Nothing when a
+  /// stop is under way. Safe from any thread.
+  void BeginStop(int code);
+
   /// Answers /healthz, /readyz and /metrics, and hands the rest to `rest`.
   http::Handler WithCommonEndpoints(http::Handler rest);
 
   /// Runs process().threads threads until Finish; returns the exit code.
   int Run();
 
-  /// Ends Run. Safe from any thread.
+  /// Ends Run, with the code of BeginStop where `code` is 0. Safe from any
+  /// thread.
   void Finish(int code = 0);
 
  private:
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_process.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -68,6 +69,17 @@
   return ToResponse(refusal);
 }
 
+/// To a caller whom the balancer has not yet sent elsewhere.
+Refusal Superseded() {
+  Refusal refusal;
+  refusal.status = kUnavailable;
+  refusal.type = "superseded";
+  refusal.title = "This entry is stopping";
+  refusal.detail = "a newer life of this entry runs; try again at another one";
+  refusal.retry_after_s = 1;
+  return refusal;
+}
+
 /// The service of POST /v1/services/{service}/requests.
 const std::string* ServiceOf(const http::Target& target) {
   const auto& path = target.segments;
@@ -208,6 +220,7 @@
 
   void StartOnLoop() {
     link_.Connect(mirror_);
+    node_.group().OnSuperseded([this] { OnSuperseded(); });
     node_.Start();
     seeds_.Start();
     mirror_.Start();
@@ -227,6 +240,23 @@
     loop_->After(kLoadedPoll, [this] { BecomeReady(); });
   }
 
+  /// Requests in progress go on: claim rows keep them apart from those of the
+  /// newer life.
+  void OnSuperseded() {
+    base::Log(base::events::kStoppingSuperseded,
+              {{"name", program_.process().name},
+               {"incarnation", program_.incarnation()}});
+    is_superseded_ = true;
+    program_.BeginStop(config::kExitFailed);
+  }
+
+  void Refuse(const http::ExchangePtr& exchange, bool is_request) {
+    const auto refusal = Superseded();
+    if (!is_request) return exchange->Respond(ToResponse(refusal));
+    exchange->Respond(
+        RequestHandler::RefuseNotRun(exchange->request(), refusal));
+  }
+
   void Leave(const std::function<void()>& done) {
     node_.Leave();
     transport_->Close(kCloseLimit, done);
@@ -235,7 +265,10 @@
   void Route(const http::ExchangePtr& exchange) {
     const auto target = http::ParseTarget(exchange->request().target);
     const auto* service = ServiceOf(target);
-    if (service != nullptr && exchange->request().method == "POST") {
+    const bool is_request =
+        service != nullptr && exchange->request().method == "POST";
+    if (is_superseded_) return Refuse(exchange, is_request);
+    if (is_request) {
       requests_.Handle(exchange, base::ServiceName(*service));
       return;
     }
@@ -280,6 +313,7 @@
   EntryView view_;
   OwnerExplainer explainer_;
   ResourceApi api_;
+  std::atomic<bool> is_superseded_{false};
   http::Server server_;
 };
 
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -10,7 +10,9 @@
 namespace lapishatch::entry {
 
 /// One entry: resource API, watches, request path and membership on the
-/// threads of a program.
+/// threads of a program. When a newer life of the process has joined, it
+/// refuses new requests and begins the program's planned stop, with exit
+/// code 1.
 class EntryProcess {
  public:
   /// Binds its endpoints; throws boost::system::system_error when one cannot be
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -21,7 +21,6 @@
 constexpr std::string_view kWork = "Lapishatch-Work";
 constexpr std::size_t kMaxKeyLength = 128;
 constexpr std::size_t kMaxRequestIdLength = 128;
-constexpr int kBadRequest = 400;
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
 /// What a problem says besides what is known of the work.
@@ -183,6 +182,17 @@
                     outcome);
 }
 
+http::Response RequestHandler::RefuseNotRun(const http::Request& request,
+                                            const Refusal& refusal) {
+  auto out = MakeRefusal({refusal.status, refusal.type, refusal.title},
+                         base::WorkDone::kNotRun, refusal.detail,
+                         RequestIdOf(request));
+  if (refusal.retry_after_s) {
+    out.headers.Set("Retry-After", std::to_string(*refusal.retry_after_s));
+  }
+  return out;
+}
+
 void RequestHandler::Handle(http::ExchangePtr exchange,
                             base::ServiceName service) {
   auto parsed =
--- a/src/entry/request_handler.h
+++ b/src/entry/request_handler.h
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "base/base.h"
+#include "entry/refusal.h"
 #include "http/http.h"
 #include "routing/routing.h"
 
@@ -40,6 +41,10 @@
 
   void Handle(http::ExchangePtr exchange, base::ServiceName service);
 
+  /// The refusal of a request that is not even looked at.
+  static http::Response RefuseNotRun(const http::Request& request,
+                                     const Refusal& refusal);
+
  private:
   routing::RequestPath& path_;
   RequestHandlerOptions options_;
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -143,6 +143,7 @@
     link_.Connect(mirror_);
     node_.Serve(scheduler::MakeCellQueryServer(Queries()));
     node_.OnChange([this] { OnPeersChanged(); });
+    node_.group().OnSuperseded([this] { OnSuperseded(); });
   }
 
   void Start() {
@@ -216,6 +217,15 @@
     transport_->Close(kGoodbyeLimit, [this, done] { server_.Drain(done); });
   }
 
+  /// The planned stop places nothing new and takes no cell, and its release is
+  /// on condition that the row is still as this life wrote it.
+  void OnSuperseded() {
+    base::Log(base::events::kStoppingSuperseded,
+              {{"name", program_.process().name},
+               {"incarnation", program_.incarnation()}});
+    program_.BeginStop(config::kExitFailed);
+  }
+
   /// A process of this failure domain that is gone may have held a cell.
   void OnPeersChanged() {
     std::set<base::Incarnation> present;
--- a/src/scheduler_main/scheduler_process.h
+++ b/src/scheduler_main/scheduler_process.h
@@ -13,7 +13,8 @@
 /// Everything that lapishatch-scheduler is made of: the clients of platform and
 /// workers, the view of the change logs, the inner protocol, and one owner per
 /// cell of the failure domain. Today a failure domain is one cell, of the same
-/// name.
+/// name. When a newer life of the process has joined, it begins the program's
+/// planned stop, with exit code 1.
 class SchedulerProcess {
  public:
   /// Binds its ports; throws boost::system::system_error when one cannot be
--- a/test/config/program_test.cc
+++ b/test/config/program_test.cc
@@ -150,6 +150,23 @@
   CHECK(ready_at_stop == 503);
 }
 
+TEST_CASE("a stop that the program itself begins keeps its exit code") {
+  Program program({"p", "Does p.", "1"});
+  const TemporaryFile good(kGood);
+  REQUIRE(StartWith(program, {"--config=" + good.path()}) == std::nullopt);
+  program.SetReady(true);
+  int stops = 0;
+  program.OnPlannedStop([&] {
+    ++stops;
+    CHECK_FALSE(program.ready());
+    program.BeginStop(kExitDone);
+    boost::asio::post(program.io(), [&] { program.Finish(); });
+  });
+  boost::asio::post(program.io(), [&] { program.BeginStop(kExitFailed); });
+  CHECK(program.Run() == kExitFailed);
+  CHECK(stops == 1);
+}
+
 TEST_CASE("a planned stop that hangs ends with 1 at its limit") {
   Program program({"p", "Does p.", "1"});
   const TemporaryFile good(std::string(kGood) + "stop_limit_ms = 20\n");
--- a/test/scheduler/owner_change_test.cc
+++ b/test/scheduler/owner_change_test.cc
@@ -211,6 +211,26 @@
   }
 }
 
+TEST_CASE("a stop leaves the row to the owner that has taken it meanwhile") {
+  OwnerRig rig(4);
+  const auto first = rig.StartProcess();
+  const auto second = rig.StartProcess();
+  REQUIRE(rig.RunUntilOwning(*first, kSecond * 10));
+  first->loop.Pause();
+  REQUIRE(rig.RunUntilOwning(*second, kSecond * 20));
+  bool stopped = false;
+  first->owner->Stop([&] { stopped = true; });
+  first->loop.Resume();
+  REQUIRE(rig.time.RunUntil([&] { return stopped; }, kSecond * 11));
+  rig.time.RunFor(kMinute);
+  CHECK(first->owner->Status().phase == OwnerPhase::kStopped);
+  CHECK(second->owner->Status().phase == OwnerPhase::kOwning);
+  CHECK(second->owner->Status().epoch == 2);
+  const auto row = rig.table.Peek(CellKey(rig.cell));
+  REQUIRE(row.has_value());
+  CHECK(DecodeHolder(row->value)->holder == second->owner->Status().holder);
+}
+
 TEST_CASE("an outage of the table changes no owner and stops no work") {
   OwnerRig rig(8);
   const auto first = rig.StartProcess();
--- a/test/scheduler_main/process_test.cc
+++ b/test/scheduler_main/process_test.cc
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "child_process.h"
 #include "config/config.h"
+#include "net/child_process.h"
 #include "platform/platform.h"
 #include "worker/worker.h"
 
@@ -26,6 +26,8 @@
 
 constexpr std::chrono::seconds kLimit{60};
 constexpr int kWorkers = 4;
+/// Of GroupOptions::join_window, with something to spare.
+constexpr int kLongerThanJoining = 3'500;
 const char* const kDomain = "hall";
 
 /// One scheduler process.
@@ -273,6 +275,27 @@
   CHECK(it.Starts("plan") == 4);
 }
 
+TEST_CASE("a superseded scheduler gives its cell up and ends with 1") {
+  World it;
+  Scheduler first("s1", it.platform->endpoint(), "");
+  REQUIRE(it.WaitFor([&] { return it.Owns(first); }));
+  const auto peers = "\"" + http::TextOf(first.peer) + "\"";
+  Scheduler other("s2", it.platform->endpoint(), peers);
+  it.Submit(config::ResourceKind::kOrganisation, "bertolini",
+            config::OrganisationSpec{});
+  // When this is finished, the join window in which the first would outbid is
+  // over.
+  it.SubmitJob("longer", 1, kLongerThanJoining);
+  REQUIRE(it.WaitForPhase("longer", JobPhase::kFinished));
+  it.SubmitJob("plan", 4, 6'000);
+  REQUIRE(it.WaitForPhase("plan", JobPhase::kRunning));
+  Scheduler second("s1", it.platform->endpoint(), peers);
+  CHECK(first.process->Wait() == config::kExitFailed);
+  CHECK(it.WaitFor([&] { return it.Owns(second) || it.Owns(other); }));
+  CHECK(it.WaitForPhase("plan", JobPhase::kFinished));
+  CHECK(it.Starts("plan") == 4);
+}
+
 TEST_CASE("settings that do not fit together are refused with exit code 2") {
   const auto file = std::filesystem::temp_directory_path() /
                     (base::MakeUniqueText("scheduler-") + ".toml");
--- a/test/scheduler_main/child_process.h
+++ b/testing/net/child_process.h
@@ -1,5 +1,5 @@
-#ifndef LAPISHATCH_TEST_SCHEDULER_MAIN_CHILD_PROCESS_H_
-#define LAPISHATCH_TEST_SCHEDULER_MAIN_CHILD_PROCESS_H_
+#ifndef LAPISHATCH_TESTING_NET_CHILD_PROCESS_H_
+#define LAPISHATCH_TESTING_NET_CHILD_PROCESS_H_
 
 #include <fcntl.h>
 #include <signal.h>
@@ -76,4 +76,4 @@
 
 }  // namespace lapishatch::testing
 
-#endif  // LAPISHATCH_TEST_SCHEDULER_MAIN_CHILD_PROCESS_H_
+#endif  // LAPISHATCH_TESTING_NET_CHILD_PROCESS_H_
