Take a cell over on a confirmed hint, without waiting for its lease

Ruled out: a shorter lease (4 s: every pause of 4 s costs the cell, 2.5 times the writes); the group's word alone (a domain in halves would hand cells over and back); probes of each candidate's own each second (their bytes); a lower recovery window than 1 s (it would stop unrecorded gangs).

Change: the group's word on the holder (suspect, dead, another life at its address) makes a candidate ask it over a fresh connection (wire::Transport::Dial, then two queries). Refused, or the process there does not hold the cell: taken. Silent: taken when the group holds it for dead and its row has missed a renewal (4.5 s). The take stays conditional on the row's version, so a renewal in between keeps the cell. After a change of hands hints rest for 30 s, doubled up to 8 min. The recovery window is 1 s. A probe now tells refusal from silence and tries a fresh connection before it calls a process silent.

The fakes tell a refusing machine from a vanished one.

--- a/src/lifecycle/cell_lease.cc
+++ b/src/lifecycle/cell_lease.cc
@@ -16,6 +16,8 @@
 
 // What the machine sees: conclusions from the rows and the time.
 struct LooksExpired {};
+struct Doubted {};
+struct Unconfirmed {};
 struct HolderLives {};
 struct Free {};
 struct Took {};
@@ -61,6 +63,18 @@
   /// The version whose holder said that it only misses the table.
   std::uint64_t spared_version = 0;
   Epoch highest_epoch_seen = 0;
+  HolderDoubt doubt = HolderDoubt::kNone;
+  /// The holder is asked before its lease has run out.
+  bool asked_on_hint = false;
+  /// The version whose holder was silent to us, and until when it is not asked
+  /// again.
+  std::uint64_t silent_version = 0;
+  base::TimePoint ask_not_before;
+  /// Changes of hands without a release.
+  std::optional<base::TimePoint> changed_hands_at;
+  base::Duration hint_pause{0};
+  TakeReason take_reason = TakeReason::kFree;
+  base::Incarnation earlier_holder;
 
   // As holder.
   Epoch epoch = 0;
@@ -92,6 +106,24 @@
   bool IsOurs(const HolderRow& it) const {
     return it.holder == self && it.epoch == epoch;
   }
+
+  void NoteChangeOfHands() {
+    const bool again = changed_hands_at &&
+                       now - *changed_hands_at < times.hint_pause_limit * 2;
+    hint_pause = again ? std::min(hint_pause * 2, times.hint_pause_limit)
+                       : times.hint_pause;
+    changed_hands_at = now;
+  }
+
+  bool MayTakeOnHint() const {
+    return !changed_hands_at || now - *changed_hands_at >= hint_pause;
+  }
+
+  base::Duration ReadPause() const {
+    const bool hurry = doubt != HolderDoubt::kNone && MayTakeOnHint();
+    return hurry ? std::min(times.doubt_read_every, times.read_every)
+                 : times.read_every;
+  }
 };
 
 struct EmitAsk {
@@ -115,7 +147,8 @@
   template <typename Event, typename Fsm, typename From, typename To>
   void operator()(const Event&, Fsm& fsm, From&, To&) {
     auto& book = *fsm.book;
-    book.out.push_back(LeaseGranted{book.epoch, book.fence_version});
+    book.out.push_back(LeaseGranted{book.epoch, book.fence_version,
+                                    book.take_reason, book.earlier_holder});
   }
 };
 
@@ -173,7 +206,9 @@
   struct transition_table : mpl::vector<  // NOLINT(readability-identifier-naming)
     Row<Watching,  Free,         Taking,    EmitTake,     none>,
     Row<Watching,  LooksExpired, Asking,    EmitAsk,      none>,
+    Row<Watching,  Doubted,      Asking,    EmitAsk,      none>,
     Row<Watching,  StopAsked,    Released,  EmitReleased, none>,
+    Row<Asking,    Unconfirmed,  Watching,  none,         none>,
     Row<Asking,    HolderLives,  Watching,  WatchAnew,    none>,
     Row<Asking,    Free,         Taking,    EmitTake,     none>,
     Row<Asking,    StopAsked,    Released,  EmitReleased, none>,
@@ -298,18 +333,30 @@
       case HolderState::kHolding:
         return Feed(HolderLives{});
       case HolderState::kNotHolding:
-        return Feed(Free{});
+        return TakeAfterAsking(TakeReason::kNotHolding);
       case HolderState::kHoldingWithoutTable:
+        if (book.asked_on_hint) return Feed(HolderLives{});
         // It renews first when the table has come back. If the row is still
         // unchanged after one more lease, only its own way is cut.
-        if (book.spared_version == book.row_version) return Feed(Free{});
+        if (book.spared_version == book.row_version) {
+          return TakeAfterAsking(TakeReason::kLapsed);
+        }
         book.spared_version = book.row_version;
         return Feed(HolderLives{});
     }
   }
 
   void Note(const HolderSilent&) {
-    if (Is(LeasePhase::kAsking)) Feed(Free{});
+    if (!Is(LeasePhase::kAsking)) return;
+    if (!book.asked_on_hint) return TakeAfterAsking(TakeReason::kLapsed);
+    book.silent_version = book.row_version;
+    book.ask_not_before = book.now + book.times.read_every;
+    Feed(Unconfirmed{});
+    book.Read();
+  }
+
+  void Note(const HolderRefused&) {
+    if (Is(LeasePhase::kAsking)) TakeAfterAsking(TakeReason::kRefused);
   }
 
   void Note(const EpochRefused& event) {
@@ -330,7 +377,7 @@
 
   void Note(const LeaseTime&) {
     if (book.now < book.next_step) return;
-    book.next_step = book.now + book.times.read_every;
+    book.next_step = book.now + book.ReadPause();
     if (book.reading || book.writing) return;
     switch (book.phase) {
       case LeasePhase::kWatching:
@@ -355,15 +402,49 @@
       book.unchanged_since = book.now;
     }
     book.last_good_read = book.now;
-    book.row = event.row.value_or(HolderRow());
+    const auto row = event.row.value_or(HolderRow());
+    const bool had_other = !book.row.holder.empty() && !row.holder.empty() &&
+                           book.row.holder != row.holder;
+    if (had_other) book.NoteChangeOfHands();
+    book.row = row;
     book.row_version = event.row_version;
+    book.doubt = event.doubt;
     if (book.writing) return;
     const auto& holder = book.row.holder;
-    if (holder.empty() || holder == book.self) return Feed(Free{});
+    if (holder.empty() || holder == book.self) return Take(TakeReason::kFree);
     // Unchanged at least until the read was sent.
     const auto unchanged_for = book.read_sent - *book.unchanged_since;
-    if (unchanged_for < book.times.length + book.times.margin) return;
-    Feed(LooksExpired{});
+    if (unchanged_for >= book.times.length + book.times.margin) {
+      book.asked_on_hint = false;
+      return Feed(LooksExpired{});
+    }
+    FollowDoubt(unchanged_for);
+  }
+
+  /// What the group says of the holder makes a candidate ask it; the answer, or
+  /// the row when there is none, decides.
+  void FollowDoubt(base::Duration unchanged_for) {
+    if (book.doubt == HolderDoubt::kNone || !book.MayTakeOnHint()) return;
+    book.next_step = std::min(book.next_step, book.now + book.ReadPause());
+    const bool was_silent = book.silent_version == book.row_version;
+    if (was_silent && book.doubt == HolderDoubt::kDead &&
+        unchanged_for >= book.times.silent_after) {
+      return Take(TakeReason::kSilent);
+    }
+    if (was_silent && book.now < book.ask_not_before) return;
+    book.asked_on_hint = true;
+    Feed(Doubted{});
+  }
+
+  void Take(TakeReason reason) {
+    book.take_reason = reason;
+    book.earlier_holder = book.row.holder;
+    Feed(Free{});
+  }
+
+  /// `reason` when the lease had not run out before the holder was asked.
+  void TakeAfterAsking(TakeReason reason) {
+    Take(book.asked_on_hint ? reason : TakeReason::kLapsed);
   }
 
   void ResolveTake(const RowRead& event) {
@@ -379,6 +460,9 @@
   }
 
   void Grant() {
+    if (!book.row.holder.empty() && book.row.holder != book.self) {
+      book.NoteChangeOfHands();
+    }
     book.row = book.written;
     book.epoch = book.written.epoch;
     book.valid_until = book.write_sent + book.times.length;
@@ -482,4 +566,6 @@
   return impl_->book.row.holder;
 }
 
+TakeReason CellLease::take_reason() const { return impl_->book.take_reason; }
+
 }  // namespace lapishatch::lifecycle
--- a/src/lifecycle/cell_lease.h
+++ b/src/lifecycle/cell_lease.h
@@ -21,6 +21,36 @@
   kHoldingWithoutTable,
 };
 
+/// What a candidate is told of the life that holds a cell, by the group of
+/// processes. A guess, and never enough by itself to take a cell.
+enum class HolderDoubt : std::uint8_t {
+  kNone,
+  /// It missed probes, or another life answers at its address.
+  kSuspect,
+  /// Nobody of the group has heard it for long.
+  kDead,
+};
+
+/// Why a candidate took a cell.
+enum class TakeReason : std::uint8_t {
+  /// Nobody held it.
+  kFree,
+  /// The row had not changed for a whole lease.
+  kLapsed,
+  /// Doubted, and nobody listens at its address.
+  kRefused,
+  /// Doubted, and the process at its address says that it does not hold it.
+  kNotHolding,
+  /// Held for dead, silent to this process over a fresh connection, and it has
+  /// missed a renewal.
+  kSilent,
+};
+
+/// Whether the cell was taken before the lease of its holder had run out.
+constexpr bool IsHint(TakeReason reason) {
+  return reason != TakeReason::kFree && reason != TakeReason::kLapsed;
+}
+
 struct LeaseTimes {
   /// A row unchanged for this long has no live holder.
   base::Duration length{10'000};
@@ -30,6 +60,15 @@
   base::Duration renew_every{3'000};
   /// Between a candidate's reads, and between tries when the table fails.
   base::Duration read_every{2'000};
+  /// Between a candidate's reads while the holder is doubted.
+  base::Duration doubt_read_every{250};
+  /// A doubted holder that is silent counts as gone when its row has not
+  /// changed for this long: longer than it takes to renew.
+  base::Duration silent_after{4'500};
+  /// After the cell has changed hands without a release, hints take it no more
+  /// for so long; doubled by each further change, up to the limit.
+  base::Duration hint_pause{30'000};
+  base::Duration hint_pause_limit{480'000};
 };
 
 /// A cell's row: who holds the cell.
@@ -51,6 +90,8 @@
   std::optional<HolderRow> row;
   std::uint64_t row_version = 0;
   std::uint64_t fence_version = 0;
+  /// What the group says of the row's holder by now.
+  HolderDoubt doubt = HolderDoubt::kNone;
 };
 struct RowReadFailed {};
 /// The last write took effect. `fence_version` counts when it was a take.
@@ -68,6 +109,8 @@
   HolderState state = HolderState::kNotHolding;
 };
 struct HolderSilent {};
+/// Nobody listens at the holder's address.
+struct HolderRefused {};
 /// A worker or the table has seen a later owner.
 struct EpochRefused {
   Epoch epoch_seen = 0;
@@ -81,7 +124,8 @@
 using LeaseEvent =
     std::variant<RowRead, RowReadFailed, LeaseWritten, LeaseConflict,
                  LeaseNotWritten, LeaseUnknown, HolderAnswered, HolderSilent,
-                 EpochRefused, ReleaseAsked, LookAsked, LeaseTime>;
+                 HolderRefused, EpochRefused, ReleaseAsked, LookAsked,
+                 LeaseTime>;
 
 // What is to be done for a lease.
 
@@ -102,6 +146,9 @@
 struct LeaseGranted {
   Epoch epoch = 0;
   std::uint64_t fence_version = 0;
+  TakeReason reason = TakeReason::kFree;
+  /// Who held it before; empty when nobody did.
+  base::Incarnation earlier_holder;
 };
 /// The cell is ours no longer: drop everything, send nothing.
 struct LeaseLost {
@@ -116,7 +163,9 @@
 /// every call is given the time of this process's monotonic clock. A holder's
 /// lease is counted from before its write was sent, a candidate's wait from
 /// after its read was answered, so the two never overlap while clocks run at
-/// rates closer than `margin` in `length`.
+/// rates closer than `margin` in `length`. A take on a hint gives that up: then
+/// two may believe to hold the cell for as long as a lease, and only the fence
+/// and the epochs at the workers decide.
 class CellLease {
  public:
   CellLease(base::Incarnation self, std::string endpoint, LeaseTimes times);
@@ -145,6 +194,8 @@
   Epoch epoch() const;
   /// The holder by the row last read or written.
   const base::Incarnation& holder() const;
+  /// Why the cell was taken last by this process.
+  TakeReason take_reason() const;
 
  private:
   struct Impl;
@@ -159,6 +210,16 @@
   static constexpr std::array<std::string_view, 3> kNames = {
       "not-holding", "holding", "holding-without-table"};
 };
+template <>
+struct EnumNames<lifecycle::HolderDoubt> {
+  static constexpr std::array<std::string_view, 3> kNames = {"none", "suspect",
+                                                             "dead"};
+};
+template <>
+struct EnumNames<lifecycle::TakeReason> {
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "free", "lapsed", "refused", "not-holding", "silent"};
+};
 }  // namespace lapishatch::base
 
 #endif  // LAPISHATCH_LIFECYCLE_CELL_LEASE_H_
--- a/src/scheduler/cell_owner.cc
+++ b/src/scheduler/cell_owner.cc
@@ -12,9 +12,10 @@
  public:
   Impl(OwnerOptions options, OwnerPorts ports)
       : options_(std::move(options)),
-        ports_(ports),
-        keeper_(options_, ports.loop, ports.table, ports.probe, KeeperHooks()),
-        scope_(ports.loop) {}
+        ports_(std::move(ports)),
+        keeper_(options_, ports_.loop, ports_.table, ports_.probe, ports_.group,
+                KeeperHooks()),
+        scope_(ports_.loop) {}
 
   void Start() { keeper_.Begin(); }
 
@@ -42,6 +43,8 @@
     if (run_) run_->Describe(status);
     status.holder = keeper_.lease().holder();
     status.epoch = run_ ? keeper_.lease().epoch() : 0;
+    if (run_) status.taken = taken_;
+    if (run_) status.taken_from = taken_from_;
     if (stopping_) status.phase = OwnerPhase::kHandingOver;
     if (is_stopped_) status.phase = OwnerPhase::kStopped;
     return status;
@@ -66,6 +69,9 @@
   void OnGranted(const lifecycle::LeaseGranted& grant) {
     base::Log(base::events::kCellTaken,
               {{"cell", options_.cell}, {"epoch", grant.epoch}});
+    if (lifecycle::IsHint(grant.reason)) LogHint(grant);
+    taken_ = grant.reason;
+    taken_from_ = grant.earlier_holder;
     internal::CellRun::Hooks hooks;
     hooks.may_act = [this] { return keeper_.MayAct(); };
     hooks.deposed = [this](lifecycle::Epoch seen) {
@@ -78,6 +84,14 @@
                                                std::move(hooks));
   }
 
+  void LogHint(const lifecycle::LeaseGranted& grant) const {
+    base::Log(base::events::kCellTakenOnHint,
+              {{"cell", options_.cell},
+               {"epoch", grant.epoch},
+               {"reason", base::NameOf(grant.reason)},
+               {"earlier_holder", grant.earlier_holder}});
+  }
+
   void OnLost(const lifecycle::LeaseLost& lost) {
     base::Log(base::events::kCellLost,
               {{"cell", options_.cell}, {"reason", lost.reason}});
@@ -113,6 +127,8 @@
   std::unique_ptr<internal::CellRun> run_;
   std::vector<std::unique_ptr<internal::CellRun>> dropped_;
   internal::LeaseKeeper keeper_;
+  lifecycle::TakeReason taken_ = lifecycle::TakeReason::kFree;
+  base::Incarnation taken_from_;
   bool stopping_ = false;
   bool releasing_ = false;
   bool is_stopped_ = false;
@@ -121,7 +137,7 @@
 };
 
 CellOwner::CellOwner(OwnerOptions options, OwnerPorts ports)
-    : impl_(std::make_unique<Impl>(std::move(options), ports)) {}
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(ports))) {}
 CellOwner::~CellOwner() = default;
 
 void CellOwner::Start() { impl_->Start(); }
--- a/src/scheduler/cell_owner.h
+++ b/src/scheduler/cell_owner.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   JobFeed& feed;
   /// May be null.
   base::MetricRegistry* metrics = nullptr;
+  /// May be empty: then a cell is taken only when its lease has run out.
+  GroupWord group = nullptr;
 };
 
 /// How far this process is with a cell.
@@ -47,6 +50,10 @@
   lifecycle::Epoch epoch = 0;
   /// Holder by the row last read or written.
   base::Incarnation holder;
+  /// Why this process took the cell, while it holds it.
+  std::optional<lifecycle::TakeReason> taken;
+  /// Who held it before, empty when nobody did.
+  base::Incarnation taken_from;
   bool table_out = false;
   int workers = 0;
   int workers_reached = 0;
--- a/src/scheduler/cell_run.cc
+++ b/src/scheduler/cell_run.cc
@@ -16,19 +16,19 @@
 CellRun::CellRun(const OwnerOptions& options, OwnerPorts ports,
                  const lifecycle::LeaseGranted& grant, Hooks hooks)
     : options_(options),
-      ports_(ports),
+      ports_(std::move(ports)),
       hooks_(std::move(hooks)),
-      began_(ports.loop.Now()),
+      began_(ports_.loop.Now()),
       planner_(options.planner),
-      recorder_(options, ports.loop, ports.table, grant.fence_version,
+      recorder_(options, ports_.loop, ports_.table, grant.fence_version,
                 RecorderHooks()),
-      workers_(options, grant.epoch, ports.loop, ports.workers, planner_,
+      workers_(options, grant.epoch, ports_.loop, ports_.workers, planner_,
                PoolHooks()),
       board_(options, grant.epoch,
-             {ports.loop, ports.table, planner_, recorder_, workers_,
-              ports.metrics},
+             {ports_.loop, ports_.table, planner_, recorder_, workers_,
+              ports_.metrics},
              [this] { PlanSoon(); }),
-      scope_(ports.loop) {
+      scope_(ports_.loop) {
   feed_ =
       ports_.feed.Follow(options_.cell, scope_.OnLoop([this](FeedEvent event) {
         std::visit([this](auto& it) { On(std::move(it)); }, event);
--- a/src/scheduler/internal/lease_keeper.h
+++ b/src/scheduler/internal/lease_keeper.h
@@ -23,7 +23,8 @@
   };
 
   LeaseKeeper(const OwnerOptions& options, base::EventLoop& loop,
-              store::Table& table, OwnerProbe& probe, Hooks hooks);
+              store::Table& table, OwnerProbe& probe, GroupWord group,
+              Hooks hooks);
   ~LeaseKeeper();
   LeaseKeeper(const LeaseKeeper&) = delete;
   LeaseKeeper& operator=(const LeaseKeeper&) = delete;
@@ -49,6 +50,7 @@
   void Do(const lifecycle::LeaseReleased& command);
 
   void OnRow(const store::ReadResult& result);
+  lifecycle::HolderDoubt DoubtOf(const lifecycle::HolderRow& row) const;
   void OnFence(lifecycle::RowRead row, const store::ReadResult& result);
   void OnCommit(const store::CommitResult& result);
   void OnProbe(const ProbeResult& result);
@@ -57,6 +59,7 @@
   base::EventLoop& loop_;
   store::Table& table_;
   OwnerProbe& probe_;
+  GroupWord group_;
   Hooks hooks_;
   lifecycle::CellLease lease_;
   base::TimerId timer_ = 0;
--- a/src/scheduler/lease_keeper.cc
+++ b/src/scheduler/lease_keeper.cc
@@ -39,14 +39,28 @@
   return std::visit(Visitor(), result);
 }
 
+struct ProbeVisitor {
+  lifecycle::LeaseEvent operator()(const ProbeAnswer& it) const {
+    return lifecycle::HolderAnswered{it.state};
+  }
+  lifecycle::LeaseEvent operator()(const ProbeFailed&) const {
+    return lifecycle::HolderSilent{};
+  }
+  lifecycle::LeaseEvent operator()(const ProbeRefused&) const {
+    return lifecycle::HolderRefused{};
+  }
+};
+
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(const OwnerOptions& options, base::EventLoop& loop,
-                         store::Table& table, OwnerProbe& probe, Hooks hooks)
+                         store::Table& table, OwnerProbe& probe,
+                         GroupWord group, Hooks hooks)
     : options_(options),
       loop_(loop),
       table_(table),
       probe_(probe),
+      group_(std::move(group)),
       hooks_(std::move(hooks)),
       lease_(options.incarnation,
              options.endpoint.address + ":" +
@@ -99,7 +113,10 @@
   }
   // Only a holder needs the fence: every take writes both rows.
   const bool ours = row.row && row.row->holder == options_.incarnation;
-  if (!ours) return Tell(row);
+  if (!ours) {
+    if (row.row) row.doubt = DoubtOf(*row.row);
+    return Tell(row);
+  }
   table_.Read(
       FenceKey(options_.cell),
       scope_.OnLoop([this, row = std::move(row)](const store::ReadResult& it) {
@@ -107,6 +124,12 @@
       }));
 }
 
+lifecycle::HolderDoubt LeaseKeeper::DoubtOf(
+    const lifecycle::HolderRow& row) const {
+  if (!group_ || row.holder.empty()) return lifecycle::HolderDoubt::kNone;
+  return group_(row.holder, EndpointOf(row.endpoint));
+}
+
 void LeaseKeeper::OnFence(lifecycle::RowRead row,
                           const store::ReadResult& result) {
   const auto* found = std::get_if<std::optional<store::Row>>(&result);
@@ -138,9 +161,7 @@
 }
 
 void LeaseKeeper::OnProbe(const ProbeResult& result) {
-  const auto* answer = std::get_if<ProbeAnswer>(&result);
-  if (answer == nullptr) return Tell(lifecycle::HolderSilent{});
-  Tell(lifecycle::HolderAnswered{answer->state});
+  Tell(std::visit(ProbeVisitor(), result));
 }
 
 void LeaseKeeper::Do(const lifecycle::LeaseGranted& command) {
--- a/src/scheduler/owner_options.h
+++ b/src/scheduler/owner_options.h
@@ -44,7 +44,7 @@
   base::Duration lost_after{15'000};
   /// How long a new owner waits for its workers' first reports before it
   /// places anything.
-  base::Duration recovery_window{3'000};
+  base::Duration recovery_window{1'000};
 
   /// Status writes are gathered for this long into one transaction.
   base::Duration group_window{20};
--- a/src/scheduler/owner_probe.h
+++ b/src/scheduler/owner_probe.h
@@ -22,11 +22,20 @@
   std::string detail;
 };
 
-using ProbeResult = std::variant<ProbeAnswer, ProbeFailed>;
+/// Nobody listens at the address: the process that did is gone.
+struct ProbeRefused {};
+
+using ProbeResult = std::variant<ProbeAnswer, ProbeFailed, ProbeRefused>;
+
+/// What the group of processes says of the life that a cell row names, and of
+/// its address. Called on the cell's loop.
+using GroupWord = std::function<lifecycle::HolderDoubt(
+    const base::Incarnation& holder, const http::Endpoint& at)>;
 
 /// Asks the process that a cell row names as holder whether it still holds the
 /// cell. A candidate does so before it takes over. Every call ends in exactly
-/// one callback, within the implementation's timeout.
+/// one callback, within the implementation's timeout. ProbeFailed says that the
+/// process was silent over a fresh connection too.
 class OwnerProbe {
  public:
   virtual ~OwnerProbe() = default;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -5,6 +5,7 @@
 /// interfaces through which it learns its work and asks other owners.
 
 #include "scheduler/cell_owner.h"
+#include "scheduler/group_word.h"
 #include "scheduler/job_feed.h"
 #include "scheduler/owner_options.h"
 #include "scheduler/owner_probe.h"
--- a/src/scheduler/wire_owner_probe.cc
+++ b/src/scheduler/wire_owner_probe.cc
@@ -6,6 +6,9 @@
 namespace lapishatch::scheduler {
 namespace {
 
+/// The second ask goes over a fresh connection.
+constexpr int kAsks = 2;
+
 /// An answer that was not asked for, or none.
 ProbeFailed Failure(const wire::AskResult& result) {
   if (const auto* it = std::get_if<wire::AskError>(&result)) {
@@ -74,15 +77,43 @@
 void WireOwnerProbe::Ask(const http::Endpoint& at, const base::CellName& cell,
                          const base::Incarnation& holder,
                          std::function<void(ProbeResult)> done) {
-  const wire::Peer peer{{at.address, at.port}, holder};
-  loop_.Post([this, peer, cell, holder, done = std::move(done)] {
-    requests_.Ask(peer, wire::OwnerQuery{cell, holder}, timeout_,
-                  [cell, holder, done](const wire::AskResult& result) {
-                    done(ResultOf(result, cell, holder));
-                  });
+  const Question question{{{at.address, at.port}, holder}, cell};
+  loop_.Post([this, question, done = std::move(done)] {
+    transport_.Dial(question.peer.endpoint, step_timeout_,
+                    [this, question, done](wire::DialResult it) {
+                      OnDialled(question, it, done);
+                    });
   });
 }
 
+void WireOwnerProbe::OnDialled(const Question& question,
+                               wire::DialResult result,
+                               const std::function<void(ProbeResult)>& done) {
+  switch (result) {
+    case wire::DialResult::kOpened:
+      return AskOwner(question, kAsks, done);
+    case wire::DialResult::kRefused:
+      return done(ProbeRefused{});
+    case wire::DialResult::kSilent:
+      return done(ProbeFailed{"no connection"});
+  }
+}
+
+void WireOwnerProbe::AskOwner(const Question& question, int asks_left,
+                              const std::function<void(ProbeResult)>& done) {
+  const auto& holder = question.peer.incarnation;
+  requests_.Ask(
+      question.peer, wire::OwnerQuery{question.cell, holder}, step_timeout_,
+      [this, question, asks_left, done](const wire::AskResult& it) {
+        // The connection may be the one at fault: a timeout has reset it.
+        const bool failed = std::holds_alternative<wire::AskError>(it);
+        if (failed && asks_left > 1) {
+          return AskOwner(question, asks_left - 1, done);
+        }
+        done(ResultOf(it, question.cell, question.peer.incarnation));
+      });
+}
+
 wire::RequestChannel::Server MakeCellQueryServer(CellQueries queries) {
   return [queries = std::move(queries)](
              const wire::Identity&, const wire::Query& query,
--- a/src/scheduler/wire_owner_probe.h
+++ b/src/scheduler/wire_owner_probe.h
@@ -11,14 +11,19 @@
 
 namespace lapishatch::scheduler {
 
-/// Asks the holder of a cell over the inner protocol.
+/// Asks the holder of a cell over the inner protocol: first whether anybody
+/// listens at its address, over a fresh connection, then the process there.
 class WireOwnerProbe final : public OwnerProbe {
  public:
-  /// `loop` is that of `requests`; both must outlive the probe. `timeout` is
-  /// the longest wait for an answer.
-  WireOwnerProbe(base::EventLoop& loop, wire::RequestChannel& requests,
-                 base::Duration timeout)
-      : loop_(loop), requests_(requests), timeout_(timeout) {}
+  /// `loop` is that of `transport` and `requests`; all must outlive the probe.
+  /// `step_timeout` is the longest wait of each of three steps: the connection,
+  /// an answer over whatever connection there is, and over a fresh one.
+  WireOwnerProbe(base::EventLoop& loop, wire::Transport& transport,
+                 wire::RequestChannel& requests, base::Duration step_timeout)
+      : loop_(loop),
+        transport_(transport),
+        requests_(requests),
+        step_timeout_(step_timeout) {}
 
   /// `at` is the endpoint of the inner protocol. Safe from any thread; `done`
   /// is called on the loop.
@@ -27,9 +32,20 @@
            std::function<void(ProbeResult)> done) override;
 
  private:
+  struct Question {
+    wire::Peer peer;
+    base::CellName cell;
+  };
+
+  void OnDialled(const Question& question, wire::DialResult result,
+                 const std::function<void(ProbeResult)>& done);
+  void AskOwner(const Question& question, int asks_left,
+                const std::function<void(ProbeResult)>& done);
+
   base::EventLoop& loop_;
+  wire::Transport& transport_;
   wire::RequestChannel& requests_;
-  base::Duration timeout_;
+  base::Duration step_timeout_;
 };
 
 /// What a scheduler process answers other processes. Called on the loop of its
--- a/src/scheduler_main/cell_host.cc
+++ b/src/scheduler_main/cell_host.cc
@@ -7,7 +7,7 @@
 CellHost::CellHost(boost::asio::io_context& io, scheduler::OwnerOptions options,
                    CellPorts ports)
     : options_(std::move(options)),
-      ports_(ports),
+      ports_(std::move(ports)),
       loop_(base::MakeAsioEventLoop(io)) {}
 
 CellHost::~CellHost() = default;
@@ -22,9 +22,9 @@
 void CellHost::Start() {
   loop_->Post([this] {
     owner_ = std::make_unique<scheduler::CellOwner>(
-        options_,
-        scheduler::OwnerPorts{*loop_, ports_.table, ports_.workers,
-                              ports_.probe, ports_.feed, ports_.metrics});
+        options_, scheduler::OwnerPorts{*loop_, ports_.table, ports_.workers,
+                                        ports_.probe, ports_.feed,
+                                        ports_.metrics, ports_.group});
     owner_->Start();
   });
 }
--- a/src/scheduler_main/cell_host.h
+++ b/src/scheduler_main/cell_host.h
@@ -17,6 +17,7 @@
   scheduler::OwnerProbe& probe;
   scheduler::JobFeed& feed;
   base::MetricRegistry* metrics = nullptr;
+  scheduler::GroupWord group = nullptr;
 };
 
 /// One cell's owner on an event loop of its own, so that cells of one process
--- a/src/scheduler_main/main.cc
+++ b/src/scheduler_main/main.cc
@@ -23,6 +23,12 @@
   if (lease.renew_every * 2 > lease.length) {
     return "scheduler.lease_renew_ms must be at most half of lease_ms";
   }
+  if (lease.silent_after <= lease.renew_every) {
+    return "scheduler.silent_after_ms must be above lease_renew_ms";
+  }
+  if (lease.hint_pause > lease.hint_pause_limit) {
+    return "scheduler.hint_pause_ms must be at most hint_pause_limit_ms";
+  }
   return {};
 }
 
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -1,10 +1,8 @@
 #include "scheduler_main/scheduler_process.h"
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -30,8 +28,8 @@
 /// Calls to the platform at once.
 constexpr std::size_t kPlatformConnections = 16;
 
-/// For the answer of a cell's holder to a candidate.
-constexpr base::Duration kProbeTimeout{1'000};
+/// For each step of a candidate's question to the holder of a cell.
+constexpr base::Duration kProbeTimeout{500};
 
 /// For what is queued to other processes at a planned stop.
 constexpr base::Duration kGoodbyeLimit{500};
@@ -117,7 +115,7 @@
                                            TransportOptionsOf(program))),
         node_(*loop_, *transport_,
               NodeOptionsOf(program, transport_->endpoint())),
-        probe_(*loop_, node_.requests(), kProbeTimeout),
+        probe_(*loop_, *transport_, node_.requests(), kProbeTimeout),
         link_(node_),
         mirror_(settings_.mirror,
                 config::MirrorPorts{*loop_, *table_, &link_, &program.metrics(),
@@ -184,7 +182,11 @@
     options.seed = std::random_device()();
     cells_.push_back(std::make_unique<CellHost>(
         program_.io(), std::move(options),
-        CellPorts{tap_, *workers_, probe_, feed_, &program_.metrics()}));
+        CellPorts{
+            tap_, *workers_, probe_, feed_, &program_.metrics(),
+            [this](const base::Incarnation& holder, const http::Endpoint& at) {
+              return scheduler::DoubtOf(*node_.view(), holder, at);
+            }}));
   }
 
   PublisherOptions PublisherOptionsOf() const {
@@ -226,20 +228,10 @@
     program_.BeginStop(config::kExitFailed);
   }
 
-  /// A process of this failure domain that is gone may have held a cell.
+  /// A scheduler of this failure domain that is in doubt or gone may have held
+  /// a cell.
   void OnPeersChanged() {
-    std::set<base::Incarnation> present;
-    const auto view = node_.view();
-    for (const auto& it : view->members) {
-      if (it.identity.domain != view->self.domain) continue;
-      if (it.identity.role != wire::Role::kScheduler) continue;
-      if (!membership::IsPresent(it.state)) continue;
-      present.insert(it.identity.incarnation);
-    }
-    const bool someone_left = !std::includes(present.begin(), present.end(),
-                                             peers_.begin(), peers_.end());
-    peers_ = std::move(present);
-    if (!someone_left) return;
+    if (!trusted_.HasLostOne(*node_.view())) return;
     for (const auto& it : cells_) it->CheckNow();
   }
 
@@ -387,7 +379,7 @@
   LogJobFeed feed_;
   VmPoller poller_;
   std::vector<std::unique_ptr<CellHost>> cells_;
-  std::set<base::Incarnation> peers_;
+  scheduler::TrustedSchedulers trusted_;
   http::Server server_;
 };
 
--- a/src/scheduler_main/scheduler_settings.cc
+++ b/src/scheduler_main/scheduler_settings.cc
@@ -32,6 +32,18 @@
                  "Between the owner's renewals.");
   section.Millis("lease_read_ms", owner.lease.read_every, 10, kHourMs,
                  "Between a candidate's reads.");
+  section.Millis("doubt_read_ms", owner.lease.doubt_read_every, 10, kHourMs,
+                 "Between a candidate's reads while the group doubts the "
+                 "owner.");
+  section.Millis("silent_after_ms", owner.lease.silent_after, 10, kHourMs,
+                 "An owner that counts as dead in the group and does not "
+                 "answer is replaced when its row has not changed for this "
+                 "long; above lease_renew_ms.");
+  section.Millis("hint_pause_ms", owner.lease.hint_pause, 10, kHourMs,
+                 "After an owner was replaced, only a lapsed lease replaces "
+                 "the next one for so long; doubled each time.");
+  section.Millis("hint_pause_limit_ms", owner.lease.hint_pause_limit, 10,
+                 kHourMs, "The longest such pause.");
   section.Millis("reservation_ms", owner.reservation, 10, kHourMs,
                  "A reservation lapses after this unless started.");
   section.Millis("start_lease_ms", owner.start_lease, 10, kHourMs,
--- a/src/scheduler_main/status_json.cc
+++ b/src/scheduler_main/status_json.cc
@@ -16,10 +16,14 @@
                      {"adjacency", base::NameOf(it.shape.adjacency)},
                      {"missing", it.missing}});
   }
+  json::value taken;
+  if (status.taken) taken = base::NameOf(*status.taken);
   return {{"cell", cell.str()},
           {"phase", base::NameOf(status.phase)},
           {"epoch", status.epoch},
           {"holder", status.holder.str()},
+          {"taken", std::move(taken)},
+          {"taken_from", status.taken_from.str()},
           {"table_out", status.table_out},
           {"workers", status.workers},
           {"workers_reached", status.workers_reached},
--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -1,10 +1,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <map>
 #include <mutex>
@@ -16,6 +16,7 @@
 
 #include "wire/frame.h"
 #include "wire/internal/connection.h"
+#include "wire/internal/dialer.h"
 #include "wire/transport.h"
 
 namespace lapishatch::wire {
@@ -24,23 +25,17 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using internal::Connection;
+using internal::IsExpired;
 using internal::Socket;
 using internal::Strand;
+using internal::Timer;
 using tcp = asio::ip::tcp;
 using Acceptor = asio::basic_socket_acceptor<tcp, Strand>;
-using Timer =
-    asio::basic_waitable_timer<std::chrono::steady_clock,
-                               asio::wait_traits<std::chrono::steady_clock>,
-                               Strand>;
 using ConnectionPtr = std::shared_ptr<Connection>;
 
 /// How often the timeouts of the connections are looked at.
 constexpr base::Duration kTick{100};
 
-tcp::endpoint ToAsio(const Endpoint& endpoint) {
-  return {asio::ip::make_address(endpoint.address), endpoint.port};
-}
-
 bool IsHeartbeat(const Message& message) {
   return std::holds_alternative<Heartbeat>(message);
 }
@@ -53,7 +48,9 @@
       : strand_(asio::make_strand(io)),
         loop_(loop),
         options_(std::move(options)),
-        acceptor_(strand_, ToAsio(options_.identity.endpoint)),
+        acceptor_(strand_,
+                  {asio::ip::make_address(options_.identity.endpoint.address),
+                   options_.identity.endpoint.port}),
         tick_(strand_),
         accept_retry_(strand_),
         random_(std::random_device{}()) {
@@ -112,6 +109,12 @@
     for (const auto& it : stale) CloseSocket(it);
   }
 
+  /// Somebody listens there: the next message may connect at once.
+  void ForgetFailures(const Endpoint& target) {
+    const std::lock_guard lock(mutex_);
+    retries_.erase(target);
+  }
+
   Endpoint endpoint() const { return options_.identity.endpoint; }
 
   TransportCounts counts() const {
@@ -121,9 +124,8 @@
 
   std::size_t connections() const {
     const std::lock_guard lock(mutex_);
-    std::size_t n = 0;
-    for (const auto& it : connections_) n += it->peer ? 1 : 0;
-    return n;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        connections_, [](const auto& it) { return it->peer.has_value(); }));
   }
 
   void Close(base::Duration limit, std::function<void()> done) {
@@ -489,7 +491,7 @@
       if (stopped_) return;
       const auto now = loop_.Now();
       for (const auto& it : connections_) {
-        if (IsExpired(*it, now)) {
+        if (IsExpired(*it, options_, now)) {
           expired.push_back(it);
         } else if (it->peer &&
                    now - it->last_sent >= options_.heartbeat_interval) {
@@ -504,22 +506,10 @@
     if (close_now) FinishClose();
   }
 
-  bool IsExpired(const Connection& connection, base::TimePoint now) const {
-    if (!connection.connected) {
-      return now - connection.opened_at >= options_.connect_timeout;
-    }
-    if (!connection.peer) {
-      return now - connection.opened_at >= options_.hello_timeout;
-    }
-    return now - connection.last_received >= options_.silence_timeout ||
-           now - connection.last_useful >= options_.idle_timeout;
-  }
-
   bool NothingQueued() const {
-    for (const auto& it : connections_) {
-      if (!it->queue.empty() || !it->writing.empty()) return false;
-    }
-    return true;
+    return std::ranges::all_of(connections_, [](const auto& it) {
+      return it->queue.empty() && it->writing.empty();
+    });
   }
 
   void FinishClose() {
@@ -561,11 +551,15 @@
 /// Stops the links when its owner lets it go.
 class AsioTransportImpl final : public AsioTransport {
  public:
-  explicit AsioTransportImpl(std::shared_ptr<Links> links)
-      : links_(std::move(links)) {
+  AsioTransportImpl(std::shared_ptr<Links> links,
+                    std::shared_ptr<internal::Dialer> dialer)
+      : links_(std::move(links)), dialer_(std::move(dialer)) {
     links_->Start();
   }
-  ~AsioTransportImpl() override { links_->Stop(); }
+  ~AsioTransportImpl() override {
+    dialer_->Stop();
+    links_->Stop();
+  }
   AsioTransportImpl(const AsioTransportImpl&) = delete;
   AsioTransportImpl& operator=(const AsioTransportImpl&) = delete;
 
@@ -576,6 +570,14 @@
     return links_->Send(to, message);
   }
   void Reset(const Peer& peer) override { links_->Reset(peer); }
+  void Dial(const Endpoint& to, base::Duration timeout,
+            std::function<void(DialResult)> done) override {
+    dialer_->Dial(to, timeout,
+                  [links = links_, to, done = std::move(done)](DialResult it) {
+                    if (it == DialResult::kOpened) links->ForgetFailures(to);
+                    done(it);
+                  });
+  }
   Endpoint endpoint() const override { return links_->endpoint(); }
   TransportCounts counts() const override { return links_->counts(); }
   std::size_t connections() const override { return links_->connections(); }
@@ -585,6 +587,7 @@
 
  private:
   std::shared_ptr<Links> links_;
+  std::shared_ptr<internal::Dialer> dialer_;
 };
 
 }  // namespace
@@ -593,7 +596,8 @@
                                                  base::EventLoop& loop,
                                                  AsioTransportOptions options) {
   return std::make_shared<AsioTransportImpl>(
-      std::make_shared<Links>(io, loop, std::move(options)));
+      std::make_shared<Links>(io, loop, std::move(options)),
+      std::make_shared<internal::Dialer>(io, loop));
 }
 
 }  // namespace lapishatch::wire
--- a/src/wire/internal/connection.h
+++ b/src/wire/internal/connection.h
@@ -4,7 +4,9 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -14,11 +16,15 @@
 #include "base/base.h"
 #include "wire/frame.h"
 #include "wire/identity.h"
+#include "wire/transport.h"
 
 namespace lapishatch::wire::internal {
 
 using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
+using Timer = boost::asio::basic_waitable_timer<
+    std::chrono::steady_clock,
+    boost::asio::wait_traits<std::chrono::steady_clock>, Strand>;
 
 /// One TCP connection of an AsioTransport, opened by either side. Its socket
 /// is used on the transport's strand only, everything else under the
@@ -57,6 +63,11 @@
   base::TimePoint last_useful;
 };
 
+/// Whether the connection is to be closed: it was not opened in time, the peer
+/// did not say who it is, or nothing came or was of use for too long.
+bool IsExpired(const Connection& connection,
+               const AsioTransportOptions& options, base::TimePoint now);
+
 }  // namespace lapishatch::wire::internal
 
 #endif  // LAPISHATCH_WIRE_INTERNAL_CONNECTION_H_
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -12,6 +12,15 @@
 
 namespace lapishatch::wire {
 
+/// How an attempt to connect ended.
+enum class DialResult : std::uint8_t {
+  kOpened,
+  /// The machine answers, and nobody listens there.
+  kRefused,
+  /// No answer in time, or no way there.
+  kSilent,
+};
+
 /// Sends messages to other processes and hands over what they send. Messages
 /// between two processes may be lost, at a break of their connection even
 /// several; those that arrive are whole and come from who they say.
@@ -34,6 +43,12 @@
   /// next message goes over a fresh one: one that has gone silent must not
   /// condemn the process behind it.
   virtual void Reset(const Peer& peer) = 0;
+
+  /// Opens a connection of its own and closes it again, to see whether somebody
+  /// listens there. Calls `done` once, on the loop of the process, unless the
+  /// transport ends first.
+  virtual void Dial(const Endpoint& to, base::Duration timeout,
+                    std::function<void(DialResult)> done) = 0;
 };
 
 /// What one process sent and received, all links together.
@@ -93,4 +108,12 @@
 
 }  // namespace lapishatch::wire
 
+namespace lapishatch::base {
+template <>
+struct EnumNames<wire::DialResult> {
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "opened", "refused", "silent"};
+};
+}  // namespace lapishatch::base
+
 #endif  // LAPISHATCH_WIRE_TRANSPORT_H_
--- a/test/lifecycle/cell_lease_test.cc
+++ b/test/lifecycle/cell_lease_test.cc
@@ -134,6 +134,46 @@
   CHECK(it.Tell(it.RowOf(kOther, 5)).empty());
 }
 
+TEST_CASE("a renewal between the question and the take keeps the cell") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  auto row = it.RowOf(kOther, 5);
+  row.doubt = HolderDoubt::kSuspect;
+  REQUIRE(Find<AskHolder>(it.Tell(row)));
+  const auto take = it.Tell(HolderRefused{});
+  REQUIRE(Find<WriteRow>(take));
+  CHECK(Find<WriteRow>(take)->row_version == 5);
+  CHECK(it.Tell(LeaseConflict{}).empty());
+  CHECK(it.lease.wake_at() - it.now == it.times.read_every);
+  REQUIRE(Find<ReadRow>(it.Wake()));
+}
+
+TEST_CASE("silence on a hint does not put off the end of the lease") {
+  Fixture it;
+  it.lease.Begin(it.now);
+  const auto from = it.now;
+  auto row = it.RowOf(kOther, 5);
+  row.doubt = HolderDoubt::kSuspect;
+  auto out = it.Tell(row);
+  while (!Find<WriteRow>(out)) {
+    REQUIRE(it.now - from < it.times.length * 2);
+    if (Find<AskHolder>(out)) {
+      it.now += Duration(500);
+      out = it.Tell(HolderSilent{});
+    } else if (Find<ReadRow>(out)) {
+      out = it.Tell(row);
+    } else {
+      out = it.Wake();
+    }
+  }
+  const auto lapse = it.times.length + it.times.margin;
+  CHECK(it.now - from >= lapse);
+  CHECK(it.now - from <= lapse + it.times.read_every);
+  const auto granted = it.Tell(LeaseWritten{6, 2});
+  REQUIRE(Find<LeaseGranted>(granted));
+  CHECK(Find<LeaseGranted>(granted)->reason == TakeReason::kLapsed);
+}
+
 TEST_CASE("a holder renews in time and may act") {
   Fixture it;
   it.Take();
--- a/test/scheduler/owner_rig.h
+++ b/test/scheduler/owner_rig.h
@@ -24,7 +24,8 @@
         probe(owners, loop),
         owner(std::make_unique<CellOwner>(
             std::move(options),
-            OwnerPorts{loop, table_view, workers_view, probe, feed, nullptr})) {
+            OwnerPorts{loop, table_view, workers_view, probe, feed, nullptr,
+                       owners.Word()})) {
     owners.Add(endpoint, loop, [this](const base::Incarnation& holder) {
       return owner->AnswerProbe(holder);
     });
--- a/test/wire/asio_transport_test.cc
+++ b/test/wire/asio_transport_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -75,6 +76,25 @@
   tcp::socket socket;
 };
 
+TEST_CASE("only a port that nobody listens at refuses") {
+  boost::asio::io_context io;
+  Node a(io, {.identity = MakeIdentity("a")});
+  Node b(io, {.identity = MakeIdentity("b")});
+  const auto dial = [&](const Endpoint& to) {
+    std::optional<DialResult> result;
+    a.transport->Dial(to, base::Duration(5'000),
+                      [&](DialResult it) { result = it; });
+    REQUIRE(RunUntil(io, [&] { return result.has_value(); }));
+    return *result;
+  };
+  CHECK(dial(b.identity.endpoint) == DialResult::kOpened);
+  CHECK(dial({"no address", 1}) == DialResult::kSilent);
+  b.transport.reset();
+  // The port is closed on its strand.
+  REQUIRE(RunUntil(
+      io, [&] { return dial(b.identity.endpoint) == DialResult::kRefused; }));
+}
+
 TEST_CASE("two processes exchange identities and messages over one link") {
   boost::asio::io_context io;
   Node a(io, {.identity = MakeIdentity("a")});
--- a/testing/fakes/fake_network.cc
+++ b/testing/fakes/fake_network.cc
@@ -21,6 +21,13 @@
     return network_.Send(*this, to, message);
   }
   void Reset(const wire::Peer& peer) override { network_.Reset(self_, peer); }
+  void Dial(const wire::Endpoint& to, base::Duration timeout,
+            std::function<void(wire::DialResult)> done) override {
+    const auto result = network_.Dial(self_, to);
+    const bool silent = result == wire::DialResult::kSilent;
+    process_.After(silent ? timeout : 2 * network_.faults_.most_delay,
+                   [done = std::move(done), result] { done(result); });
+  }
 
   FakeProcess& process() { return process_; }
   const wire::Identity& self() const { return self_; }
@@ -90,6 +97,21 @@
   silent_.erase(std::minmax(from.incarnation, peer.incarnation));
 }
 
+wire::DialResult FakeNetwork::Dial(const wire::Identity& from,
+                                   const wire::Endpoint& to) const {
+  if (vanished_.contains(to)) return wire::DialResult::kSilent;
+  const auto listener = listening_.find(to);
+  if (listener == listening_.end()) return wire::DialResult::kRefused;
+  const auto port = ports_.find(listener->second);
+  if (port == ports_.end()) return wire::DialResult::kRefused;
+  if (faults_.cut && faults_.cut(from, port->second->self())) {
+    return wire::DialResult::kSilent;
+  }
+  // The kernel of a paused process accepts.
+  const bool killed = port->second->process().killed();
+  return killed ? wire::DialResult::kRefused : wire::DialResult::kOpened;
+}
+
 bool FakeNetwork::IsSilent(const wire::Identity& from,
                            const wire::Identity& to) const {
   return silent_.contains(std::minmax(from.incarnation, to.incarnation));
--- a/testing/fakes/fake_network.h
+++ b/testing/fakes/fake_network.h
@@ -49,6 +49,9 @@
   /// track of them.
   void Silence(const wire::Identity& a, const wire::Identity& b);
 
+  /// The machine behind the endpoint is gone: it does not even refuse.
+  void Vanish(const wire::Endpoint& endpoint) { vanished_.insert(endpoint); }
+
   /// What `incarnation` has sent and received so far, gone or not.
   const wire::TransportCounts& counts(const base::Incarnation& incarnation) {
     return counts_[incarnation];
@@ -64,6 +67,8 @@
   void Deliver(const wire::Identity& from, const base::Incarnation& to,
                const std::string& bytes);
   void Reset(const wire::Identity& from, const wire::Peer& peer);
+  wire::DialResult Dial(const wire::Identity& from,
+                        const wire::Endpoint& to) const;
   bool IsSilent(const wire::Identity& from, const wire::Identity& to) const;
   Port* Find(const wire::Peer& peer);
   bool Happens(double share);
@@ -76,6 +81,7 @@
   std::map<wire::Endpoint, base::Incarnation> listening_;
   /// Pairs whose connections have gone silent, each in order.
   std::set<std::pair<base::Incarnation, base::Incarnation>> silent_;
+  std::set<wire::Endpoint> vanished_;
   std::map<base::Incarnation, wire::TransportCounts> counts_;
   std::uint64_t messages_ = 0;
 };
--- a/testing/fakes/fake_owner_probe.h
+++ b/testing/fakes/fake_owner_probe.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "fakes/fake_process.h"
@@ -23,8 +24,32 @@
     answers_[endpoint] = {&process, std::move(answer)};
   }
 
+  /// The process ends: its machine refuses connections to it.
   void Remove(const http::Endpoint& endpoint) { answers_.erase(endpoint); }
 
+  /// The same for a process whose answerer is kept: it still keeps alive what
+  /// others' answers refer to.
+  void Refuse(const http::Endpoint& endpoint) { refusing_.insert(endpoint); }
+
+  /// The machine is gone: it does not even refuse.
+  void Vanish(const http::Endpoint& endpoint) { vanished_.insert(endpoint); }
+
+  /// What the group says of the process at `endpoint` from now on.
+  void SetDoubt(const http::Endpoint& endpoint, lifecycle::HolderDoubt doubt) {
+    doubts_[endpoint] = doubt;
+  }
+
+  lifecycle::HolderDoubt DoubtOf(const http::Endpoint& endpoint) const {
+    const auto it = doubts_.find(endpoint);
+    return it == doubts_.end() ? lifecycle::HolderDoubt::kNone : it->second;
+  }
+
+  scheduler::GroupWord Word() const {
+    return [this](const base::Incarnation&, const http::Endpoint& at) {
+      return DoubtOf(at);
+    };
+  }
+
  private:
   friend class FakeOwnerProbe;
 
@@ -34,6 +59,9 @@
   };
 
   std::map<http::Endpoint, Answerer> answers_;
+  std::map<http::Endpoint, lifecycle::HolderDoubt> doubts_;
+  std::set<http::Endpoint> refusing_;
+  std::set<http::Endpoint> vanished_;
 };
 
 /// How one process asks other owners.
@@ -55,8 +83,13 @@
     };
     process_.After(kTimeout,
                    [answer] { answer(scheduler::ProbeFailed{"no answer"}); });
+    if (cut_ || owners_.vanished_.contains(at)) return;
     const auto it = owners_.answers_.find(at);
-    if (cut_ || it == owners_.answers_.end()) return;
+    if (owners_.refusing_.contains(at) || it == owners_.answers_.end()) {
+      process_.After(2 * kLatency,
+                     [answer] { answer(scheduler::ProbeRefused{}); });
+      return;
+    }
     it->second.process->After(kLatency, [ask = it->second.answer, holder,
                                          answer, &process = process_] {
       const auto said = ask(holder);
--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -23,6 +23,9 @@
 constexpr int kWorkersPerRack = 2;
 constexpr int kAcceleratorsPerWorker = 8;
 constexpr base::Duration kReplacedAfter{2'000};
+/// When the group doubts a process that does not answer (docs/MEMBERSHIP.md).
+constexpr base::Duration kSuspectAfter{1'500};
+constexpr base::Duration kDeadAfter{4'500};
 constexpr base::Duration kSampleEvery{100};
 constexpr base::Duration kWholeRun{600'000};
 constexpr base::Duration kWorkerLeavesAt{60'000};
@@ -162,7 +165,7 @@
     process->owner = std::make_unique<scheduler::CellOwner>(
         options,
         scheduler::OwnerPorts{process->loop, process->table, process->workers,
-                              process->probe, feed_});
+                              process->probe, feed_, nullptr, owners_.Word()});
     processes_[i] = process;
     owners_.Add(process->endpoint, process->loop,
                 [process](const base::Incarnation& holder) {
@@ -281,6 +284,8 @@
     owner_fault_ = true;
     auto process = processes_[i];
     process->loop.Kill();
+    owners_.Refuse(process->endpoint);
+    DoubtLater(process);
     time_.Post([process] { process->owner.reset(); });
     time_.After(kReplacedAfter, [this, i, process] {
       if (processes_[i] == process) StartProcess(i);
@@ -292,9 +297,21 @@
     auto process = processes_[i];
     process->paused = true;
     process->loop.Pause();
-    time_.After(FaultInjector::kPause, [process] {
+    DoubtLater(process);
+    time_.After(FaultInjector::kPause, [this, process] {
       process->paused = false;
       process->loop.Resume();
+      owners_.SetDoubt(process->endpoint, lifecycle::HolderDoubt::kNone);
+    });
+  }
+
+  /// What the group of processes says of one that does not answer.
+  void DoubtLater(const ProcessPtr& process) {
+    time_.After(kSuspectAfter, [this, process] {
+      owners_.SetDoubt(process->endpoint, lifecycle::HolderDoubt::kSuspect);
+    });
+    time_.After(kDeadAfter, [this, process] {
+      owners_.SetDoubt(process->endpoint, lifecycle::HolderDoubt::kDead);
     });
   }
 
