--- a/test/routing/limits_test.cc
+++ b/test/routing/limits_test.cc
@@ -73,6 +73,7 @@
   options.max_in_progress = 2;
   FakeEntries all(1, 1, options);
   std::vector<FakeEntries::Caller> taken;
+  taken.reserve(2);
   for (int i = 0; i < 2; ++i) {
     taken.push_back(
         all.Send(0, FakeEntries::Idempotent("t" + std::to_string(i))));
