--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -91,6 +91,12 @@
   set(LAPISHATCH_PACKAGES ${LAPISHATCH_PACKAGES} ${target} CACHE INTERNAL "")
 endfunction()
 
+# Seconds after which a test program counts as hung. The sanitizers slow the largest down more than tenfold.
+set(LAPISHATCH_TEST_LIMIT_S 300)
+if(LAPISHATCH_SANITIZE)
+  set(LAPISHATCH_TEST_LIMIT_S 1800)
+endif()
+
 # Reads KNOWN-RED.txt, lines of `folder: test case | cause | issue`, and gives in `cases` the test cases of
 # `folder`, as Catch2 patterns.
 function(lapishatch_known_red folder cases)
@@ -143,11 +149,11 @@
       list(APPEND all_but_red "~${case}")
     endforeach()
     add_test(NAME ${name} COMMAND ${target} ${all_but_red})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${LAPISHATCH_TEST_LIMIT_S}
                          ENVIRONMENT RC_PARAMS=seed=${LAPISHATCH_PROPERTY_SEED})
     foreach(case ${red_cases})
       add_test(NAME "${name}: ${case}" COMMAND ${target} ${case})
-      set_tests_properties("${name}: ${case}" PROPERTIES TIMEOUT 300 LABELS known-red)
+      set_tests_properties("${name}: ${case}" PROPERTIES TIMEOUT ${LAPISHATCH_TEST_LIMIT_S} LABELS known-red)
     endforeach()
   endforeach()
 endfunction()
