Bound what one placement decision looks at in a large cell

A lower bound from Stoppable was ruled out: in a full cell every worker can be cleared, so nothing is left out by it.

Change: compaction and reservations look at the racks in turn, 2,600 workers a time (cells below that are looked at whole, as before; a gang that goes across racks still gets its reservation from all). The oldest heads are selected, not sorted. The queue keeps its lines while it visits them and need not look each up by name again; accounts are hashed. What fits an empty cell is remembered until workers come or go.

Tests: "a starving gang finds its place in any rack of a large cell" fails when the racks do not move on, "what once could run is refused when its cell no longer holds it" when what is remembered is not forgotten; both were seen to fail so.

--- a/src/placement/gang_queue.cc
+++ b/src/placement/gang_queue.cc
@@ -28,7 +28,7 @@
   const auto it = lines_.find(KindOf(gang));
   if (it == lines_.end()) return;
   size_ -= it->second.gangs.erase({gang.submitted, gang.job});
-  if (it->second.gangs.empty()) lines_.erase(it);
+  if (it->second.gangs.empty() && !visiting_) lines_.erase(it);
 }
 
 int GangQueue::ClassOf(base::WorkClass work_class, base::TimePoint submitted,
@@ -47,13 +47,23 @@
           .kind = &kind};
 }
 
+GangQueue::Turn GangQueue::TurnOf(const GangKind& kind, Line& line,
+                                  base::TimePoint now,
+                                  const ShareOf& share) const {
+  auto turn = TurnOf(kind, *line.gangs.begin(), now, share);
+  turn.line = &line;
+  return turn;
+}
+
 void GangQueue::Visit(base::TimePoint now, Generation generation,
                       const ShareOf& share, const Visitor& visit) {
   std::set<Turn> turns;
-  for (const auto& [kind, line] : lines_) {
+  for (auto& [kind, line] : lines_) {
     if (line.failed == generation) continue;
-    turns.insert(TurnOf(kind, *line.gangs.begin(), now, share));
+    turns.insert(TurnOf(kind, line, now, share));
   }
+  std::vector<const GangKind*> emptied;
+  visiting_ = true;
   while (!turns.empty()) {
     auto turn = std::move(turns.extract(turns.begin()).value());
     const double present_share = share(turn.kind->organisation);
@@ -62,17 +72,20 @@
       turns.insert(std::move(turn));
       continue;
     }
-    // The visit may take the last gang of the kind, and with it the kind.
-    const auto kind = *turn.kind;
-    const bool taken = visit(turn.oldest.job);
-    const auto it = lines_.find(kind);
-    if (it == lines_.end()) continue;
-    if (taken) {
-      turns.insert(TurnOf(it->first, *it->second.gangs.begin(), now, share));
+    if (!visit(turn.oldest.job)) {
+      turn.line->failed = generation;
+    } else if (turn.line->gangs.empty()) {
+      emptied.push_back(turn.kind);
     } else {
-      it->second.failed = generation;
+      turns.insert(TurnOf(*turn.kind, *turn.line, now, share));
     }
   }
+  visiting_ = false;
+  for (const auto* it : emptied) {
+    const auto line = lines_.find(*it);
+    // A gang of the kind may have come back meanwhile.
+    if (line->second.gangs.empty()) lines_.erase(line);
+  }
 }
 
 int GangQueue::PositionOf(const Gang& gang, base::TimePoint now,
--- a/src/placement/internal/gang_queue.h
+++ b/src/placement/internal/gang_queue.h
@@ -86,6 +86,7 @@
     Waiting oldest;
     /// Stays as long as a gang of the kind waits.
     const GangKind* kind = nullptr;
+    Line* line = nullptr;
 
     friend bool operator<(const Turn& a, const Turn& b) {
       return std::tie(a.work_class, a.share, a.oldest) <
@@ -95,6 +96,9 @@
 
   Turn TurnOf(const GangKind& kind, const Waiting& waiting, base::TimePoint now,
               const ShareOf& share) const;
+  /// The same of the oldest gang of a kind.
+  Turn TurnOf(const GangKind& kind, Line& line, base::TimePoint now,
+              const ShareOf& share) const;
   /// The class in which a gang waits, aged: 0 is urgent.
   int ClassOf(base::WorkClass work_class, base::TimePoint submitted,
               base::TimePoint now) const;
@@ -102,6 +106,8 @@
   base::Duration ageing_;
   std::size_t size_ = 0;
   std::map<GangKind, Line> lines_;
+  /// Kinds stay while they are visited, also when their last gang has gone.
+  bool visiting_ = false;
 };
 
 }  // namespace lapishatch::placement::internal
--- a/src/placement/internal/planner_impl.h
+++ b/src/placement/internal/planner_impl.h
@@ -159,7 +159,7 @@
   double ShareOf(const base::OrganisationName& organisation) const;
   internal::PlaceFinder Finder() const;
 
-  static BorrowKey BorrowKeyOf(const GangState& gang);
+  static BorrowKey BorrowKeyOf(const Gang& gang);
   /// Whether a gang like this found no room since the last change.
   bool FailedBefore(const GangState& gang);
 
@@ -213,13 +213,19 @@
 
   // planner_compact.cc
   void Compact(base::TimePoint now);
-  bool TryCompact(GangState& gang, base::TimePoint now);
+  /// The racks to look at this time: all in cells of ordinary size.
+  std::vector<internal::RackIndex> NextRacks();
+  bool TryCompact(GangState& gang,
+                  const std::vector<internal::RackIndex>& racks,
+                  base::TimePoint now);
   bool FitElsewhere(const std::vector<GangState*>& gangs,
                     const internal::Place& place) const;
   /// What a gang could have of a worker by stopping others.
   int Stoppable(internal::WorkerIndex worker,
                 Victims allowed = Victims::kBorrowed) const;
+  /// The place in one of `racks`, or across them, that loses least.
   internal::Place CheapestPlace(const GangState& gang, Victims allowed,
+                                const std::vector<internal::RackIndex>& racks,
                                 base::TimePoint now) const;
 
   // planner_explain.cc
@@ -241,7 +247,7 @@
   std::vector<std::vector<GangState*>> on_worker_;
   /// Gangs that wait for evictions, in order of arrival.
   std::vector<GangState*> arriving_;
-  std::map<base::OrganisationName, Account> accounts_;
+  std::unordered_map<base::OrganisationName, Account> accounts_;
   std::map<internal::WorkerIndex, Overfill> overfilled_;
   std::unordered_map<base::JobName, Past> past_;
   /// The jobs of `past_`, oldest first, to bound it.
@@ -250,10 +256,15 @@
   /// Gangs for which nothing to borrow was free, since `borrow_generation_`.
   std::set<BorrowKey> borrow_failures_;
   internal::Generation borrow_generation_ = 0;
+  /// What an empty cell of these workers is known to hold, so that a submission
+  /// seldom looks at all of them.
+  mutable std::set<BorrowKey> fits_empty_cell_;
   /// When a starving gang that no place was found for is next looked at.
   base::TimePoint next_reservation_{};
   /// When gangs are next looked at that would fit if others moved.
   base::TimePoint next_compaction_{};
+  /// The rack up to which gangs were last looked at for compaction.
+  internal::RackIndex next_rack_ = 0;
   internal::Generation generation_ = 1;
   /// The cell's configuration changed: queued gangs may have become impossible.
   bool check_possible_ = false;
--- a/src/placement/place_finder.cc
+++ b/src/placement/place_finder.cc
@@ -87,6 +87,7 @@
     int free = 0;
     among.clear();
     for (const auto it : cell_->InRack(rack)) {
+      if (rooms[it].accelerators <= 0) continue;
       const int n = rooms[it].accelerators / ChargeAt(it, charges);
       if (n <= 0) continue;
       fitting += n;
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -33,6 +33,7 @@
   cell_.Put(spec);
   on_worker_.resize(cell_.size());
   check_possible_ = true;
+  fits_empty_cell_.clear();
   book_.WorkersChanged();
   RepairBook();
 }
@@ -43,6 +44,7 @@
   cell_.Remove(worker);
   overfilled_.erase(worker);
   check_possible_ = true;
+  fits_empty_cell_.clear();
   broken_ = true;
   book_.WorkersChanged();
   RepairBook();
--- a/src/placement/planner_compact.cc
+++ b/src/placement/planner_compact.cc
@@ -20,7 +20,8 @@
 /// Gangs looked at each time.
 constexpr std::size_t kMostLookedAt = 16;
 
-/// Workers looked at each time, in cells where that allows fewer gangs.
+/// Workers looked at each time: in larger cells fewer gangs, and for those only
+/// some of the racks, the next ones the next time.
 constexpr int kWorkersLookedAt = 2'600;
 
 /// Gangs moved for one.
@@ -39,23 +40,40 @@
     if (it->gang.accelerators() > free || job == reservation_.job) continue;
     waiting.push_back(it);
   }
-  std::sort(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
+  // The oldest few, so that a long queue does not make decisions slow.
+  const auto most = std::min(
+      waiting.size(),
+      std::clamp<std::size_t>(kWorkersLookedAt / std::max(1, cell_.size()), 1,
+                              kMostLookedAt));
+  const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(most);
+  std::partial_sort(waiting.begin(), end, waiting.end(), [](auto* a, auto* b) {
     return std::pair(a->queued, a->gang.job) <
            std::pair(b->queued, b->gang.job);
   });
-  // The oldest few, so that a long queue does not make decisions slow.
-  const auto most = std::clamp<std::size_t>(
-      kWorkersLookedAt / std::max(1, cell_.size()), 1, kMostLookedAt);
-  if (waiting.size() > most) waiting.resize(most);
+  waiting.resize(most);
+  const auto racks = NextRacks();
   for (auto* it : waiting) {
-    if (!TryCompact(*it, now)) continue;
+    if (!TryCompact(*it, racks, now)) continue;
     queue_.Remove(it->gang);
     return;
   }
 }
 
-bool Planner::Impl::TryCompact(GangState& gang, base::TimePoint now) {
-  auto place = CheapestPlace(gang, Victims::kMovable, now);
+std::vector<internal::RackIndex> Planner::Impl::NextRacks() {
+  std::vector<internal::RackIndex> racks;
+  int workers = 0;
+  for (int n = 0; n < cell_.racks() && workers < kWorkersLookedAt; ++n) {
+    next_rack_ = (next_rack_ + 1) % cell_.racks();
+    racks.push_back(next_rack_);
+    workers += static_cast<int>(cell_.InRack(next_rack_).size());
+  }
+  return racks;
+}
+
+bool Planner::Impl::TryCompact(GangState& gang,
+                               const std::vector<internal::RackIndex>& racks,
+                               base::TimePoint now) {
+  auto place = CheapestPlace(gang, Victims::kMovable, racks, now);
   if (place.empty()) return false;
   // A first estimate spares the dear search for victims.
   double estimate = 0;
@@ -102,15 +120,18 @@
   return room;
 }
 
-Place Planner::Impl::CheapestPlace(const GangState& gang, Victims allowed,
-                                   base::TimePoint now) const {
+Place Planner::Impl::CheapestPlace(
+    const GangState& gang, Victims allowed,
+    const std::vector<internal::RackIndex>& racks, base::TimePoint now) const {
   const auto charges = cell_.ChargesOf(gang.gang.needs);
   Rooms rooms(cell_.size());
-  for (WorkerIndex it = 0; it < cell_.size(); ++it) {
-    rooms[it].accelerators = Stoppable(it, allowed);
-    const int need = std::min(rooms[it].accelerators,
-                              gang.gang.tasks * charges[cell_.at(it).type]);
-    rooms[it].cost = ClearingCost(it, need, allowed, now);
+  for (const auto rack : racks) {
+    for (const auto it : cell_.InRack(rack)) {
+      rooms[it].accelerators = Stoppable(it, allowed);
+      const int need = std::min(rooms[it].accelerators,
+                                gang.gang.tasks * charges[cell_.at(it).type]);
+      rooms[it].cost = ClearingCost(it, need, allowed, now);
+    }
   }
   return Finder().Find(gang.gang, gang.gang.adjacency, rooms);
 }
--- a/src/placement/planner_decide.cc
+++ b/src/placement/planner_decide.cc
@@ -171,14 +171,14 @@
   return rooms;
 }
 
-Planner::Impl::BorrowKey Planner::Impl::BorrowKeyOf(const GangState& gang) {
-  const auto& needs = gang.gang.needs;
-  return {.tasks = gang.gang.tasks,
+Planner::Impl::BorrowKey Planner::Impl::BorrowKeyOf(const Gang& gang) {
+  const auto& needs = gang.needs;
+  return {.tasks = gang.tasks,
           .accelerators = needs.accelerators,
           .cores = needs.cores,
           .memory_mb = needs.memory_mb,
-          .adjacency = gang.gang.adjacency,
-          .may_backfill = MayBackfill(gang.gang)};
+          .adjacency = gang.adjacency,
+          .may_backfill = MayBackfill(gang)};
 }
 
 bool Planner::Impl::FailedBefore(const GangState& gang) {
@@ -187,7 +187,7 @@
     borrow_generation_ = generation_;
     borrow_failures_.clear();
   }
-  return borrow_failures_.contains(BorrowKeyOf(gang));
+  return borrow_failures_.contains(BorrowKeyOf(gang.gang));
 }
 
 bool Planner::Impl::TryBorrow(GangState& gang, base::TimePoint now) {
@@ -197,7 +197,7 @@
   auto place =
       Finder().Find(gang.gang, gang.gang.adjacency, RoomsToBorrow(gang));
   if (place.empty()) {
-    if (!holder) borrow_failures_.insert(BorrowKeyOf(gang));
+    if (!holder) borrow_failures_.insert(BorrowKeyOf(gang.gang));
     return false;
   }
   gang.place = std::move(place);
--- a/src/placement/planner_explain.cc
+++ b/src/placement/planner_explain.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Shapes of gangs remembered as possible, at most: declared memory may make
+/// each gang another one.
+constexpr std::size_t kMostShapesKnown = 4096;
+
 std::string Plural(int n, const std::string& noun) {
   return std::to_string(n) + " " + noun + (n == 1 ? "" : "s");
 }
@@ -55,6 +59,8 @@
 }
 
 std::string Planner::Impl::WhyNotOnHardware(const Gang& gang) const {
+  const auto key = BorrowKeyOf(gang);
+  if (fits_empty_cell_.contains(key)) return {};
   const auto charges = cell_.ChargesOf(gang.needs);
   internal::Rooms rooms(cell_.size());
   const WorkerSpec* largest = nullptr;
@@ -80,7 +86,11 @@
            Plural(largest->cores, "core") + " and " +
            std::to_string(largest->memory_mb) + " MB";
   }
-  if (!Finder().Find(gang, gang.adjacency, rooms).empty()) return {};
+  if (!Finder().Find(gang, gang.adjacency, rooms).empty()) {
+    if (fits_empty_cell_.size() >= kMostShapesKnown) fits_empty_cell_.clear();
+    fits_empty_cell_.insert(key);
+    return {};
+  }
   return "needs " + NeedText(gang) +
          ", and even without any other work there is no room for that: the "
          "cell has " +
--- a/src/placement/planner_starving.cc
+++ b/src/placement/planner_starving.cc
@@ -3,6 +3,7 @@
 // has had its turn, if it does not end before.
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "placement/internal/planner_impl.h"
@@ -78,7 +79,15 @@
 }
 
 bool Planner::Impl::Reserve(GangState& gang, base::TimePoint now) {
-  auto place = CheapestPlace(gang, Victims::kBorrowed, now);
+  // Every rack has its turn; only what goes across racks needs all at once.
+  std::vector<internal::RackIndex> racks;
+  if (gang.gang.adjacency == Adjacency::kDomain) {
+    racks.resize(cell_.racks());
+    std::iota(racks.begin(), racks.end(), 0);
+  } else {
+    racks = NextRacks();
+  }
+  auto place = CheapestPlace(gang, Victims::kBorrowed, racks, now);
   if (place.empty()) return false;
   reservation_ = {gang.gang.job, std::move(place)};
   for (const auto& it : reservation_.place) cell_.at(it.worker).held = true;
--- a/test/placement/policy_test.cc
+++ b/test/placement/policy_test.cc
@@ -101,6 +101,17 @@
   CHECK(std::get<RefuseGang>(decisions[0]).job == JobName("second"));
 }
 
+TEST_CASE("what once could run is refused when its cell no longer holds it") {
+  auto planner = MakeCell(2);
+  CHECK(planner.Submit(MakeGang("first", "a", 2, 8), At(0)).empty());
+  planner.RemoveWorker(MakeWorker(1).name);
+  CHECK_FALSE(planner.Submit(MakeGang("second", "a", 2, 8), At(1)).empty());
+  planner.PutWorker(MakeWorker(1));
+  CHECK(planner.Submit(MakeGang("third", "a", 2, 8), At(2)).empty());
+  planner.PutWorker(MakeWorker(1, 8, 4));
+  CHECK_FALSE(planner.Submit(MakeGang("fourth", "a", 2, 8), At(3)).empty());
+}
+
 TEST_CASE("a task that needs more than its share is charged for it") {
   auto planner = MakeCell(1);
   auto gang = MakeGang("a", "a", 1, 1);
@@ -226,6 +237,26 @@
   CHECK(Started(planner.Decide(At(3005))) == Jobs{"large"});
 }
 
+TEST_CASE("a starving gang finds its place in any rack of a large cell") {
+  // More racks than are looked at in one decision.
+  constexpr int kWorkers = 4000;
+  for (const int open : {0, 1600, kWorkers - 1}) {
+    auto planner = MakeCell(kWorkers);
+    for (int i = 0; i < kWorkers; ++i) {
+      if (i == open) continue;
+      planner.SetHealth(MakeWorker(i).name, WorkerHealth::kDraining);
+    }
+    planner.Submit(MakeGang("small", "a", 1, 4), At(0));
+    CHECK(Started(planner.Decide(At(0))) == Jobs{"small"});
+    planner.Submit(MakeGang("large", "b", 1, 8), At(10));
+    Jobs evicted;
+    for (int now = 1000; now < 1100 && evicted.empty(); now += 10) {
+      evicted = Evicted(planner.Decide(At(now)));
+    }
+    CHECK(evicted == Jobs{"small"});
+  }
+}
+
 TEST_CASE("a starving gang gets its place from work that can't be saved") {
   auto planner = MakeCell(1);
   auto endless = MakeGang("endless", "a", 1, 8);
