--- a/bench/failover.cc
+++ b/bench/failover.cc
@@ -307,12 +307,14 @@
 
 void Measure(const Plan& plan) {
   std::vector<Steps> all;
+  all.reserve(kRuns);
   for (int run = 0; run < kRuns; ++run) {
     World world(plan, run);
     all.push_back(world.Run(run));
   }
   const auto print = [&](const char* step, double Steps::*member) {
     std::vector<double> values;
+    values.reserve(all.size());
     for (const auto& it : all) values.push_back(it.*member);
     PrintStep(plan, step, std::move(values));
   };
