--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -185,20 +185,21 @@
   PrintTraffic(label + "_2_changes", *group, before, kSpan);
 }
 
-void MeasureSpread(int n, double loss) {
+void MeasureSpread(int n, double loss, double per_second) {
   std::vector<double> times;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     const auto group = Settled(seed, n, 2);
     group->network().faults().loss = loss;
     base::Random random(seed);
-    const auto published = PublishFor(*group, 30 * kSecond, 10, random);
+    const auto published = PublishFor(*group, 30 * kSecond, per_second, random);
     group->time().RunFor(20 * kSecond);
     for (const auto it : TimesUntilEverywhere(*group, 1, published)) {
       times.push_back(it);
     }
   }
   const auto kind = loss > 0 ? "loss10_" : "quiet_";
-  PrintSpread("spread_" + std::string(kind) + std::to_string(n), times, "ms");
+  const auto rate = std::to_string(std::lround(per_second)) + "_changes_";
+  PrintSpread("spread_" + (kind + rate) + std::to_string(n), times, "ms");
 }
 
 /// A process killed and another paused every few seconds while changes flow.
@@ -318,15 +319,72 @@
         kMicro * (ProcessorSeconds() - before) / (2.0 * kRounds), "us");
 }
 
+/// One status of all processes, as an entry asks for it: each process tells of
+/// two logs and of `events` events.
+void MeasureStatus(int n, std::size_t events) {
+  const auto group = Settled(1, n, 2);
+  std::vector<std::unique_ptr<membership::StatusBoard>> boards;
+  for (const auto& it : group->members()) {
+    wire::ProcessStatus own;
+    own.name = it->identity.name;
+    own.incarnation = it->identity.incarnation;
+    own.logs = {{wire::LogName("config"), 1'000'000, 1'000'000},
+                {wire::LogName("jobs"), 1'000'000, 1'000'000}};
+    own.events.assign(events, {703, 1'000, std::string(100, 'x')});
+    boards.push_back(std::make_unique<membership::StatusBoard>(
+        it->process, it->node,
+        [own](const std::function<void(wire::ProcessStatus)>& done) {
+          done(own);
+        }));
+  }
+  const auto before = CountsOf(*group);
+  const auto began = group->time().Now();
+  Duration took{0};
+  boards[0]->Ask([&](const auto&) { took = group->time().Now() - began; });
+  // So short that hardly any probe falls into it.
+  group->time().RunFor(Duration(20));
+  const auto after = CountsOf(*group);
+  double messages = 0;
+  double most_messages = 0;
+  double most_bytes = 0;
+  double bytes = 0;
+  const auto both_ways = [&](std::size_t i) {
+    return static_cast<double>(after[i].bytes_sent - before[i].bytes_sent +
+                               after[i].bytes_received -
+                               before[i].bytes_received);
+  };
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    const auto sent =
+        static_cast<double>(after[i].messages_sent - before[i].messages_sent);
+    messages += sent;
+    bytes += static_cast<double>(after[i].bytes_sent - before[i].bytes_sent);
+    most_messages = std::max(most_messages, sent);
+    if (i > 0) most_bytes = std::max(most_bytes, both_ways(i));
+  }
+  const auto label =
+      "status_" + std::to_string(n) + "_" + std::to_string(events) + "_events";
+  Print(label + "_took", static_cast<double>(took.count()), "ms");
+  Print(label + "_messages", messages, "1");
+  Print(label + "_messages_busiest", most_messages, "1");
+  Print(label + "_framed_bytes", bytes, "B");
+  Print(label + "_framed_bytes_asker", both_ways(0), "B");
+  Print(label + "_framed_bytes_busiest_other", most_bytes, "B");
+}
+
 void Main() {
   MeasureTransport();
+  for (const int n : {24, 182}) {
+    MeasureStatus(n, 0);
+    MeasureStatus(n, 8);
+  }
   for (const int n : {8, 16, 50, 100, 200}) {
     MeasureTraffic(n, 2);
     MeasureTraffic(n, 0);
   }
   for (const int n : {16, 50, 200}) {
-    MeasureSpread(n, 0);
-    MeasureSpread(n, 0.1);
+    MeasureSpread(n, 0, 10);
+    MeasureSpread(n, 0.1, 10);
+    MeasureSpread(n, 0.1, kChangesPerSecond);
     MeasureSpreadInChurn(n);
     MeasureDetection(n);
   }
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -14,5 +14,6 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/names.h"
+#include "base/recent_events.h"
 
 #endif  // LAPISHATCH_BASE_BASE_H_
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -14,6 +14,8 @@
 #include <boost/smart_ptr/make_shared.hpp>
 #include <iostream>
 
+#include "base/internal/event_ring.h"
+
 namespace lapishatch::base {
 namespace {
 
@@ -40,18 +42,25 @@
       boost::json::value(boost::json::string_view(text.data(), text.size())));
 }
 
-std::string LineOf(const Event& event, std::initializer_list<LogField> fields) {
+/// "key=value" with a space before each.
+std::string TextOf(std::initializer_list<LogField> fields) {
+  std::string text;
+  for (const auto& field : fields) {
+    text += ' ';
+    text += field.key();
+    text += '=';
+    text += field.text();
+  }
+  return text;
+}
+
+std::string LineOf(const Event& event, const std::string& fields) {
   std::string line(SeverityName(event.severity));
   line += " E";
   line += std::to_string(event.number);
   line += ' ';
   line += event.name;
-  for (const auto& field : fields) {
-    line += ' ';
-    line += field.key();
-    line += '=';
-    line += field.text();
-  }
+  line += fields;
   return line;
 }
 
@@ -74,12 +83,19 @@
 }
 
 void Log(const Event& event, std::initializer_list<LogField> fields) {
-  if (static_cast<int>(event.severity) <
-      least_severity.load(std::memory_order_relaxed)) {
-    return;
+  const bool is_printed = static_cast<int>(event.severity) >=
+                          least_severity.load(std::memory_order_relaxed);
+  const bool is_kept = event.severity >= Severity::kWarning;
+  if (!is_printed && !is_kept) return;
+  const auto text = TextOf(fields);
+  if (is_kept) {
+    constexpr std::size_t kSpaceBeforeFirst = 1;
+    internal::Remember(event.number,
+                       text.empty() ? text : text.substr(kSpaceBeforeFirst));
   }
+  if (!is_printed) return;
   boost::log::sources::logger_mt logger;
-  BOOST_LOG(logger) << LineOf(event, fields);
+  BOOST_LOG(logger) << LineOf(event, text);
 }
 
 }  // namespace lapishatch::base
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -42,8 +42,9 @@
 /// the first event; without it nothing is printed.
 void StartLog(std::string_view program, Severity least);
 
-/// Writes one event. Costs almost nothing when the event's severity is below
-/// the configured one. Safe from several threads.
+/// Writes one event, and keeps a warning or error for RecentEvents. Costs
+/// almost nothing when the event is neither printed nor kept. Safe from several
+/// threads.
 void Log(const Event& event, std::initializer_list<LogField> fields = {});
 
 }  // namespace lapishatch::base
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -12,6 +12,7 @@
 
 #include "config/config.h"
 #include "ctl/json_text.h"
+#include "ctl/status_view.h"
 #include "ctl/views.h"
 #include "ctl/watch.h"
 
@@ -259,7 +260,8 @@
 
 Commands::ResultCode Commands::Status(const Words&) {
   BOOST_LEAF_AUTO(body, Read("/v1/status"));
-  Print(body);
+  out_ << (options_.output == Output::kJson ? PrettyJson(body)
+                                            : StatusText(body));
   return config::kExitDone;
 }
 
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -8,6 +8,7 @@
 #include "ctl/ctl_settings.h"
 #include "ctl/error.h"
 #include "ctl/settings_check.h"
+#include "ctl/status_view.h"
 #include "ctl/text_table.h"
 #include "ctl/views.h"
 #include "ctl/watch.h"
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -119,6 +119,11 @@
                       [this] { return IsChosen(kHousekeeperKey); }, UnixMs}),
         platform_view_(Seeded(options_.platform_view),
                        {*loop_, *vms_, *table_, *workers_, capacity_}),
+        board_(*loop_, node_,
+               [this](const std::function<void(wire::ProcessStatus)>& done) {
+                 done(membership::StatusOf(node_.group().self(),
+                                           program_.ready(), mirror_));
+               }),
         organisations_(mirror_),
         runner_directory_(platform_view_, mirror_),
         entries_(node_),
@@ -240,6 +245,16 @@
     loop_->After(kLoadedPoll, [this] { BecomeReady(); });
   }
 
+  void AnswerStatus(const http::ExchangePtr& exchange) {
+    loop_->Post([this, exchange] {
+      board_.Ask([this, exchange](const membership::ProcessStatuses& answers) {
+        exchange->Respond(
+            StatusPage({program_.process(), program_.incarnation(), mirror_,
+                        view_, answers}));
+      });
+    });
+  }
+
   /// Requests in progress go on: claim rows keep them apart from those of the
   /// newer life.
   void OnSuperseded() {
@@ -273,9 +288,7 @@
       return;
     }
     if (target.path == "/v1/status" && exchange->request().method == "GET") {
-      exchange->Respond(StatusPage(
-          {program_.process(), program_.incarnation(), mirror_, view_}));
-      return;
+      return AnswerStatus(exchange);
     }
     if (api_.Handle(exchange, target)) return;
     exchange->Respond(NoSuchPath(target.path));
@@ -304,6 +317,7 @@
   config::ChangeWriter writer_;
   config::Housekeeper housekeeper_;
   PlatformView platform_view_;
+  membership::StatusBoard board_;
   MirrorDirectory organisations_;
   PlatformRunners runner_directory_;
   MemberEntries entries_;
--- a/src/entry/status_page.h
+++ b/src/entry/status_page.h
@@ -4,15 +4,20 @@
 #include "config/config.h"
 #include "entry/system_view.h"
 #include "http/http.h"
+#include "membership/membership.h"
 
 namespace lapishatch::entry {
 
-/// Who answers, for /v1/status.
+/// What /v1/status is made of.
 struct StatusSource {
+  /// Who answers.
   const config::ProcessSettings& process;
   const base::Incarnation& incarnation;
   const config::Mirror& mirror;
   const SystemView& system;
+  /// What the processes say of themselves, this one among them; who is missing
+  /// was silent.
+  const membership::ProcessStatuses& answers;
 };
 
 /// The answer to GET /v1/status.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,8 +1,8 @@
 #ifndef LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
 #define LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
 
-/// Umbrella header of the membership package: who the other processes are, and
-/// the spreading of change logs among them.
+/// Umbrella header of the membership package: who the other processes are, the
+/// spreading of change logs among them, and what they all say of themselves.
 
 #include "membership/group.h"
 #include "membership/group_options.h"
@@ -13,5 +13,6 @@
 #include "membership/scheduler_query.h"
 #include "membership/seeds.h"
 #include "membership/spreader.h"
+#include "membership/status_board.h"
 
 #endif  // LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/membership/node.cc
+++ b/src/membership/node.cc
@@ -30,6 +30,7 @@
   void operator()(const wire::PullEntries& it) const {
     spreader.OnPull(from, it);
   }
+  void operator()(const wire::EntriesReceived&) const {}
   void operator()(wire::Request& it) const {
     requests.OnRequest(from, std::move(it));
   }
@@ -90,6 +91,9 @@
                    std::function<void(wire::Answer)> reply) {
   if (const auto* it = std::get_if<wire::SnapshotQuery>(&query)) {
     reply(spreader_.AnswerSnapshot(*it));
+  } else if (const auto* status = std::get_if<wire::StatusQuery>(&query);
+             status != nullptr && status_server_) {
+    status_server_(*status, std::move(reply));
   } else if (server_) {
     server_(from, std::move(query), std::move(reply));
   } else {
--- a/src/membership/node.h
+++ b/src/membership/node.h
@@ -55,6 +55,12 @@
     server_ = std::move(server);
   }
 
+  using StatusServer = std::function<void(
+      const wire::StatusQuery& query, std::function<void(wire::Answer)> reply)>;
+
+  /// Answers the StatusQuery of other processes; a StatusBoard does.
+  void ServeStatus(StatusServer server) { status_server_ = std::move(server); }
+
   /// Called on the loop after the view has changed.
   void OnChange(std::function<void()> changed) {
     on_change_ = std::move(changed);
@@ -77,6 +83,7 @@
   wire::RequestChannel requests_;
   Spreader spreader_;
   wire::RequestChannel::Server server_;
+  StatusServer status_server_;
   std::function<void()> on_change_;
   wire::Transport& transport_;
 
--- a/src/scheduler/wire_owner_probe.cc
+++ b/src/scheduler/wire_owner_probe.cc
@@ -63,6 +63,7 @@
     queries.status(it.cell, ReplyText());
   }
   void operator()(const wire::SnapshotQuery&) const { reply(wire::Refusal{}); }
+  void operator()(const wire::StatusQuery&) const { reply(wire::Refusal{}); }
 
  private:
   std::function<void(std::optional<std::string>)> ReplyText() const {
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -134,6 +134,10 @@
         poller_(
             *loop_, *vm_list_, settings_.vm_poll,
             [this](const std::vector<store::Vm>& vms) { feed_.SetVms(vms); }),
+        board_(*loop_, node_,
+               [this](std::function<void(wire::ProcessStatus)> done) {
+                 TellStatus(std::move(done));
+               }),
         server_(program.io(), program.process().listen, program.server_limits(),
                 program.WithCommonEndpoints(
                     [this](const http::ExchangePtr& it) { Receive(it); })) {
@@ -274,6 +278,28 @@
     return out;
   }
 
+  /// The status of this process, when the last cell has told its part.
+  void TellStatus(std::function<void(wire::ProcessStatus)> done) {
+    struct Gathered {
+      std::mutex mutex;
+      wire::ProcessStatus status;
+      std::size_t left = 0;
+    };
+    auto gathered = std::make_shared<Gathered>();
+    gathered->status =
+        membership::StatusOf(node_.group().self(), program_.ready(), mirror_);
+    gathered->left = cells_.size();
+    const auto tell = OnLoop(std::move(done));
+    for (const auto& host : cells_) {
+      host->Status([gathered, tell,
+                    cell = host->cell()](const scheduler::OwnerStatus& it) {
+        const std::lock_guard lock(gathered->mutex);
+        gathered->status.cells.push_back(ToWire(cell, it));
+        if (--gathered->left == 0) tell(gathered->status);
+      });
+    }
+  }
+
   static bool Holds(scheduler::OwnerPhase phase) {
     return phase != scheduler::OwnerPhase::kCandidate &&
            phase != scheduler::OwnerPhase::kStopped;
@@ -380,6 +406,7 @@
   VmPoller poller_;
   std::vector<std::unique_ptr<CellHost>> cells_;
   scheduler::TrustedSchedulers trusted_;
+  membership::StatusBoard board_;
   http::Server server_;
 };
 
--- a/src/scheduler_main/status_json.cc
+++ b/src/scheduler_main/status_json.cc
@@ -6,6 +6,17 @@
 
 namespace json = boost::json;
 
+wire::CellStatus ToWire(const base::CellName& cell,
+                        const scheduler::OwnerStatus& status) {
+  return {cell,
+          std::string(base::NameOf(status.phase)),
+          status.epoch,
+          status.workers,
+          status.workers_reached,
+          status.queued,
+          status.gangs};
+}
+
 json::object ToJson(const base::CellName& cell,
                     const scheduler::OwnerStatus& status) {
   json::array shortfalls;
--- a/src/scheduler_main/status_json.h
+++ b/src/scheduler_main/status_json.h
@@ -8,6 +8,10 @@
 
 namespace lapishatch::scheduler_main {
 
+/// A cell's status as other processes get it.
+wire::CellStatus ToWire(const base::CellName& cell,
+                        const scheduler::OwnerStatus& status);
+
 /// A cell as /v1/status and CellStatusQuery show it.
 boost::json::object ToJson(const base::CellName& cell,
                            const scheduler::OwnerStatus& status);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -106,6 +106,11 @@
   return out;
 }
 
+gen::LogStatus ToThrift(const LogStatus& in);
+gen::CellStatus ToThrift(const CellStatus& in);
+gen::EventLine ToThrift(const EventLine& in);
+gen::ProcessStatus ToThrift(const ProcessStatus& in);
+
 template <typename Out, typename In>
 std::vector<Out> ListToThrift(const std::vector<In>& in) {
   std::vector<Out> out;
@@ -167,6 +172,11 @@
     value.offset = ToThrift(in.offset);
     out.__set_snapshot(value);
   }
+  void operator()(const StatusQuery& in) const {
+    gen::StatusQuery value;
+    value.whole_domain = in.whole_domain;
+    out.__set_status(value);
+  }
 };
 
 Query FromThrift(gen::Query&& in) {
@@ -185,9 +195,83 @@
                          FromThrift(in.snapshot.version),
                          FromThrift(in.snapshot.offset)};
   }
+  if (in.__isset.status) return StatusQuery{in.status.whole_domain};
   throw OutOfRange("a query is of no known kind");
 }
 
+gen::LogStatus ToThrift(const LogStatus& in) {
+  gen::LogStatus out;
+  out.log = in.log.str();
+  out.accepted = ToThrift(in.accepted);
+  out.in_force = ToThrift(in.in_force);
+  return out;
+}
+
+gen::CellStatus ToThrift(const CellStatus& in) {
+  gen::CellStatus out;
+  out.cell = in.cell.str();
+  out.phase = in.phase;
+  out.epoch = ToThrift(in.epoch);
+  out.workers = in.workers;
+  out.workers_reached = in.workers_reached;
+  out.queued = in.queued;
+  out.gangs = in.gangs;
+  return out;
+}
+
+gen::EventLine ToThrift(const EventLine& in) {
+  gen::EventLine out;
+  out.number = in.number;
+  out.age_ms = in.age_ms;
+  out.text = in.text;
+  return out;
+}
+
+gen::ProcessStatus ToThrift(const ProcessStatus& in) {
+  gen::ProcessStatus out;
+  out.name = in.name.str();
+  out.incarnation = in.incarnation.str();
+  out.ready = in.ready;
+  out.table_reachable = in.table_reachable;
+  out.logs = ListToThrift<gen::LogStatus>(in.logs);
+  out.cells = ListToThrift<gen::CellStatus>(in.cells);
+  out.events = ListToThrift<gen::EventLine>(in.events);
+  return out;
+}
+
+ProcessStatus FromThrift(gen::ProcessStatus&& in) {
+  ProcessStatus out;
+  out.name = ProcessName(std::move(in.name));
+  out.incarnation = base::Incarnation(std::move(in.incarnation));
+  out.ready = in.ready;
+  out.table_reachable = in.table_reachable;
+  out.logs.reserve(in.logs.size());
+  for (auto& it : in.logs) {
+    out.logs.push_back({LogName(std::move(it.log)), FromThrift(it.accepted),
+                        FromThrift(it.in_force)});
+  }
+  out.cells.reserve(in.cells.size());
+  for (auto& it : in.cells) {
+    out.cells.push_back({base::CellName(std::move(it.cell)),
+                         std::move(it.phase), FromThrift(it.epoch), it.workers,
+                         it.workers_reached, it.queued, it.gangs});
+  }
+  out.events.reserve(in.events.size());
+  for (auto& it : in.events) {
+    out.events.push_back({it.number, it.age_ms, std::move(it.text)});
+  }
+  return out;
+}
+
+StatusAnswer FromThrift(gen::StatusAnswer&& in) {
+  StatusAnswer out;
+  out.processes.reserve(in.processes.size());
+  for (auto& it : in.processes) {
+    out.processes.push_back(FromThrift(std::move(it)));
+  }
+  return out;
+}
+
 /// Fills the Thrift union from each alternative of Answer.
 struct AnswerWriter {
   gen::Answer& out;
@@ -220,6 +304,11 @@
     value.detail = in.detail;
     out.__set_refusal(value);
   }
+  void operator()(const StatusAnswer& in) const {
+    gen::StatusAnswer value;
+    value.processes = ListToThrift<gen::ProcessStatus>(in.processes);
+    out.__set_status(value);
+  }
 };
 
 Answer FromThrift(gen::Answer&& in) {
@@ -239,6 +328,7 @@
     return Refusal{EnumFromThrift<RefusalReason>(in.refusal.reason),
                    std::move(in.refusal.detail)};
   }
+  if (in.__isset.status) return FromThrift(std::move(in.status));
   throw OutOfRange("an answer is of no known kind");
 }
 
@@ -294,8 +384,15 @@
     value.entries = in.entries;
     value.pass_on = in.pass_on;
     value.head = ToThrift(in.head);
+    if (in.wants_receipt) value.__set_wants_receipt(true);
     out.__set_log_entries(value);
   }
+  void operator()(const EntriesReceived& in) const {
+    gen::EntriesReceived value;
+    value.log = in.log.str();
+    value.first_version = ToThrift(in.first_version);
+    out.__set_entries_received(value);
+  }
   void operator()(const PullEntries& in) const {
     gen::PullEntries value;
     value.log = in.log.str();
@@ -362,9 +459,14 @@
   if (has.members) return FromThrift(std::move(in.members));
   if (has.log_entries) {
     auto& value = in.log_entries;
-    return LogEntries{LogName(std::move(value.log)),
-                      FromThrift(value.first_version), std::move(value.entries),
-                      value.pass_on, FromThrift(value.head)};
+    return LogEntries{
+        LogName(std::move(value.log)), FromThrift(value.first_version),
+        std::move(value.entries),      value.pass_on,
+        FromThrift(value.head),        value.wants_receipt};
+  }
+  if (has.entries_received) {
+    return EntriesReceived{LogName(std::move(in.entries_received.log)),
+                           FromThrift(in.entries_received.first_version)};
   }
   if (has.pull_entries) {
     return PullEntries{LogName(std::move(in.pull_entries.log)),
--- a/src/wire/gen/lapishatch_types.cpp
+++ b/src/wire/gen/lapishatch_types.cpp
@@ -1755,6 +1755,11 @@
   this->head = val;
 }
 
+void LogEntries::__set_wants_receipt(const bool val) {
+  this->wants_receipt = val;
+__isset.wants_receipt = true;
+}
+
 uint32_t LogEntries::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -1828,6 +1833,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_receipt);
+          this->__isset.wants_receipt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1873,6 +1886,11 @@
   xfer += oprot->writeI64(this->head);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.wants_receipt) {
+    xfer += oprot->writeFieldBegin("wants_receipt", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->wants_receipt);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1885,6 +1903,7 @@
   swap(a.entries, b.entries);
   swap(a.pass_on, b.pass_on);
   swap(a.head, b.head);
+  swap(a.wants_receipt, b.wants_receipt);
   swap(a.__isset, b.__isset);
 }
 
@@ -1894,6 +1913,7 @@
   entries = other96.entries;
   pass_on = other96.pass_on;
   head = other96.head;
+  wants_receipt = other96.wants_receipt;
   __isset = other96.__isset;
 }
 LogEntries::LogEntries(LogEntries&& other97) noexcept {
@@ -1902,6 +1922,7 @@
   entries = std::move(other97.entries);
   pass_on = other97.pass_on;
   head = other97.head;
+  wants_receipt = other97.wants_receipt;
   __isset = other97.__isset;
 }
 LogEntries& LogEntries::operator=(const LogEntries& other98) {
@@ -1910,6 +1931,7 @@
   entries = other98.entries;
   pass_on = other98.pass_on;
   head = other98.head;
+  wants_receipt = other98.wants_receipt;
   __isset = other98.__isset;
   return *this;
 }
@@ -1919,23 +1941,24 @@
   entries = std::move(other99.entries);
   pass_on = other99.pass_on;
   head = other99.head;
+  wants_receipt = other99.wants_receipt;
   __isset = other99.__isset;
   return *this;
 }
 
-PullEntries::~PullEntries() noexcept {
+EntriesReceived::~EntriesReceived() noexcept {
 }
 
 
-void PullEntries::__set_log(const std::string& val) {
+void EntriesReceived::__set_log(const std::string& val) {
   this->log = val;
 }
 
-void PullEntries::__set_first_version(const int64_t val) {
+void EntriesReceived::__set_first_version(const int64_t val) {
   this->first_version = val;
 }
 
-uint32_t PullEntries::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EntriesReceived::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1984,10 +2007,10 @@
   return xfer;
 }
 
-uint32_t PullEntries::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EntriesReceived::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PullEntries");
+  xfer += oprot->writeStructBegin("EntriesReceived");
 
   xfer += oprot->writeFieldBegin("log", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->log);
@@ -2002,36 +2025,145 @@
   return xfer;
 }
 
-void swap(PullEntries &a, PullEntries &b) {
+void swap(EntriesReceived &a, EntriesReceived &b) {
   using ::std::swap;
   swap(a.log, b.log);
   swap(a.first_version, b.first_version);
   swap(a.__isset, b.__isset);
 }
 
-PullEntries::PullEntries(const PullEntries& other100) {
+EntriesReceived::EntriesReceived(const EntriesReceived& other100) {
   log = other100.log;
   first_version = other100.first_version;
   __isset = other100.__isset;
 }
-PullEntries::PullEntries(PullEntries&& other101) noexcept {
+EntriesReceived::EntriesReceived(EntriesReceived&& other101) noexcept {
   log = std::move(other101.log);
   first_version = other101.first_version;
   __isset = other101.__isset;
 }
-PullEntries& PullEntries::operator=(const PullEntries& other102) {
+EntriesReceived& EntriesReceived::operator=(const EntriesReceived& other102) {
   log = other102.log;
   first_version = other102.first_version;
   __isset = other102.__isset;
   return *this;
 }
-PullEntries& PullEntries::operator=(PullEntries&& other103) noexcept {
+EntriesReceived& EntriesReceived::operator=(EntriesReceived&& other103) noexcept {
   log = std::move(other103.log);
   first_version = other103.first_version;
   __isset = other103.__isset;
   return *this;
 }
 
+PullEntries::~PullEntries() noexcept {
+}
+
+
+void PullEntries::__set_log(const std::string& val) {
+  this->log = val;
+}
+
+void PullEntries::__set_first_version(const int64_t val) {
+  this->first_version = val;
+}
+
+uint32_t PullEntries::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->log);
+          this->__isset.log = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first_version);
+          this->__isset.first_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PullEntries::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PullEntries");
+
+  xfer += oprot->writeFieldBegin("log", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->log);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->first_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PullEntries &a, PullEntries &b) {
+  using ::std::swap;
+  swap(a.log, b.log);
+  swap(a.first_version, b.first_version);
+  swap(a.__isset, b.__isset);
+}
+
+PullEntries::PullEntries(const PullEntries& other104) {
+  log = other104.log;
+  first_version = other104.first_version;
+  __isset = other104.__isset;
+}
+PullEntries::PullEntries(PullEntries&& other105) noexcept {
+  log = std::move(other105.log);
+  first_version = other105.first_version;
+  __isset = other105.__isset;
+}
+PullEntries& PullEntries::operator=(const PullEntries& other106) {
+  log = other106.log;
+  first_version = other106.first_version;
+  __isset = other106.__isset;
+  return *this;
+}
+PullEntries& PullEntries::operator=(PullEntries&& other107) noexcept {
+  log = std::move(other107.log);
+  first_version = other107.first_version;
+  __isset = other107.__isset;
+  return *this;
+}
+
 OwnerQuery::~OwnerQuery() noexcept {
 }
 
@@ -2118,26 +2250,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerQuery::OwnerQuery(const OwnerQuery& other104) {
-  cell = other104.cell;
-  holder = other104.holder;
-  __isset = other104.__isset;
+OwnerQuery::OwnerQuery(const OwnerQuery& other108) {
+  cell = other108.cell;
+  holder = other108.holder;
+  __isset = other108.__isset;
 }
-OwnerQuery::OwnerQuery(OwnerQuery&& other105) noexcept {
-  cell = std::move(other105.cell);
-  holder = std::move(other105.holder);
-  __isset = other105.__isset;
+OwnerQuery::OwnerQuery(OwnerQuery&& other109) noexcept {
+  cell = std::move(other109.cell);
+  holder = std::move(other109.holder);
+  __isset = other109.__isset;
 }
-OwnerQuery& OwnerQuery::operator=(const OwnerQuery& other106) {
-  cell = other106.cell;
-  holder = other106.holder;
-  __isset = other106.__isset;
+OwnerQuery& OwnerQuery::operator=(const OwnerQuery& other110) {
+  cell = other110.cell;
+  holder = other110.holder;
+  __isset = other110.__isset;
   return *this;
 }
-OwnerQuery& OwnerQuery::operator=(OwnerQuery&& other107) noexcept {
-  cell = std::move(other107.cell);
-  holder = std::move(other107.holder);
-  __isset = other107.__isset;
+OwnerQuery& OwnerQuery::operator=(OwnerQuery&& other111) noexcept {
+  cell = std::move(other111.cell);
+  holder = std::move(other111.holder);
+  __isset = other111.__isset;
   return *this;
 }
 
@@ -2210,22 +2342,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ExplainQuery::ExplainQuery(const ExplainQuery& other108) {
-  job = other108.job;
-  __isset = other108.__isset;
+ExplainQuery::ExplainQuery(const ExplainQuery& other112) {
+  job = other112.job;
+  __isset = other112.__isset;
 }
-ExplainQuery::ExplainQuery(ExplainQuery&& other109) noexcept {
-  job = std::move(other109.job);
-  __isset = other109.__isset;
+ExplainQuery::ExplainQuery(ExplainQuery&& other113) noexcept {
+  job = std::move(other113.job);
+  __isset = other113.__isset;
 }
-ExplainQuery& ExplainQuery::operator=(const ExplainQuery& other110) {
-  job = other110.job;
-  __isset = other110.__isset;
+ExplainQuery& ExplainQuery::operator=(const ExplainQuery& other114) {
+  job = other114.job;
+  __isset = other114.__isset;
   return *this;
 }
-ExplainQuery& ExplainQuery::operator=(ExplainQuery&& other111) noexcept {
-  job = std::move(other111.job);
-  __isset = other111.__isset;
+ExplainQuery& ExplainQuery::operator=(ExplainQuery&& other115) noexcept {
+  job = std::move(other115.job);
+  __isset = other115.__isset;
   return *this;
 }
 
@@ -2298,22 +2430,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CellStatusQuery::CellStatusQuery(const CellStatusQuery& other112) {
-  cell = other112.cell;
-  __isset = other112.__isset;
+CellStatusQuery::CellStatusQuery(const CellStatusQuery& other116) {
+  cell = other116.cell;
+  __isset = other116.__isset;
 }
-CellStatusQuery::CellStatusQuery(CellStatusQuery&& other113) noexcept {
-  cell = std::move(other113.cell);
-  __isset = other113.__isset;
+CellStatusQuery::CellStatusQuery(CellStatusQuery&& other117) noexcept {
+  cell = std::move(other117.cell);
+  __isset = other117.__isset;
 }
-CellStatusQuery& CellStatusQuery::operator=(const CellStatusQuery& other114) {
-  cell = other114.cell;
-  __isset = other114.__isset;
+CellStatusQuery& CellStatusQuery::operator=(const CellStatusQuery& other118) {
+  cell = other118.cell;
+  __isset = other118.__isset;
   return *this;
 }
-CellStatusQuery& CellStatusQuery::operator=(CellStatusQuery&& other115) noexcept {
-  cell = std::move(other115.cell);
-  __isset = other115.__isset;
+CellStatusQuery& CellStatusQuery::operator=(CellStatusQuery&& other119) noexcept {
+  cell = std::move(other119.cell);
+  __isset = other119.__isset;
   return *this;
 }
 
@@ -2420,30 +2552,118 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotQuery::SnapshotQuery(const SnapshotQuery& other116) {
-  log = other116.log;
-  version = other116.version;
-  offset = other116.offset;
-  __isset = other116.__isset;
+SnapshotQuery::SnapshotQuery(const SnapshotQuery& other120) {
+  log = other120.log;
+  version = other120.version;
+  offset = other120.offset;
+  __isset = other120.__isset;
 }
-SnapshotQuery::SnapshotQuery(SnapshotQuery&& other117) noexcept {
-  log = std::move(other117.log);
-  version = other117.version;
-  offset = other117.offset;
-  __isset = other117.__isset;
+SnapshotQuery::SnapshotQuery(SnapshotQuery&& other121) noexcept {
+  log = std::move(other121.log);
+  version = other121.version;
+  offset = other121.offset;
+  __isset = other121.__isset;
 }
-SnapshotQuery& SnapshotQuery::operator=(const SnapshotQuery& other118) {
-  log = other118.log;
-  version = other118.version;
-  offset = other118.offset;
-  __isset = other118.__isset;
+SnapshotQuery& SnapshotQuery::operator=(const SnapshotQuery& other122) {
+  log = other122.log;
+  version = other122.version;
+  offset = other122.offset;
+  __isset = other122.__isset;
   return *this;
 }
-SnapshotQuery& SnapshotQuery::operator=(SnapshotQuery&& other119) noexcept {
-  log = std::move(other119.log);
-  version = other119.version;
-  offset = other119.offset;
-  __isset = other119.__isset;
+SnapshotQuery& SnapshotQuery::operator=(SnapshotQuery&& other123) noexcept {
+  log = std::move(other123.log);
+  version = other123.version;
+  offset = other123.offset;
+  __isset = other123.__isset;
+  return *this;
+}
+
+StatusQuery::~StatusQuery() noexcept {
+}
+
+
+void StatusQuery::__set_whole_domain(const bool val) {
+  this->whole_domain = val;
+}
+
+uint32_t StatusQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole_domain);
+          this->__isset.whole_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatusQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatusQuery");
+
+  xfer += oprot->writeFieldBegin("whole_domain", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->whole_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatusQuery &a, StatusQuery &b) {
+  using ::std::swap;
+  swap(a.whole_domain, b.whole_domain);
+  swap(a.__isset, b.__isset);
+}
+
+StatusQuery::StatusQuery(const StatusQuery& other124) noexcept {
+  whole_domain = other124.whole_domain;
+  __isset = other124.__isset;
+}
+StatusQuery::StatusQuery(StatusQuery&& other125) noexcept {
+  whole_domain = other125.whole_domain;
+  __isset = other125.__isset;
+}
+StatusQuery& StatusQuery::operator=(const StatusQuery& other126) noexcept {
+  whole_domain = other126.whole_domain;
+  __isset = other126.__isset;
+  return *this;
+}
+StatusQuery& StatusQuery::operator=(StatusQuery&& other127) noexcept {
+  whole_domain = other127.whole_domain;
+  __isset = other127.__isset;
   return *this;
 }
 
@@ -2471,6 +2691,11 @@
 __isset.snapshot = true;
 }
 
+void Query::__set_status(const StatusQuery& val) {
+  this->status = val;
+__isset.status = true;
+}
+
 uint32_t Query::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2524,6 +2749,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status.read(iprot);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2561,6 +2794,11 @@
     xfer += this->snapshot.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.status) {
+    xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->status.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2572,37 +2810,42 @@
   swap(a.explain, b.explain);
   swap(a.cell_status, b.cell_status);
   swap(a.snapshot, b.snapshot);
+  swap(a.status, b.status);
   swap(a.__isset, b.__isset);
 }
 
-Query::Query(const Query& other120) {
-  owner = other120.owner;
-  explain = other120.explain;
-  cell_status = other120.cell_status;
-  snapshot = other120.snapshot;
-  __isset = other120.__isset;
+Query::Query(const Query& other128) {
+  owner = other128.owner;
+  explain = other128.explain;
+  cell_status = other128.cell_status;
+  snapshot = other128.snapshot;
+  status = other128.status;
+  __isset = other128.__isset;
 }
-Query::Query(Query&& other121) noexcept {
-  owner = std::move(other121.owner);
-  explain = std::move(other121.explain);
-  cell_status = std::move(other121.cell_status);
-  snapshot = std::move(other121.snapshot);
-  __isset = other121.__isset;
+Query::Query(Query&& other129) noexcept {
+  owner = std::move(other129.owner);
+  explain = std::move(other129.explain);
+  cell_status = std::move(other129.cell_status);
+  snapshot = std::move(other129.snapshot);
+  status = std::move(other129.status);
+  __isset = other129.__isset;
 }
-Query& Query::operator=(const Query& other122) {
-  owner = other122.owner;
-  explain = other122.explain;
-  cell_status = other122.cell_status;
-  snapshot = other122.snapshot;
-  __isset = other122.__isset;
+Query& Query::operator=(const Query& other130) {
+  owner = other130.owner;
+  explain = other130.explain;
+  cell_status = other130.cell_status;
+  snapshot = other130.snapshot;
+  status = other130.status;
+  __isset = other130.__isset;
   return *this;
 }
-Query& Query::operator=(Query&& other123) noexcept {
-  owner = std::move(other123.owner);
-  explain = std::move(other123.explain);
-  cell_status = std::move(other123.cell_status);
-  snapshot = std::move(other123.snapshot);
-  __isset = other123.__isset;
+Query& Query::operator=(Query&& other131) noexcept {
+  owner = std::move(other131.owner);
+  explain = std::move(other131.explain);
+  cell_status = std::move(other131.cell_status);
+  snapshot = std::move(other131.snapshot);
+  status = std::move(other131.status);
+  __isset = other131.__isset;
   return *this;
 }
 
@@ -2726,34 +2969,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerAnswer::OwnerAnswer(const OwnerAnswer& other124) {
-  cell = other124.cell;
-  holds = other124.holds;
-  without_table = other124.without_table;
-  epoch = other124.epoch;
-  __isset = other124.__isset;
+OwnerAnswer::OwnerAnswer(const OwnerAnswer& other132) {
+  cell = other132.cell;
+  holds = other132.holds;
+  without_table = other132.without_table;
+  epoch = other132.epoch;
+  __isset = other132.__isset;
 }
-OwnerAnswer::OwnerAnswer(OwnerAnswer&& other125) noexcept {
-  cell = std::move(other125.cell);
-  holds = other125.holds;
-  without_table = other125.without_table;
-  epoch = other125.epoch;
-  __isset = other125.__isset;
+OwnerAnswer::OwnerAnswer(OwnerAnswer&& other133) noexcept {
+  cell = std::move(other133.cell);
+  holds = other133.holds;
+  without_table = other133.without_table;
+  epoch = other133.epoch;
+  __isset = other133.__isset;
 }
-OwnerAnswer& OwnerAnswer::operator=(const OwnerAnswer& other126) {
-  cell = other126.cell;
-  holds = other126.holds;
-  without_table = other126.without_table;
-  epoch = other126.epoch;
-  __isset = other126.__isset;
+OwnerAnswer& OwnerAnswer::operator=(const OwnerAnswer& other134) {
+  cell = other134.cell;
+  holds = other134.holds;
+  without_table = other134.without_table;
+  epoch = other134.epoch;
+  __isset = other134.__isset;
   return *this;
 }
-OwnerAnswer& OwnerAnswer::operator=(OwnerAnswer&& other127) noexcept {
-  cell = std::move(other127.cell);
-  holds = other127.holds;
-  without_table = other127.without_table;
-  epoch = other127.epoch;
-  __isset = other127.__isset;
+OwnerAnswer& OwnerAnswer::operator=(OwnerAnswer&& other135) noexcept {
+  cell = std::move(other135.cell);
+  holds = other135.holds;
+  without_table = other135.without_table;
+  epoch = other135.epoch;
+  __isset = other135.__isset;
   return *this;
 }
 
@@ -2843,26 +3086,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TextAnswer::TextAnswer(const TextAnswer& other128) {
-  found = other128.found;
-  text = other128.text;
-  __isset = other128.__isset;
+TextAnswer::TextAnswer(const TextAnswer& other136) {
+  found = other136.found;
+  text = other136.text;
+  __isset = other136.__isset;
 }
-TextAnswer::TextAnswer(TextAnswer&& other129) noexcept {
-  found = other129.found;
-  text = std::move(other129.text);
-  __isset = other129.__isset;
+TextAnswer::TextAnswer(TextAnswer&& other137) noexcept {
+  found = other137.found;
+  text = std::move(other137.text);
+  __isset = other137.__isset;
 }
-TextAnswer& TextAnswer::operator=(const TextAnswer& other130) {
-  found = other130.found;
-  text = other130.text;
-  __isset = other130.__isset;
+TextAnswer& TextAnswer::operator=(const TextAnswer& other138) {
+  found = other138.found;
+  text = other138.text;
+  __isset = other138.__isset;
   return *this;
 }
-TextAnswer& TextAnswer::operator=(TextAnswer&& other131) noexcept {
-  found = other131.found;
-  text = std::move(other131.text);
-  __isset = other131.__isset;
+TextAnswer& TextAnswer::operator=(TextAnswer&& other139) noexcept {
+  found = other139.found;
+  text = std::move(other139.text);
+  __isset = other139.__isset;
   return *this;
 }
 
@@ -2986,34 +3229,890 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotAnswer::SnapshotAnswer(const SnapshotAnswer& other132) {
-  version = other132.version;
-  total_bytes = other132.total_bytes;
-  offset = other132.offset;
-  bytes = other132.bytes;
-  __isset = other132.__isset;
+SnapshotAnswer::SnapshotAnswer(const SnapshotAnswer& other140) {
+  version = other140.version;
+  total_bytes = other140.total_bytes;
+  offset = other140.offset;
+  bytes = other140.bytes;
+  __isset = other140.__isset;
 }
-SnapshotAnswer::SnapshotAnswer(SnapshotAnswer&& other133) noexcept {
-  version = other133.version;
-  total_bytes = other133.total_bytes;
-  offset = other133.offset;
-  bytes = std::move(other133.bytes);
-  __isset = other133.__isset;
+SnapshotAnswer::SnapshotAnswer(SnapshotAnswer&& other141) noexcept {
+  version = other141.version;
+  total_bytes = other141.total_bytes;
+  offset = other141.offset;
+  bytes = std::move(other141.bytes);
+  __isset = other141.__isset;
 }
-SnapshotAnswer& SnapshotAnswer::operator=(const SnapshotAnswer& other134) {
-  version = other134.version;
-  total_bytes = other134.total_bytes;
-  offset = other134.offset;
-  bytes = other134.bytes;
-  __isset = other134.__isset;
+SnapshotAnswer& SnapshotAnswer::operator=(const SnapshotAnswer& other142) {
+  version = other142.version;
+  total_bytes = other142.total_bytes;
+  offset = other142.offset;
+  bytes = other142.bytes;
+  __isset = other142.__isset;
   return *this;
 }
-SnapshotAnswer& SnapshotAnswer::operator=(SnapshotAnswer&& other135) noexcept {
-  version = other135.version;
-  total_bytes = other135.total_bytes;
-  offset = other135.offset;
-  bytes = std::move(other135.bytes);
-  __isset = other135.__isset;
+SnapshotAnswer& SnapshotAnswer::operator=(SnapshotAnswer&& other143) noexcept {
+  version = other143.version;
+  total_bytes = other143.total_bytes;
+  offset = other143.offset;
+  bytes = std::move(other143.bytes);
+  __isset = other143.__isset;
+  return *this;
+}
+
+LogStatus::~LogStatus() noexcept {
+}
+
+
+void LogStatus::__set_log(const std::string& val) {
+  this->log = val;
+}
+
+void LogStatus::__set_accepted(const int64_t val) {
+  this->accepted = val;
+}
+
+void LogStatus::__set_in_force(const int64_t val) {
+  this->in_force = val;
+}
+
+uint32_t LogStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->log);
+          this->__isset.log = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->accepted);
+          this->__isset.accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->in_force);
+          this->__isset.in_force = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogStatus");
+
+  xfer += oprot->writeFieldBegin("log", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->log);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->in_force);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogStatus &a, LogStatus &b) {
+  using ::std::swap;
+  swap(a.log, b.log);
+  swap(a.accepted, b.accepted);
+  swap(a.in_force, b.in_force);
+  swap(a.__isset, b.__isset);
+}
+
+LogStatus::LogStatus(const LogStatus& other144) {
+  log = other144.log;
+  accepted = other144.accepted;
+  in_force = other144.in_force;
+  __isset = other144.__isset;
+}
+LogStatus::LogStatus(LogStatus&& other145) noexcept {
+  log = std::move(other145.log);
+  accepted = other145.accepted;
+  in_force = other145.in_force;
+  __isset = other145.__isset;
+}
+LogStatus& LogStatus::operator=(const LogStatus& other146) {
+  log = other146.log;
+  accepted = other146.accepted;
+  in_force = other146.in_force;
+  __isset = other146.__isset;
+  return *this;
+}
+LogStatus& LogStatus::operator=(LogStatus&& other147) noexcept {
+  log = std::move(other147.log);
+  accepted = other147.accepted;
+  in_force = other147.in_force;
+  __isset = other147.__isset;
+  return *this;
+}
+
+CellStatus::~CellStatus() noexcept {
+}
+
+
+void CellStatus::__set_cell(const std::string& val) {
+  this->cell = val;
+}
+
+void CellStatus::__set_phase(const std::string& val) {
+  this->phase = val;
+}
+
+void CellStatus::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void CellStatus::__set_workers(const int32_t val) {
+  this->workers = val;
+}
+
+void CellStatus::__set_workers_reached(const int32_t val) {
+  this->workers_reached = val;
+}
+
+void CellStatus::__set_queued(const int32_t val) {
+  this->queued = val;
+}
+
+void CellStatus::__set_gangs(const int32_t val) {
+  this->gangs = val;
+}
+
+uint32_t CellStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workers);
+          this->__isset.workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workers_reached);
+          this->__isset.workers_reached = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gangs);
+          this->__isset.gangs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellStatus");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->workers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workers_reached", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->workers_reached);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gangs", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->gangs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellStatus &a, CellStatus &b) {
+  using ::std::swap;
+  swap(a.cell, b.cell);
+  swap(a.phase, b.phase);
+  swap(a.epoch, b.epoch);
+  swap(a.workers, b.workers);
+  swap(a.workers_reached, b.workers_reached);
+  swap(a.queued, b.queued);
+  swap(a.gangs, b.gangs);
+  swap(a.__isset, b.__isset);
+}
+
+CellStatus::CellStatus(const CellStatus& other148) {
+  cell = other148.cell;
+  phase = other148.phase;
+  epoch = other148.epoch;
+  workers = other148.workers;
+  workers_reached = other148.workers_reached;
+  queued = other148.queued;
+  gangs = other148.gangs;
+  __isset = other148.__isset;
+}
+CellStatus::CellStatus(CellStatus&& other149) noexcept {
+  cell = std::move(other149.cell);
+  phase = std::move(other149.phase);
+  epoch = other149.epoch;
+  workers = other149.workers;
+  workers_reached = other149.workers_reached;
+  queued = other149.queued;
+  gangs = other149.gangs;
+  __isset = other149.__isset;
+}
+CellStatus& CellStatus::operator=(const CellStatus& other150) {
+  cell = other150.cell;
+  phase = other150.phase;
+  epoch = other150.epoch;
+  workers = other150.workers;
+  workers_reached = other150.workers_reached;
+  queued = other150.queued;
+  gangs = other150.gangs;
+  __isset = other150.__isset;
+  return *this;
+}
+CellStatus& CellStatus::operator=(CellStatus&& other151) noexcept {
+  cell = std::move(other151.cell);
+  phase = std::move(other151.phase);
+  epoch = other151.epoch;
+  workers = other151.workers;
+  workers_reached = other151.workers_reached;
+  queued = other151.queued;
+  gangs = other151.gangs;
+  __isset = other151.__isset;
+  return *this;
+}
+
+EventLine::~EventLine() noexcept {
+}
+
+
+void EventLine::__set_number(const int32_t val) {
+  this->number = val;
+}
+
+void EventLine::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void EventLine::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+uint32_t EventLine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EventLine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EventLine");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EventLine &a, EventLine &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.age_ms, b.age_ms);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+EventLine::EventLine(const EventLine& other152) {
+  number = other152.number;
+  age_ms = other152.age_ms;
+  text = other152.text;
+  __isset = other152.__isset;
+}
+EventLine::EventLine(EventLine&& other153) noexcept {
+  number = other153.number;
+  age_ms = other153.age_ms;
+  text = std::move(other153.text);
+  __isset = other153.__isset;
+}
+EventLine& EventLine::operator=(const EventLine& other154) {
+  number = other154.number;
+  age_ms = other154.age_ms;
+  text = other154.text;
+  __isset = other154.__isset;
+  return *this;
+}
+EventLine& EventLine::operator=(EventLine&& other155) noexcept {
+  number = other155.number;
+  age_ms = other155.age_ms;
+  text = std::move(other155.text);
+  __isset = other155.__isset;
+  return *this;
+}
+
+ProcessStatus::~ProcessStatus() noexcept {
+}
+
+
+void ProcessStatus::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ProcessStatus::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void ProcessStatus::__set_ready(const bool val) {
+  this->ready = val;
+}
+
+void ProcessStatus::__set_table_reachable(const bool val) {
+  this->table_reachable = val;
+}
+
+void ProcessStatus::__set_logs(const std::vector<LogStatus> & val) {
+  this->logs = val;
+}
+
+void ProcessStatus::__set_cells(const std::vector<CellStatus> & val) {
+  this->cells = val;
+}
+
+void ProcessStatus::__set_events(const std::vector<EventLine> & val) {
+  this->events = val;
+}
+
+uint32_t ProcessStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->table_reachable);
+          this->__isset.table_reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->logs.clear();
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->logs.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
+            {
+              xfer += this->logs[_i160].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.logs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->cells.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
+            {
+              xfer += this->cells[_i165].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->events.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->events[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProcessStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProcessStatus");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("table_reachable", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->table_reachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("logs", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->logs.size()));
+    std::vector<LogStatus> ::const_iterator _iter171;
+    for (_iter171 = this->logs.begin(); _iter171 != this->logs.end(); ++_iter171)
+    {
+      xfer += (*_iter171).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<CellStatus> ::const_iterator _iter172;
+    for (_iter172 = this->cells.begin(); _iter172 != this->cells.end(); ++_iter172)
+    {
+      xfer += (*_iter172).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<EventLine> ::const_iterator _iter173;
+    for (_iter173 = this->events.begin(); _iter173 != this->events.end(); ++_iter173)
+    {
+      xfer += (*_iter173).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProcessStatus &a, ProcessStatus &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.incarnation, b.incarnation);
+  swap(a.ready, b.ready);
+  swap(a.table_reachable, b.table_reachable);
+  swap(a.logs, b.logs);
+  swap(a.cells, b.cells);
+  swap(a.events, b.events);
+  swap(a.__isset, b.__isset);
+}
+
+ProcessStatus::ProcessStatus(const ProcessStatus& other174) {
+  name = other174.name;
+  incarnation = other174.incarnation;
+  ready = other174.ready;
+  table_reachable = other174.table_reachable;
+  logs = other174.logs;
+  cells = other174.cells;
+  events = other174.events;
+  __isset = other174.__isset;
+}
+ProcessStatus::ProcessStatus(ProcessStatus&& other175) noexcept {
+  name = std::move(other175.name);
+  incarnation = std::move(other175.incarnation);
+  ready = other175.ready;
+  table_reachable = other175.table_reachable;
+  logs = std::move(other175.logs);
+  cells = std::move(other175.cells);
+  events = std::move(other175.events);
+  __isset = other175.__isset;
+}
+ProcessStatus& ProcessStatus::operator=(const ProcessStatus& other176) {
+  name = other176.name;
+  incarnation = other176.incarnation;
+  ready = other176.ready;
+  table_reachable = other176.table_reachable;
+  logs = other176.logs;
+  cells = other176.cells;
+  events = other176.events;
+  __isset = other176.__isset;
+  return *this;
+}
+ProcessStatus& ProcessStatus::operator=(ProcessStatus&& other177) noexcept {
+  name = std::move(other177.name);
+  incarnation = std::move(other177.incarnation);
+  ready = other177.ready;
+  table_reachable = other177.table_reachable;
+  logs = std::move(other177.logs);
+  cells = std::move(other177.cells);
+  events = std::move(other177.events);
+  __isset = other177.__isset;
+  return *this;
+}
+
+StatusAnswer::~StatusAnswer() noexcept {
+}
+
+
+void StatusAnswer::__set_processes(const std::vector<ProcessStatus> & val) {
+  this->processes = val;
+}
+
+uint32_t StatusAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->processes.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->processes.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += this->processes[_i182].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.processes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatusAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatusAnswer");
+
+  xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->processes.size()));
+    std::vector<ProcessStatus> ::const_iterator _iter183;
+    for (_iter183 = this->processes.begin(); _iter183 != this->processes.end(); ++_iter183)
+    {
+      xfer += (*_iter183).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatusAnswer &a, StatusAnswer &b) {
+  using ::std::swap;
+  swap(a.processes, b.processes);
+  swap(a.__isset, b.__isset);
+}
+
+StatusAnswer::StatusAnswer(const StatusAnswer& other184) {
+  processes = other184.processes;
+  __isset = other184.__isset;
+}
+StatusAnswer::StatusAnswer(StatusAnswer&& other185) noexcept {
+  processes = std::move(other185.processes);
+  __isset = other185.__isset;
+}
+StatusAnswer& StatusAnswer::operator=(const StatusAnswer& other186) {
+  processes = other186.processes;
+  __isset = other186.__isset;
+  return *this;
+}
+StatusAnswer& StatusAnswer::operator=(StatusAnswer&& other187) noexcept {
+  processes = std::move(other187.processes);
+  __isset = other187.__isset;
   return *this;
 }
 
@@ -3103,26 +4202,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other136) {
-  reason = other136.reason;
-  detail = other136.detail;
-  __isset = other136.__isset;
+Refusal::Refusal(const Refusal& other188) {
+  reason = other188.reason;
+  detail = other188.detail;
+  __isset = other188.__isset;
 }
-Refusal::Refusal(Refusal&& other137) noexcept {
-  reason = other137.reason;
-  detail = std::move(other137.detail);
-  __isset = other137.__isset;
+Refusal::Refusal(Refusal&& other189) noexcept {
+  reason = other189.reason;
+  detail = std::move(other189.detail);
+  __isset = other189.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other138) {
-  reason = other138.reason;
-  detail = other138.detail;
-  __isset = other138.__isset;
+Refusal& Refusal::operator=(const Refusal& other190) {
+  reason = other190.reason;
+  detail = other190.detail;
+  __isset = other190.__isset;
   return *this;
 }
-Refusal& Refusal::operator=(Refusal&& other139) noexcept {
-  reason = other139.reason;
-  detail = std::move(other139.detail);
-  __isset = other139.__isset;
+Refusal& Refusal::operator=(Refusal&& other191) noexcept {
+  reason = other191.reason;
+  detail = std::move(other191.detail);
+  __isset = other191.__isset;
   return *this;
 }
 
@@ -3150,6 +4249,11 @@
 __isset.refusal = true;
 }
 
+void Answer::__set_status(const StatusAnswer& val) {
+  this->status = val;
+__isset.status = true;
+}
+
 uint32_t Answer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3203,6 +4307,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status.read(iprot);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3240,6 +4352,11 @@
     xfer += this->refusal.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.status) {
+    xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->status.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3251,37 +4368,42 @@
   swap(a.text, b.text);
   swap(a.snapshot, b.snapshot);
   swap(a.refusal, b.refusal);
+  swap(a.status, b.status);
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other140) {
-  owner = other140.owner;
-  text = other140.text;
-  snapshot = other140.snapshot;
-  refusal = other140.refusal;
-  __isset = other140.__isset;
-}
-Answer::Answer(Answer&& other141) noexcept {
-  owner = std::move(other141.owner);
-  text = std::move(other141.text);
-  snapshot = std::move(other141.snapshot);
-  refusal = std::move(other141.refusal);
-  __isset = other141.__isset;
-}
-Answer& Answer::operator=(const Answer& other142) {
-  owner = other142.owner;
-  text = other142.text;
-  snapshot = other142.snapshot;
-  refusal = other142.refusal;
-  __isset = other142.__isset;
+Answer::Answer(const Answer& other192) {
+  owner = other192.owner;
+  text = other192.text;
+  snapshot = other192.snapshot;
+  refusal = other192.refusal;
+  status = other192.status;
+  __isset = other192.__isset;
+}
+Answer::Answer(Answer&& other193) noexcept {
+  owner = std::move(other193.owner);
+  text = std::move(other193.text);
+  snapshot = std::move(other193.snapshot);
+  refusal = std::move(other193.refusal);
+  status = std::move(other193.status);
+  __isset = other193.__isset;
+}
+Answer& Answer::operator=(const Answer& other194) {
+  owner = other194.owner;
+  text = other194.text;
+  snapshot = other194.snapshot;
+  refusal = other194.refusal;
+  status = other194.status;
+  __isset = other194.__isset;
   return *this;
 }
-Answer& Answer::operator=(Answer&& other143) noexcept {
-  owner = std::move(other143.owner);
-  text = std::move(other143.text);
-  snapshot = std::move(other143.snapshot);
-  refusal = std::move(other143.refusal);
-  __isset = other143.__isset;
+Answer& Answer::operator=(Answer&& other195) noexcept {
+  owner = std::move(other195.owner);
+  text = std::move(other195.text);
+  snapshot = std::move(other195.snapshot);
+  refusal = std::move(other195.refusal);
+  status = std::move(other195.status);
+  __isset = other195.__isset;
   return *this;
 }
 
@@ -3371,26 +4493,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other144) {
-  id = other144.id;
-  query = other144.query;
-  __isset = other144.__isset;
+Request::Request(const Request& other196) {
+  id = other196.id;
+  query = other196.query;
+  __isset = other196.__isset;
 }
-Request::Request(Request&& other145) noexcept {
-  id = other145.id;
-  query = std::move(other145.query);
-  __isset = other145.__isset;
+Request::Request(Request&& other197) noexcept {
+  id = other197.id;
+  query = std::move(other197.query);
+  __isset = other197.__isset;
 }
-Request& Request::operator=(const Request& other146) {
-  id = other146.id;
-  query = other146.query;
-  __isset = other146.__isset;
+Request& Request::operator=(const Request& other198) {
+  id = other198.id;
+  query = other198.query;
+  __isset = other198.__isset;
   return *this;
 }
-Request& Request::operator=(Request&& other147) noexcept {
-  id = other147.id;
-  query = std::move(other147.query);
-  __isset = other147.__isset;
+Request& Request::operator=(Request&& other199) noexcept {
+  id = other199.id;
+  query = std::move(other199.query);
+  __isset = other199.__isset;
   return *this;
 }
 
@@ -3480,26 +4602,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Response::Response(const Response& other148) {
-  id = other148.id;
-  answer = other148.answer;
-  __isset = other148.__isset;
+Response::Response(const Response& other200) {
+  id = other200.id;
+  answer = other200.answer;
+  __isset = other200.__isset;
 }
-Response::Response(Response&& other149) noexcept {
-  id = other149.id;
-  answer = std::move(other149.answer);
-  __isset = other149.__isset;
+Response::Response(Response&& other201) noexcept {
+  id = other201.id;
+  answer = std::move(other201.answer);
+  __isset = other201.__isset;
 }
-Response& Response::operator=(const Response& other150) {
-  id = other150.id;
-  answer = other150.answer;
-  __isset = other150.__isset;
+Response& Response::operator=(const Response& other202) {
+  id = other202.id;
+  answer = other202.answer;
+  __isset = other202.__isset;
   return *this;
 }
-Response& Response::operator=(Response&& other151) noexcept {
-  id = other151.id;
-  answer = std::move(other151.answer);
-  __isset = other151.__isset;
+Response& Response::operator=(Response&& other203) noexcept {
+  id = other203.id;
+  answer = std::move(other203.answer);
+  __isset = other203.__isset;
   return *this;
 }
 
@@ -3562,6 +4684,11 @@
 __isset.response = true;
 }
 
+void Message::__set_entries_received(const EntriesReceived& val) {
+  this->entries_received = val;
+__isset.entries_received = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3671,6 +4798,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->entries_received.read(iprot);
+          this->__isset.entries_received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3743,6 +4878,11 @@
     xfer += this->response.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.entries_received) {
+    xfer += oprot->writeFieldBegin("entries_received", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->entries_received.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3761,65 +4901,70 @@
   swap(a.pull_entries, b.pull_entries);
   swap(a.request, b.request);
   swap(a.response, b.response);
+  swap(a.entries_received, b.entries_received);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other152) {
-  hello = other152.hello;
-  heartbeat = other152.heartbeat;
-  ping = other152.ping;
-  ack = other152.ack;
-  indirect_ping = other152.indirect_ping;
-  indirect_ack = other152.indirect_ack;
-  members = other152.members;
-  log_entries = other152.log_entries;
-  pull_entries = other152.pull_entries;
-  request = other152.request;
-  response = other152.response;
-  __isset = other152.__isset;
-}
-Message::Message(Message&& other153) noexcept {
-  hello = std::move(other153.hello);
-  heartbeat = std::move(other153.heartbeat);
-  ping = std::move(other153.ping);
-  ack = std::move(other153.ack);
-  indirect_ping = std::move(other153.indirect_ping);
-  indirect_ack = std::move(other153.indirect_ack);
-  members = std::move(other153.members);
-  log_entries = std::move(other153.log_entries);
-  pull_entries = std::move(other153.pull_entries);
-  request = std::move(other153.request);
-  response = std::move(other153.response);
-  __isset = other153.__isset;
-}
-Message& Message::operator=(const Message& other154) {
-  hello = other154.hello;
-  heartbeat = other154.heartbeat;
-  ping = other154.ping;
-  ack = other154.ack;
-  indirect_ping = other154.indirect_ping;
-  indirect_ack = other154.indirect_ack;
-  members = other154.members;
-  log_entries = other154.log_entries;
-  pull_entries = other154.pull_entries;
-  request = other154.request;
-  response = other154.response;
-  __isset = other154.__isset;
+Message::Message(const Message& other204) {
+  hello = other204.hello;
+  heartbeat = other204.heartbeat;
+  ping = other204.ping;
+  ack = other204.ack;
+  indirect_ping = other204.indirect_ping;
+  indirect_ack = other204.indirect_ack;
+  members = other204.members;
+  log_entries = other204.log_entries;
+  pull_entries = other204.pull_entries;
+  request = other204.request;
+  response = other204.response;
+  entries_received = other204.entries_received;
+  __isset = other204.__isset;
+}
+Message::Message(Message&& other205) noexcept {
+  hello = std::move(other205.hello);
+  heartbeat = std::move(other205.heartbeat);
+  ping = std::move(other205.ping);
+  ack = std::move(other205.ack);
+  indirect_ping = std::move(other205.indirect_ping);
+  indirect_ack = std::move(other205.indirect_ack);
+  members = std::move(other205.members);
+  log_entries = std::move(other205.log_entries);
+  pull_entries = std::move(other205.pull_entries);
+  request = std::move(other205.request);
+  response = std::move(other205.response);
+  entries_received = std::move(other205.entries_received);
+  __isset = other205.__isset;
+}
+Message& Message::operator=(const Message& other206) {
+  hello = other206.hello;
+  heartbeat = other206.heartbeat;
+  ping = other206.ping;
+  ack = other206.ack;
+  indirect_ping = other206.indirect_ping;
+  indirect_ack = other206.indirect_ack;
+  members = other206.members;
+  log_entries = other206.log_entries;
+  pull_entries = other206.pull_entries;
+  request = other206.request;
+  response = other206.response;
+  entries_received = other206.entries_received;
+  __isset = other206.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other155) noexcept {
-  hello = std::move(other155.hello);
-  heartbeat = std::move(other155.heartbeat);
-  ping = std::move(other155.ping);
-  ack = std::move(other155.ack);
-  indirect_ping = std::move(other155.indirect_ping);
-  indirect_ack = std::move(other155.indirect_ack);
-  members = std::move(other155.members);
-  log_entries = std::move(other155.log_entries);
-  pull_entries = std::move(other155.pull_entries);
-  request = std::move(other155.request);
-  response = std::move(other155.response);
-  __isset = other155.__isset;
+Message& Message::operator=(Message&& other207) noexcept {
+  hello = std::move(other207.hello);
+  heartbeat = std::move(other207.heartbeat);
+  ping = std::move(other207.ping);
+  ack = std::move(other207.ack);
+  indirect_ping = std::move(other207.indirect_ping);
+  indirect_ack = std::move(other207.indirect_ack);
+  members = std::move(other207.members);
+  log_entries = std::move(other207.log_entries);
+  pull_entries = std::move(other207.pull_entries);
+  request = std::move(other207.request);
+  response = std::move(other207.response);
+  entries_received = std::move(other207.entries_received);
+  __isset = other207.__isset;
   return *this;
 }
 }}} // namespace
--- a/src/wire/gen/lapishatch_types.h
+++ b/src/wire/gen/lapishatch_types.h
@@ -47,6 +47,8 @@
 
 class LogEntries;
 
+class EntriesReceived;
+
 class PullEntries;
 
 class OwnerQuery;
@@ -57,6 +59,8 @@
 
 class SnapshotQuery;
 
+class StatusQuery;
+
 class Query;
 
 class OwnerAnswer;
@@ -65,6 +69,16 @@
 
 class SnapshotAnswer;
 
+class LogStatus;
+
+class CellStatus;
+
+class EventLine;
+
+class ProcessStatus;
+
+class StatusAnswer;
+
 class Refusal;
 
 class Answer;
@@ -763,12 +777,13 @@
 std::ostream& operator<<(std::ostream& out, const Members& obj);
 
 typedef struct _LogEntries__isset {
-  _LogEntries__isset() : log(false), first_version(false), entries(false), pass_on(false), head(false) {}
+  _LogEntries__isset() : log(false), first_version(false), entries(false), pass_on(false), head(false), wants_receipt(false) {}
   bool log :1;
   bool first_version :1;
   bool entries :1;
   bool pass_on :1;
   bool head :1;
+  bool wants_receipt :1;
 } _LogEntries__isset;
 
 class LogEntries : public virtual ::apache::thrift::TBase {
@@ -782,7 +797,8 @@
              : log(),
                first_version(0),
                pass_on(0),
-               head(0) {
+               head(0),
+               wants_receipt(0) {
   }
 
   virtual ~LogEntries() noexcept;
@@ -791,6 +807,7 @@
   std::vector<std::string>  entries;
   bool pass_on;
   int64_t head;
+  bool wants_receipt;
 
   _LogEntries__isset __isset;
 
@@ -804,6 +821,8 @@
 
   void __set_head(const int64_t val);
 
+  void __set_wants_receipt(const bool val);
+
   bool operator == (const LogEntries & rhs) const
   {
     if (!(log == rhs.log))
@@ -816,6 +835,10 @@
       return false;
     if (!(head == rhs.head))
       return false;
+    if (__isset.wants_receipt != rhs.__isset.wants_receipt)
+      return false;
+    else if (__isset.wants_receipt && !(wants_receipt == rhs.wants_receipt))
+      return false;
     return true;
   }
   bool operator != (const LogEntries &rhs) const {
@@ -833,6 +856,57 @@
 
 std::ostream& operator<<(std::ostream& out, const LogEntries& obj);
 
+typedef struct _EntriesReceived__isset {
+  _EntriesReceived__isset() : log(false), first_version(false) {}
+  bool log :1;
+  bool first_version :1;
+} _EntriesReceived__isset;
+
+class EntriesReceived : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntriesReceived(const EntriesReceived&);
+  EntriesReceived(EntriesReceived&&) noexcept;
+  EntriesReceived& operator=(const EntriesReceived&);
+  EntriesReceived& operator=(EntriesReceived&&) noexcept;
+  EntriesReceived() noexcept
+                  : log(),
+                    first_version(0) {
+  }
+
+  virtual ~EntriesReceived() noexcept;
+  std::string log;
+  int64_t first_version;
+
+  _EntriesReceived__isset __isset;
+
+  void __set_log(const std::string& val);
+
+  void __set_first_version(const int64_t val);
+
+  bool operator == (const EntriesReceived & rhs) const
+  {
+    if (!(log == rhs.log))
+      return false;
+    if (!(first_version == rhs.first_version))
+      return false;
+    return true;
+  }
+  bool operator != (const EntriesReceived &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntriesReceived & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(EntriesReceived &a, EntriesReceived &b);
+
+std::ostream& operator<<(std::ostream& out, const EntriesReceived& obj);
+
 typedef struct _PullEntries__isset {
   _PullEntries__isset() : log(false), first_version(false) {}
   bool log :1;
@@ -1081,12 +1155,57 @@
 
 std::ostream& operator<<(std::ostream& out, const SnapshotQuery& obj);
 
+typedef struct _StatusQuery__isset {
+  _StatusQuery__isset() : whole_domain(false) {}
+  bool whole_domain :1;
+} _StatusQuery__isset;
+
+class StatusQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusQuery(const StatusQuery&) noexcept;
+  StatusQuery(StatusQuery&&) noexcept;
+  StatusQuery& operator=(const StatusQuery&) noexcept;
+  StatusQuery& operator=(StatusQuery&&) noexcept;
+  StatusQuery() noexcept
+              : whole_domain(0) {
+  }
+
+  virtual ~StatusQuery() noexcept;
+  bool whole_domain;
+
+  _StatusQuery__isset __isset;
+
+  void __set_whole_domain(const bool val);
+
+  bool operator == (const StatusQuery & rhs) const
+  {
+    if (!(whole_domain == rhs.whole_domain))
+      return false;
+    return true;
+  }
+  bool operator != (const StatusQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StatusQuery &a, StatusQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusQuery& obj);
+
 typedef struct _Query__isset {
-  _Query__isset() : owner(false), explain(false), cell_status(false), snapshot(false) {}
+  _Query__isset() : owner(false), explain(false), cell_status(false), snapshot(false), status(false) {}
   bool owner :1;
   bool explain :1;
   bool cell_status :1;
   bool snapshot :1;
+  bool status :1;
 } _Query__isset;
 
 class Query : public virtual ::apache::thrift::TBase {
@@ -1104,6 +1223,7 @@
   ExplainQuery explain;
   CellStatusQuery cell_status;
   SnapshotQuery snapshot;
+  StatusQuery status;
 
   _Query__isset __isset;
 
@@ -1115,6 +1235,8 @@
 
   void __set_snapshot(const SnapshotQuery& val);
 
+  void __set_status(const StatusQuery& val);
+
   bool operator == (const Query & rhs) const
   {
     if (__isset.owner != rhs.__isset.owner)
@@ -1133,6 +1255,10 @@
       return false;
     else if (__isset.snapshot && !(snapshot == rhs.snapshot))
       return false;
+    if (__isset.status != rhs.__isset.status)
+      return false;
+    else if (__isset.status && !(status == rhs.status))
+      return false;
     return true;
   }
   bool operator != (const Query &rhs) const {
@@ -1331,6 +1457,334 @@
 
 std::ostream& operator<<(std::ostream& out, const SnapshotAnswer& obj);
 
+typedef struct _LogStatus__isset {
+  _LogStatus__isset() : log(false), accepted(false), in_force(false) {}
+  bool log :1;
+  bool accepted :1;
+  bool in_force :1;
+} _LogStatus__isset;
+
+class LogStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogStatus(const LogStatus&);
+  LogStatus(LogStatus&&) noexcept;
+  LogStatus& operator=(const LogStatus&);
+  LogStatus& operator=(LogStatus&&) noexcept;
+  LogStatus() noexcept
+            : log(),
+              accepted(0),
+              in_force(0) {
+  }
+
+  virtual ~LogStatus() noexcept;
+  std::string log;
+  int64_t accepted;
+  int64_t in_force;
+
+  _LogStatus__isset __isset;
+
+  void __set_log(const std::string& val);
+
+  void __set_accepted(const int64_t val);
+
+  void __set_in_force(const int64_t val);
+
+  bool operator == (const LogStatus & rhs) const
+  {
+    if (!(log == rhs.log))
+      return false;
+    if (!(accepted == rhs.accepted))
+      return false;
+    if (!(in_force == rhs.in_force))
+      return false;
+    return true;
+  }
+  bool operator != (const LogStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(LogStatus &a, LogStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const LogStatus& obj);
+
+typedef struct _CellStatus__isset {
+  _CellStatus__isset() : cell(false), phase(false), epoch(false), workers(false), workers_reached(false), queued(false), gangs(false) {}
+  bool cell :1;
+  bool phase :1;
+  bool epoch :1;
+  bool workers :1;
+  bool workers_reached :1;
+  bool queued :1;
+  bool gangs :1;
+} _CellStatus__isset;
+
+class CellStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  CellStatus(const CellStatus&);
+  CellStatus(CellStatus&&) noexcept;
+  CellStatus& operator=(const CellStatus&);
+  CellStatus& operator=(CellStatus&&) noexcept;
+  CellStatus() noexcept
+             : cell(),
+               phase(),
+               epoch(0),
+               workers(0),
+               workers_reached(0),
+               queued(0),
+               gangs(0) {
+  }
+
+  virtual ~CellStatus() noexcept;
+  std::string cell;
+  std::string phase;
+  int64_t epoch;
+  int32_t workers;
+  int32_t workers_reached;
+  int32_t queued;
+  int32_t gangs;
+
+  _CellStatus__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  void __set_phase(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_workers(const int32_t val);
+
+  void __set_workers_reached(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
+  void __set_gangs(const int32_t val);
+
+  bool operator == (const CellStatus & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(workers == rhs.workers))
+      return false;
+    if (!(workers_reached == rhs.workers_reached))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    if (!(gangs == rhs.gangs))
+      return false;
+    return true;
+  }
+  bool operator != (const CellStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CellStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(CellStatus &a, CellStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const CellStatus& obj);
+
+typedef struct _EventLine__isset {
+  _EventLine__isset() : number(false), age_ms(false), text(false) {}
+  bool number :1;
+  bool age_ms :1;
+  bool text :1;
+} _EventLine__isset;
+
+class EventLine : public virtual ::apache::thrift::TBase {
+ public:
+
+  EventLine(const EventLine&);
+  EventLine(EventLine&&) noexcept;
+  EventLine& operator=(const EventLine&);
+  EventLine& operator=(EventLine&&) noexcept;
+  EventLine() noexcept
+            : number(0),
+              age_ms(0),
+              text() {
+  }
+
+  virtual ~EventLine() noexcept;
+  int32_t number;
+  int64_t age_ms;
+  std::string text;
+
+  _EventLine__isset __isset;
+
+  void __set_number(const int32_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const EventLine & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const EventLine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EventLine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(EventLine &a, EventLine &b);
+
+std::ostream& operator<<(std::ostream& out, const EventLine& obj);
+
+typedef struct _ProcessStatus__isset {
+  _ProcessStatus__isset() : name(false), incarnation(false), ready(false), table_reachable(false), logs(false), cells(false), events(false) {}
+  bool name :1;
+  bool incarnation :1;
+  bool ready :1;
+  bool table_reachable :1;
+  bool logs :1;
+  bool cells :1;
+  bool events :1;
+} _ProcessStatus__isset;
+
+class ProcessStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProcessStatus(const ProcessStatus&);
+  ProcessStatus(ProcessStatus&&) noexcept;
+  ProcessStatus& operator=(const ProcessStatus&);
+  ProcessStatus& operator=(ProcessStatus&&) noexcept;
+  ProcessStatus() noexcept
+                : name(),
+                  incarnation(),
+                  ready(0),
+                  table_reachable(0) {
+  }
+
+  virtual ~ProcessStatus() noexcept;
+  std::string name;
+  std::string incarnation;
+  bool ready;
+  bool table_reachable;
+  std::vector<LogStatus>  logs;
+  std::vector<CellStatus>  cells;
+  std::vector<EventLine>  events;
+
+  _ProcessStatus__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_incarnation(const std::string& val);
+
+  void __set_ready(const bool val);
+
+  void __set_table_reachable(const bool val);
+
+  void __set_logs(const std::vector<LogStatus> & val);
+
+  void __set_cells(const std::vector<CellStatus> & val);
+
+  void __set_events(const std::vector<EventLine> & val);
+
+  bool operator == (const ProcessStatus & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(ready == rhs.ready))
+      return false;
+    if (!(table_reachable == rhs.table_reachable))
+      return false;
+    if (!(logs == rhs.logs))
+      return false;
+    if (!(cells == rhs.cells))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    return true;
+  }
+  bool operator != (const ProcessStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProcessStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ProcessStatus &a, ProcessStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const ProcessStatus& obj);
+
+typedef struct _StatusAnswer__isset {
+  _StatusAnswer__isset() : processes(false) {}
+  bool processes :1;
+} _StatusAnswer__isset;
+
+class StatusAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusAnswer(const StatusAnswer&);
+  StatusAnswer(StatusAnswer&&) noexcept;
+  StatusAnswer& operator=(const StatusAnswer&);
+  StatusAnswer& operator=(StatusAnswer&&) noexcept;
+  StatusAnswer() noexcept {
+  }
+
+  virtual ~StatusAnswer() noexcept;
+  std::vector<ProcessStatus>  processes;
+
+  _StatusAnswer__isset __isset;
+
+  void __set_processes(const std::vector<ProcessStatus> & val);
+
+  bool operator == (const StatusAnswer & rhs) const
+  {
+    if (!(processes == rhs.processes))
+      return false;
+    return true;
+  }
+  bool operator != (const StatusAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StatusAnswer &a, StatusAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusAnswer& obj);
+
 typedef struct _Refusal__isset {
   _Refusal__isset() : reason(false), detail(false) {}
   bool reason :1;
@@ -1383,11 +1837,12 @@
 std::ostream& operator<<(std::ostream& out, const Refusal& obj);
 
 typedef struct _Answer__isset {
-  _Answer__isset() : owner(false), text(false), snapshot(false), refusal(false) {}
+  _Answer__isset() : owner(false), text(false), snapshot(false), refusal(false), status(false) {}
   bool owner :1;
   bool text :1;
   bool snapshot :1;
   bool refusal :1;
+  bool status :1;
 } _Answer__isset;
 
 class Answer : public virtual ::apache::thrift::TBase {
@@ -1405,6 +1860,7 @@
   TextAnswer text;
   SnapshotAnswer snapshot;
   Refusal refusal;
+  StatusAnswer status;
 
   _Answer__isset __isset;
 
@@ -1416,6 +1872,8 @@
 
   void __set_refusal(const Refusal& val);
 
+  void __set_status(const StatusAnswer& val);
+
   bool operator == (const Answer & rhs) const
   {
     if (__isset.owner != rhs.__isset.owner)
@@ -1434,6 +1892,10 @@
       return false;
     else if (__isset.refusal && !(refusal == rhs.refusal))
       return false;
+    if (__isset.status != rhs.__isset.status)
+      return false;
+    else if (__isset.status && !(status == rhs.status))
+      return false;
     return true;
   }
   bool operator != (const Answer &rhs) const {
@@ -1552,7 +2014,7 @@
 std::ostream& operator<<(std::ostream& out, const Response& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), heartbeat(false), ping(false), ack(false), indirect_ping(false), indirect_ack(false), members(false), log_entries(false), pull_entries(false), request(false), response(false) {}
+  _Message__isset() : hello(false), heartbeat(false), ping(false), ack(false), indirect_ping(false), indirect_ack(false), members(false), log_entries(false), pull_entries(false), request(false), response(false), entries_received(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool ping :1;
@@ -1564,6 +2026,7 @@
   bool pull_entries :1;
   bool request :1;
   bool response :1;
+  bool entries_received :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1588,6 +2051,7 @@
   PullEntries pull_entries;
   Request request;
   Response response;
+  EntriesReceived entries_received;
 
   _Message__isset __isset;
 
@@ -1613,6 +2077,8 @@
 
   void __set_response(const Response& val);
 
+  void __set_entries_received(const EntriesReceived& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1659,6 +2125,10 @@
       return false;
     else if (__isset.response && !(response == rhs.response))
       return false;
+    if (__isset.entries_received != rhs.__isset.entries_received)
+      return false;
+    else if (__isset.entries_received && !(entries_received == rhs.entries_received))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/wire/lapishatch.thrift
+++ b/src/wire/lapishatch.thrift
@@ -90,6 +90,14 @@
   4: bool pass_on
   // Up to which the sender has the log without a gap.
   5: i64 head
+  // The receiver says with EntriesReceived that it has come.
+  6: optional bool wants_receipt
+}
+
+struct EntriesReceived {
+  1: string log
+  // Of the LogEntries that have come.
+  2: i64 first_version
 }
 
 struct PullEntries {
@@ -117,11 +125,18 @@
   3: i64 offset
 }
 
+// Asks a process for its status; one that gathers answers for all of its
+// failure domain.
+struct StatusQuery {
+  1: bool whole_domain
+}
+
 union Query {
   1: OwnerQuery owner
   2: ExplainQuery explain
   3: CellStatusQuery cell_status
   4: SnapshotQuery snapshot
+  5: StatusQuery status
 }
 
 struct OwnerAnswer {
@@ -143,6 +158,43 @@
   4: binary bytes
 }
 
+struct LogStatus {
+  1: string log
+  2: i64 accepted
+  3: i64 in_force
+}
+
+struct CellStatus {
+  1: string cell
+  2: string phase
+  3: i64 epoch
+  4: i32 workers
+  5: i32 workers_reached
+  6: i32 queued
+  7: i32 gangs
+}
+
+struct EventLine {
+  1: i32 number
+  2: i64 age_ms
+  3: string text
+}
+
+struct ProcessStatus {
+  1: string name
+  2: string incarnation
+  3: bool ready
+  4: bool table_reachable
+  5: list<LogStatus> logs
+  6: list<CellStatus> cells
+  // The newest first.
+  7: list<EventLine> events
+}
+
+struct StatusAnswer {
+  1: list<ProcessStatus> processes
+}
+
 struct Refusal {
   1: i32 reason
   2: string detail
@@ -153,6 +205,7 @@
   2: TextAnswer text
   3: SnapshotAnswer snapshot
   4: Refusal refusal
+  5: StatusAnswer status
 }
 
 struct Request {
@@ -177,4 +230,5 @@
   9: PullEntries pull_entries
   10: Request request
   11: Response response
+  12: EntriesReceived entries_received
 }
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -137,10 +137,21 @@
   bool pass_on = false;
   /// Version up to which the sender has the log without a gap.
   LogVersion head = 0;
+  /// The receiver says with EntriesReceived that it has come.
+  bool wants_receipt = false;
 
   friend bool operator==(const LogEntries&, const LogEntries&) = default;
 };
 
+/// The LogEntries of `log` that begin with `first_version` have come.
+struct EntriesReceived {
+  LogName log;
+  LogVersion first_version = 0;
+
+  friend bool operator==(const EntriesReceived&,
+                         const EntriesReceived&) = default;
+};
+
 /// Asks for the changes from `first_version` on.
 struct PullEntries {
   LogName log;
@@ -183,8 +194,15 @@
   friend bool operator==(const SnapshotQuery&, const SnapshotQuery&) = default;
 };
 
-using Query =
-    std::variant<OwnerQuery, ExplainQuery, CellStatusQuery, SnapshotQuery>;
+/// Asks a process for its status, or to gather those of its failure domain.
+struct StatusQuery {
+  bool whole_domain = false;
+
+  friend bool operator==(const StatusQuery&, const StatusQuery&) = default;
+};
+
+using Query = std::variant<OwnerQuery, ExplainQuery, CellStatusQuery,
+                           SnapshotQuery, StatusQuery>;
 
 struct OwnerAnswer {
   base::CellName cell;
@@ -215,6 +233,58 @@
                          const SnapshotAnswer&) = default;
 };
 
+/// How far a process is with a log.
+struct LogStatus {
+  LogName log;
+  LogVersion accepted = 0;
+  LogVersion in_force = 0;
+
+  friend bool operator==(const LogStatus&, const LogStatus&) = default;
+};
+
+/// A process's part in a cell.
+struct CellStatus {
+  base::CellName cell;
+  /// As in the status page of a scheduler.
+  std::string phase;
+  std::uint64_t epoch = 0;
+  std::int32_t workers = 0;
+  std::int32_t workers_reached = 0;
+  std::int32_t queued = 0;
+  std::int32_t gangs = 0;
+
+  friend bool operator==(const CellStatus&, const CellStatus&) = default;
+};
+
+/// A warning or error of a process, by its number in the catalogue.
+struct EventLine {
+  std::int32_t number = 0;
+  std::int64_t age_ms = 0;
+  std::string text;
+
+  friend bool operator==(const EventLine&, const EventLine&) = default;
+};
+
+struct ProcessStatus {
+  ProcessName name;
+  base::Incarnation incarnation;
+  bool ready = false;
+  bool table_reachable = false;
+  std::vector<LogStatus> logs;
+  std::vector<CellStatus> cells;
+  /// The newest first.
+  std::vector<EventLine> events;
+
+  friend bool operator==(const ProcessStatus&, const ProcessStatus&) = default;
+};
+
+/// The process itself, or those of its failure domain that answered it.
+struct StatusAnswer {
+  std::vector<ProcessStatus> processes;
+
+  friend bool operator==(const StatusAnswer&, const StatusAnswer&) = default;
+};
+
 /// Why a query has no answer from the process that was asked.
 enum class RefusalReason : std::uint8_t {
   /// The process does not serve such queries, for example an entry an
@@ -233,7 +303,8 @@
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
-using Answer = std::variant<OwnerAnswer, TextAnswer, SnapshotAnswer, Refusal>;
+using Answer = std::variant<OwnerAnswer, TextAnswer, SnapshotAnswer, Refusal,
+                            StatusAnswer>;
 
 struct Request {
   std::uint64_t id = 0;
@@ -249,9 +320,9 @@
   friend bool operator==(const Response&, const Response&) = default;
 };
 
-using Message =
-    std::variant<Hello, Heartbeat, Ping, Ack, IndirectPing, IndirectAck,
-                 Members, LogEntries, PullEntries, Request, Response>;
+using Message = std::variant<Hello, Heartbeat, Ping, Ack, IndirectPing,
+                             IndirectAck, Members, LogEntries, PullEntries,
+                             Request, Response, EntriesReceived>;
 
 }  // namespace lapishatch::wire
 
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -57,21 +57,39 @@
 }
 
 Query AnyQuery() {
-  switch (*rc::gen::inRange(0, 4)) {
+  switch (*rc::gen::inRange(0, 5)) {
     case 0:
       return OwnerQuery{*AnyId<base::CellName>(), *AnyId<base::Incarnation>()};
     case 1:
       return ExplainQuery{*AnyId<base::JobName>()};
     case 2:
       return CellStatusQuery{*AnyId<base::CellName>()};
+    case 3:
+      return StatusQuery{*rc::gen::arbitrary<bool>()};
     default:
       return SnapshotQuery{*AnyId<LogName>(), *AnyNumber(), *AnyNumber()};
   }
 }
 
+StatusAnswer AnyStatusAnswer() {
+  StatusAnswer out;
+  for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+    const auto n = *rc::gen::arbitrary<std::int32_t>();
+    out.processes.push_back(
+        {*AnyId<ProcessName>(),
+         *AnyId<base::Incarnation>(),
+         *rc::gen::arbitrary<bool>(),
+         *rc::gen::arbitrary<bool>(),
+         {{*AnyId<LogName>(), *AnyNumber(), *AnyNumber()}},
+         {{*AnyId<base::CellName>(), *AnyText(), *AnyNumber(), n, n, n, n}},
+         {{n, *rc::gen::arbitrary<std::int64_t>(), *AnyText()}}});
+  }
+  return out;
+}
+
 Answer AnyAnswer() {
   const bool flag = *rc::gen::arbitrary<bool>();
-  switch (*rc::gen::inRange(0, 4)) {
+  switch (*rc::gen::inRange(0, 5)) {
     case 0:
       return OwnerAnswer{*AnyId<base::CellName>(), flag, !flag, *AnyNumber()};
     case 1:
@@ -79,13 +97,15 @@
     case 2:
       return SnapshotAnswer{*AnyNumber(), *AnyNumber(), *AnyNumber(),
                             *AnyText()};
+    case 3:
+      return AnyStatusAnswer();
     default:
       return Refusal{RefusalReason::kBusy, *AnyText()};
   }
 }
 
 Message AnyMessage() {
-  switch (*rc::gen::inRange(0, 11)) {
+  switch (*rc::gen::inRange(0, 12)) {
     case 0:
       return Hello{*rc::gen::arbitrary<std::int32_t>(), AnyIdentity()};
     case 1:
@@ -104,9 +124,14 @@
     case 6:
       return AnyMembers();
     case 7:
-      return LogEntries{*AnyId<LogName>(), *AnyNumber(),
+      return LogEntries{*AnyId<LogName>(),
+                        *AnyNumber(),
                         *rc::gen::arbitrary<std::vector<std::string>>(),
-                        *rc::gen::arbitrary<bool>(), *AnyNumber()};
+                        *rc::gen::arbitrary<bool>(),
+                        *AnyNumber(),
+                        *rc::gen::arbitrary<bool>()};
+    case 10:
+      return EntriesReceived{*AnyId<LogName>(), *AnyNumber()};
     case 8:
       return PullEntries{*AnyId<LogName>(), *AnyNumber()};
     case 9:
