Confirm changes between domains, and pull again by a timer

A push to another domain was one message, and a lost pull was tried again only when somebody spoke of the log anew.

Change: the member that a domain's push goes to confirms it (EntriesReceived); without that within 0.2 s the next member gets it, three at most. A pull without effect is sent again after 0.2 s, six times at most, by turns to the peer that spoke of the change and to another.

--- a/src/membership/node.cc
+++ b/src/membership/node.cc
@@ -30,7 +30,9 @@
   void operator()(const wire::PullEntries& it) const {
     spreader.OnPull(from, it);
   }
-  void operator()(const wire::EntriesReceived&) const {}
+  void operator()(const wire::EntriesReceived& it) const {
+    spreader.OnReceived(from, it);
+  }
   void operator()(wire::Request& it) const {
     requests.OnRequest(from, std::move(it));
   }
--- a/src/membership/spreader.cc
+++ b/src/membership/spreader.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace lapishatch::membership {
+namespace {
+
+/// Pulls in a row, by turns of the peer that spoke of the change and of others,
+/// until somebody speaks of it again.
+constexpr int kPullTries = 6;
+
+}  // namespace
 
 Spreader::Spreader(base::EventLoop& loop, wire::Transport& transport,
                    Group& group, wire::RequestChannel& requests,
@@ -89,6 +96,10 @@
   auto* log = Find(message.log);
   if (log == nullptr) return;
   const auto peer = PeerOf(from);
+  if (message.wants_receipt) {
+    transport_.Send(peer,
+                    wire::EntriesReceived{log->name, message.first_version});
+  }
   Hear(*log, message.head);
   if (message.entries.empty()) {
     const bool is_behind = message.first_version > log->version + 1;
@@ -110,6 +121,11 @@
   Pull(*log, peer);
 }
 
+void Spreader::OnReceived(const wire::Identity& from,
+                          const wire::EntriesReceived& receipt) {
+  unconfirmed_.erase({from.domain, receipt.log, receipt.first_version});
+}
+
 /// Sends the changes from a version on, as many as fit a message; none, with
 /// the version after the newest, when they are no longer kept.
 void Spreader::OnPull(const wire::Identity& from,
@@ -218,16 +234,38 @@
 void Spreader::PushMessage(wire::LogEntries message) {
   SendInDomain(message, group_.self().name);
   message.pass_on = true;
-  const auto key = message.log.str() + std::to_string(message.first_version);
+  message.wants_receipt = true;
+  const auto shared =
+      std::make_shared<const wire::LogEntries>(std::move(message));
   for (const auto& domain : group_.table().Domains()) {
-    if (domain == group_.self().domain) continue;
-    if (!group_.IsReachable(domain)) continue;
-    for (const auto* it : group_.table().Choose(domain, key, 1)) {
-      transport_.Send(PeerOf(it->identity), message);
-    }
+    if (domain != group_.self().domain) PushTo(domain, shared, 0);
   }
 }
 
+/// To the member of another domain whose turn it is, and without a receipt to
+/// the next one.
+void Spreader::PushTo(const base::DomainName& domain,
+                      const std::shared_ptr<const wire::LogEntries>& message,
+                      int turn) {
+  const Unconfirmed unconfirmed{domain, message->log, message->first_version};
+  const auto key = message->log.str() + std::to_string(message->first_version);
+  const auto chosen = group_.table().Choose(domain, key, options_.passers);
+  const bool is_over =
+      turn >= options_.passers || chosen.empty() || !group_.IsReachable(domain);
+  if (is_over) {
+    unconfirmed_.erase(unconfirmed);
+    return;
+  }
+  unconfirmed_.insert(unconfirmed);
+  const auto index = static_cast<std::size_t>(turn) % chosen.size();
+  transport_.Send(PeerOf(chosen[index]->identity), *message);
+  loop_.After(options_.receipt_timeout,
+              [this, alive = alive_, unconfirmed, message, turn] {
+                if (!*alive || !unconfirmed_.contains(unconfirmed)) return;
+                PushTo(unconfirmed.domain, message, turn + 1);
+              });
+}
+
 /// Whether the change is news here does not matter: this process may have
 /// pulled it in the meantime, and its domain still waits for it.
 void Spreader::PassOn(Log& log, wire::LogEntries message,
@@ -239,6 +277,7 @@
     log.passed_on.erase(log.passed_on.begin());
   }
   message.pass_on = false;
+  message.wants_receipt = false;
   message.head = log.version;
   SendInDomain(message, sender);
 }
@@ -296,10 +335,23 @@
   return PeerOf(from[random_() % from.size()]->identity);
 }
 
-void Spreader::Pull(Log& log, const wire::Peer& peer) {
+void Spreader::Pull(Log& log, const wire::Peer& peer, int tries) {
   ++counts_.pulls;
   log.pull_until = loop_.Now() + options_.pull_timeout;
   transport_.Send(peer, wire::PullEntries{log.name, log.version + 1});
+  loop_.After(options_.pull_timeout,
+              [this, alive = alive_, name = log.name, peer, tries] {
+                if (!*alive) return;
+                if (auto* it = Find(name)) OnPullDue(*it, peer, tries);
+              });
+}
+
+void Spreader::OnPullDue(Log& log, const wire::Peer& peer, int tries) {
+  const bool is_open = log.has_base && !log.transfer &&
+                       log.version < log.heard && loop_.Now() >= log.pull_until;
+  if (!is_open || tries >= kPullTries) return;
+  const bool same_again = tries % 2 != 0;
+  Pull(log, same_again ? peer : SomePeer().value_or(peer), tries + 1);
 }
 
 Spreader::Log* Spreader::Find(const LogName& name) {
--- a/src/membership/spreader.h
+++ b/src/membership/spreader.h
@@ -44,7 +44,12 @@
   /// Changes that become known within this time travel together.
   base::Duration spread_delay{20};
   /// Wait for the answer to a pull before another peer is asked.
-  base::Duration pull_timeout{400};
+  base::Duration pull_timeout{200};
+  /// Wait for the receipt of a change that another failure domain is to pass
+  /// on, before another member of it gets the change.
+  base::Duration receipt_timeout{200};
+  /// Members of a domain that get a change in turn until one has said so.
+  int passers = 3;
   /// Recent changes kept for peers that are behind, per log.
   std::size_t keep_entries = 2'048;
   std::size_t keep_bytes = std::size_t{2} * 1024 * 1024;
@@ -67,10 +72,11 @@
 };
 
 /// Spreads change logs among processes. A change is pushed to the members of
-/// the own domain and to one member of every other, which passes it on in its
-/// own; whoever misses a push finds out by the heads in the next probe and
-/// pulls. Every process sees every version once, in order, without a gap, and
-/// never goes back. To be used on the loop only.
+/// the own domain and to one member of every other, which confirms it and
+/// passes it on in its own; without a confirmation another member gets it.
+/// Whoever misses a push finds out by the heads in the next message and pulls.
+/// Every process sees every version once, in order, without a gap, and never
+/// goes back. To be used on the loop only.
 class Spreader {
  public:
   Spreader(base::EventLoop& loop, wire::Transport& transport, Group& group,
@@ -123,6 +129,8 @@
                const std::vector<wire::LogHead>& heads);
   void OnEntries(const wire::Identity& from, wire::LogEntries message);
   void OnPull(const wire::Identity& from, const wire::PullEntries& pull);
+  void OnReceived(const wire::Identity& from,
+                  const wire::EntriesReceived& receipt);
   wire::Answer AnswerSnapshot(const wire::SnapshotQuery& query);
 
  private:
@@ -162,6 +170,15 @@
     std::optional<Snapshot> served;
   };
 
+  /// A change that another failure domain has not confirmed yet.
+  struct Unconfirmed {
+    base::DomainName domain;
+    LogName log;
+    LogVersion first = 0;
+
+    friend auto operator<=>(const Unconfirmed&, const Unconfirmed&) = default;
+  };
+
   Log* Find(const LogName& name);
   const Log* Find(const LogName& name) const;
   static bool IsNew(const Log& log, LogVersion version);
@@ -173,11 +190,14 @@
   void SchedulePush(Log& log);
   void Push(Log& log);
   void PushMessage(wire::LogEntries message);
+  void PushTo(const base::DomainName& domain,
+              const std::shared_ptr<const wire::LogEntries>& message, int turn);
   void PassOn(Log& log, wire::LogEntries message, const ProcessName& sender);
   void SendInDomain(const wire::LogEntries& message, const ProcessName& except);
   bool Fits(const wire::LogEntries& message, LogVersion version,
             std::size_t bytes, const std::string& entry) const;
-  void Pull(Log& log, const wire::Peer& peer);
+  void Pull(Log& log, const wire::Peer& peer, int tries = 1);
+  void OnPullDue(Log& log, const wire::Peer& peer, int tries);
   void Hear(Log& log, LogVersion version);
   std::optional<wire::Peer> SomePeer();
   void StartTransfer(Log& log, const wire::Peer& peer);
@@ -192,6 +212,7 @@
   wire::RequestChannel& requests_;
   SpreaderOptions options_;
   std::map<LogName, Log> logs_;
+  std::set<Unconfirmed> unconfirmed_;
   base::Random random_;
   SpreaderCounts counts_;
   /// Lets tasks that run later find out that the spreader is gone.
--- a/test/membership/spreader_test.cc
+++ b/test/membership/spreader_test.cc
@@ -54,6 +54,34 @@
   CheckLogs(*group, 2);
 }
 
+TEST_CASE(
+    "a change that goes to a silent member of a domain goes to the next") {
+  const auto group = Settled(30, 16, 3);
+  const auto& table = (*group)[0].node.group().table();
+  const auto chosen =
+      table.Choose(base::DomainName("d1"), kConfigurationLog.str() + "1", 1);
+  REQUIRE(chosen.size() == 1);
+  for (const auto& it : group->members()) {
+    if (it->identity.name == chosen[0]->identity.name) it->Kill();
+  }
+  Publish((*group)[0], 1, 1);
+  CHECK(
+      group->time().RunUntil([&] { return group->HaveAll(1); }, Duration(300)));
+}
+
+TEST_CASE(
+    "while a tenth of the messages is lost, changes come in two seconds") {
+  for (std::uint64_t seed = 31; seed < 34; ++seed) {
+    const auto group = Settled(seed, 52, 13);
+    group->network().faults().loss = 0.1;
+    for (wire::LogVersion v = 1; v <= 50; ++v) {
+      Publish((*group)[v % 52], v, v);
+      CHECK(group->time().RunUntil([&] { return group->HaveAll(v); },
+                                   2 * kSecond));
+    }
+  }
+}
+
 TEST_CASE("many publishers at once, with loss and doubles: no gap, no return") {
   for (std::uint64_t seed = 2; seed < 7; ++seed) {
     const auto group = Settled(seed, 24, 3);
