Let a process tell the others another address than it listens at

Ruled out: a relay that rewrites the endpoints in the messages that pass; it would take part in the protocol that it is to break.

Change: the setting process.peer_advertised, empty by default, and AsioTransportOptions::listen.

--- a/src/config/program.cc
+++ b/src/config/program.cc
@@ -251,6 +251,9 @@
                    "one.");
   section.Endpoint("peer_listen", process.peer_listen,
                    "Where the system's other processes reach it.");
+  section.Endpoint("peer_advertised", process.peer_advertised,
+                   "What the others are told in place of peer_listen, where "
+                   "something forwards to it.");
   section.Endpoints("peers", process.peers, 256,
                     "Peer endpoints of other processes, to begin with.");
   section.Endpoint("platform", process.platform,
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -40,6 +40,9 @@
   http::Endpoint listen{"127.0.0.1", 0};
   /// Where other processes of the system reach it.
   http::Endpoint peer_listen{"127.0.0.1", 0};
+  /// What other processes are told in place of peer_listen, where something
+  /// forwards to it; port 0: peer_listen itself.
+  http::Endpoint peer_advertised;
   /// Peer endpoints of other processes, to begin with.
   std::vector<http::Endpoint> peers;
   http::Endpoint platform;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -57,6 +57,11 @@
 wire::AsioTransportOptions TransportOptions(const config::Program& program) {
   wire::AsioTransportOptions options;
   options.identity = IdentityOf(program);
+  const auto& process = program.process();
+  if (process.peer_advertised.port == 0) return options;
+  options.listen = options.identity.endpoint;
+  options.identity.endpoint = {process.peer_advertised.address,
+                               process.peer_advertised.port};
   return options;
 }
 
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -79,6 +79,11 @@
 wire::AsioTransportOptions TransportOptionsOf(const config::Program& program) {
   wire::AsioTransportOptions out;
   out.identity = IdentityOf(program);
+  const auto& process = program.process();
+  if (process.peer_advertised.port == 0) return out;
+  out.listen = out.identity.endpoint;
+  out.identity.endpoint = {process.peer_advertised.address,
+                           process.peer_advertised.port};
   return out;
 }
 
--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -40,6 +40,10 @@
   return std::holds_alternative<Heartbeat>(message);
 }
 
+tcp::endpoint ToAsio(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
 /// Holds the connections; lives as long as a handler of them is pending.
 class Links final : public std::enable_shared_from_this<Links> {
  public:
@@ -49,12 +53,13 @@
         loop_(loop),
         options_(std::move(options)),
         acceptor_(strand_,
-                  {asio::ip::make_address(options_.identity.endpoint.address),
-                   options_.identity.endpoint.port}),
+                  ToAsio(options_.listen.value_or(options_.identity.endpoint))),
         tick_(strand_),
         accept_retry_(strand_),
         random_(std::random_device{}()) {
-    options_.identity.endpoint.port = acceptor_.local_endpoint().port();
+    if (!options_.listen) {
+      options_.identity.endpoint.port = acceptor_.local_endpoint().port();
+    }
     hello_ = MakeFrame(Encode(Hello{kProtocolVersion, options_.identity}));
     heartbeat_ = MakeFrame(Encode(Heartbeat{}));
   }
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "base/base.h"
 #include "wire/codec.h"
@@ -64,6 +65,9 @@
 struct AsioTransportOptions {
   /// Who this process is; the port of its endpoint may be 0 for any free one.
   Identity identity;
+  /// Where to listen when that is not the endpoint of the identity, which the
+  /// others are then told as it stands.
+  std::optional<Endpoint> listen = std::nullopt;
   base::Duration connect_timeout{1'000};
   /// From the opened connection to the peer's Hello.
   base::Duration hello_timeout{2'000};
@@ -86,7 +90,8 @@
 /// each way is opened between two processes, on demand; both use either.
 class AsioTransport : public Transport {
  public:
-  /// The endpoint with the port that was bound.
+  /// The endpoint that others are told, with the port that was bound when it
+  /// is the one that is listened at.
   virtual Endpoint endpoint() const = 0;
 
   virtual TransportCounts counts() const = 0;
--- a/test/wire/asio_transport_test.cc
+++ b/test/wire/asio_transport_test.cc
@@ -51,6 +51,21 @@
   return true;
 }
 
+TEST_CASE("the others are told the advertised endpoint") {
+  boost::asio::io_context io;
+  AsioTransportOptions options;
+  options.identity = MakeIdentity("a", 7'001);
+  options.listen = Endpoint{"127.0.0.1", 0};
+  Node a(io, options);
+  CHECK(a.transport->endpoint().port == 7'001);
+  AsioTransportOptions other;
+  other.identity = MakeIdentity("b");
+  Node b(io, other);
+  a.transport->Send(PeerOf(b.identity), Ping{});
+  REQUIRE(RunUntil(io, [&] { return !b.senders.empty(); }));
+  CHECK(b.senders.front().endpoint == options.identity.endpoint);
+}
+
 /// A connection that speaks the protocol by hand.
 struct RawPeer {
   RawPeer(boost::asio::io_context& io, const Endpoint& to) : socket(io) {
