Tell an owner of a job only after the configuration it was accepted with

Cause: the two change logs spread on their own. A scheduler that heard of a job sooner than of its organisation's guarantee judged it by the older configuration and ended it as unschedulable, for good, although it had been accepted against the newer one.

Ruled out: waiting only while the organisation is unknown (a changed guarantee has the same race); a version in each job's record (a change of format; the accepting transaction demands both heads, so any head read after the job was heard of is new enough); judging again after each change of configuration (the refusal has been told by then).

Change: the feed holds what it has to tell of jobs until Mirror::Refresh has read the logs up to present heads, one reading for all that wait. When the table cannot be read the job is told at once, since accepted work goes on in an outage. The price is one read of the heads for each batch of new jobs.

Conclusion: "unschedulable" is said against a configuration at least as new as the job, but for a job first heard of during an outage of the table.

--- a/src/scheduler_main/log_job_feed.cc
+++ b/src/scheduler_main/log_job_feed.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -118,6 +119,7 @@
       return;
     }
     for (const auto& entry : entries) OnJobEntry(*entry);
+    if (!is_refreshing_ && !held_.empty()) RefreshForHeld();
   }
 
  private:
@@ -171,13 +173,38 @@
     if (!IsOurs(job)) return;
     const base::JobName name(job.ref.name);
     if (entry.type == config::EntryType::kDelete) {
-      TellEach(scheduler::JobCancelled{name});
+      held_.emplace_back(scheduler::JobCancelled{name});
       return;
     }
     const bool is_status_only = entry.version != job.version;
     if (is_status_only || IsFinal(PhaseOf(job))) return;
-    TellEach(scheduler::JobAccepted{Accepted(job)});
-    if (job.cancel_requested) TellEach(scheduler::JobCancelled{name});
+    held_.emplace_back(scheduler::JobAccepted{Accepted(job)});
+    if (job.cancel_requested) {
+      held_.emplace_back(scheduler::JobCancelled{name});
+    }
+  }
+
+  /// A job may be heard of sooner than the configuration that it was accepted
+  /// against, and would be judged by an older one: what is told of jobs waits
+  /// until the logs are read up to heads that are newer than it. When the
+  /// table cannot be read, what was accepted goes on with what is known.
+  void RefreshForHeld() {
+    is_refreshing_ = true;
+    mirror_.Refresh([weak = weak_from_this(),
+                     n = held_.size()](const std::optional<config::LogHeads>&) {
+      if (const auto self = weak.lock()) self->Release(n);
+    });
+  }
+
+  /// Tells the first `n` held events.
+  void Release(std::size_t n) {
+    is_refreshing_ = false;
+    for (; n > 0; --n) {
+      const auto event = std::move(held_.front());
+      held_.pop_front();
+      TellEach(event);
+    }
+    if (!held_.empty()) RefreshForHeld();
   }
 
   void UpdateWorkers() {
@@ -267,6 +294,9 @@
   std::vector<std::shared_ptr<Subscriber>> awaiting_vms_;
   std::vector<CellWorker> workers_;
   CellConfiguration configuration_;
+  /// What is to be told of jobs, in order.
+  std::deque<FeedEvent> held_;
+  bool is_refreshing_ = false;
 };
 
 LogJobFeed::LogJobFeed(base::EventLoop& loop, config::Mirror& mirror,
--- a/test/scheduler_main/feed_and_status_test.cc
+++ b/test/scheduler_main/feed_and_status_test.cc
@@ -48,7 +48,8 @@
 
 /// One scheduler process of mixco in virtual time, without its cell owners.
 struct World {
-  World() {
+  explicit World(config::MirrorOptions mirror_options = {})
+      : mirror(mirror_options, {process, table}) {
     mirror.Start();
     Change({ResourceKind::kOrganisation, "fianza"},
            config::PutSpec{config::OrganisationSpec{}});
@@ -113,7 +114,7 @@
   fakes::FakeTable store{time};
   fakes::FakeProcess process{time};
   fakes::FakeTableView table{store, process};
-  config::Mirror mirror{{}, {process, table}};
+  config::Mirror mirror;
   config::ChangeWriter writer{{}, {process, table, mirror}};
   StatusPublisher publisher{{process, table, mirror, writer}, {}};
   StatusTap tap{table, [this](base::JobName job, config::JobStatus status,
@@ -199,6 +200,57 @@
   it.Settle(6);
 }
 
+/// Writes a job and the guarantee that it needs in another process, and hands
+/// over only the job, as a peer may.
+void HearOfJobOnly(World& it) {
+  fakes::FakeProcess process{it.time};
+  fakes::FakeTableView table{it.store, process};
+  config::Mirror mirror{{}, {process, table}};
+  config::ChangeWriter writer{{}, {process, table, mirror}};
+  mirror.Start();
+  it.time.RunFor(Duration(3'000));
+  int accepted = 0;
+  const auto submit = [&](const ResourceRef& ref, config::Spec spec) {
+    writer.Submit({{{ref, config::Anyway{}, config::PutSpec{std::move(spec)}}},
+                   false,
+                   "t"},
+                  [&](const config::ChangeOutcome&) { ++accepted; });
+    const int wanted = accepted + 1;
+    REQUIRE(
+        it.time.RunUntil([&] { return accepted == wanted; }, Duration(60'000)));
+  };
+  config::OrganisationSpec organisation;
+  organisation.weight = 3;
+  submit({ResourceKind::kOrganisation, "fianza"}, organisation);
+  submit({ResourceKind::kJob, "plan"}, JobIn(kMixco));
+  const auto entry = mirror.EntryAt(config::LogId::kJobs, 1);
+  REQUIRE(entry != nullptr);
+  it.mirror.TakeCommitted(config::LogId::kJobs, {entry});
+}
+
+TEST_CASE("a job is told after the configuration that it was accepted with") {
+  World it({.poll = Duration(60'000)});
+  it.feed.SetVms({WorkerVm("w1", kMixco)});
+  it.Follow();
+  it.Settle(1);
+  HearOfJobOnly(it);
+  it.Settle(3);
+  const auto& changed = it.EventAt<scheduler::ConfigurationChanged>(1);
+  CHECK(changed.configuration.shares.at(0).weight == 3);
+  CHECK(it.EventAt<scheduler::JobAccepted>(2).job.name.str() == "plan");
+}
+
+TEST_CASE("a job that is heard of in an outage of the table is told in it") {
+  World it({.poll = Duration(60'000)});
+  it.feed.SetVms({WorkerVm("w1", kMixco)});
+  it.Follow();
+  it.Settle(1);
+  HearOfJobOnly(it);
+  it.store.SetDown(true);
+  it.Settle(2);
+  CHECK(it.EventAt<scheduler::JobAccepted>(1).job.name.str() == "plan");
+}
+
 TEST_CASE(
     "a job whose end was asked for before is told with its cancellation") {
   World it;
