Wait for the scheduler's own word in its process test

Cause: the test looked every 5 ms whether another process had come so far.

Change: its output and log are read as they come; owning the cell is awaited as the line `cell_recovered` with every worker (and then checked at /v1/status as before), a job's phase by the mirror's listener. The recovery window of the test goes from 0.5 to 5 s, so that the line tells of all workers also on a busy machine: recovery ends at once when all have answered.

--- a/test/scheduler_main/process_test.cc
+++ b/test/scheduler_main/process_test.cc
@@ -1,9 +1,11 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
+#include <condition_variable>
 #include <filesystem>
 #include <fstream>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -38,7 +40,7 @@
              (base::MakeUniqueText("scheduler-") + ".toml")) {
     std::ofstream(file) << "[process]\nname = \"" << name
                         << "\"\nfailure_domain = \"" << kDomain
-                        << "\"\nlog = \"warning\"\nplatform = \""
+                        << "\"\nlog = \"info\"\nplatform = \""
                         << http::TextOf(platform) << "\"\npeers = [" << peers
                         << "]\n"
                         << R"([scheduler]
@@ -47,7 +49,7 @@
 lease_margin_ms = 100
 lease_renew_ms = 400
 lease_read_ms = 200
-recovery_window_ms = 500
+recovery_window_ms = 5000
 poll_wait_ms = 1000
 poll_retry_ms = 100
 [platform]
@@ -68,13 +70,22 @@
   }
 
   http::Endpoint ReadEndpoint(const std::string& prefix) {
-    const auto line = process->ReadLine();
+    const auto line = process->WaitLine({prefix}, kLimit);
     REQUIRE(line.starts_with(prefix));
     const auto found = config::ParseEndpoint(line.substr(prefix.size()));
     REQUIRE(found.has_value());
     return *found;
   }
 
+  /// Waits until it says that it has recovered the cell with every worker.
+  bool WaitOwns() const {
+    return !process
+                ->WaitLine(
+                    {"cell_recovered", "workers=" + std::to_string(kWorkers)},
+                    kLimit)
+                .empty();
+  }
+
   std::filesystem::path file;
   std::unique_ptr<testing::ChildProcess> process;
   http::Endpoint endpoint;
@@ -109,7 +120,10 @@
         config::MirrorPorts{*loop, *table});
     writer = std::make_unique<config::ChangeWriter>(
         config::WriterOptions{}, config::WriterPorts{*loop, *table, *mirror});
-    loop->Post([this] { mirror->Start(); });
+    loop->Post([this] {
+      mirror->Listen([this](config::LogId, const auto&) { NoteChange(); });
+      mirror->Start();
+    });
   }
 
   ~World() {
@@ -200,18 +214,15 @@
     return out;
   }
 
-  template <typename Condition>
-  bool WaitFor(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kLimit;
-    while (std::chrono::steady_clock::now() < end) {
-      if (condition()) return true;
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-    return false;
+  void NoteChange() {
+    const std::lock_guard lock(mutex);
+    changed.notify_all();
   }
 
+  /// Looks at each change that the mirror tells.
   bool WaitForPhase(const std::string& job, JobPhase phase) {
-    return WaitFor([&] { return Phase(job) == phase; });
+    std::unique_lock lock(mutex);
+    return changed.wait_for(lock, kLimit, [&] { return Phase(job) == phase; });
   }
 
   boost::asio::io_context io;
@@ -225,13 +236,16 @@
   std::unique_ptr<store::Table> table;
   std::unique_ptr<config::Mirror> mirror;
   std::unique_ptr<config::ChangeWriter> writer;
+  std::mutex mutex;
+  std::condition_variable changed;
   std::vector<std::jthread> threads;
 };
 
 TEST_CASE("a gang goes from the job log through the workers to finished") {
   World it;
   Scheduler scheduler("s1", it.platform->endpoint(), "");
-  REQUIRE(it.WaitFor([&] { return it.Owns(scheduler); }));
+  REQUIRE(scheduler.WaitOwns());
+  CHECK(it.Owns(scheduler));
   it.Submit(config::ResourceKind::kOrganisation, "bertolini",
             config::OrganisationSpec{});
   it.SubmitJob("plan", 3, 100);
@@ -244,7 +258,8 @@
 TEST_CASE("a planned stop hands the cell over and cuts no gang") {
   World it;
   Scheduler first("s1", it.platform->endpoint(), "");
-  REQUIRE(it.WaitFor([&] { return it.Owns(first); }));
+  REQUIRE(first.WaitOwns());
+  CHECK(it.Owns(first));
   Scheduler second("s2", it.platform->endpoint(),
                    "\"" + http::TextOf(first.peer) + "\"");
   it.Submit(config::ResourceKind::kOrganisation, "bertolini",
@@ -253,7 +268,8 @@
   REQUIRE(it.WaitForPhase("plan", JobPhase::kRunning));
   first.process->Signal(SIGTERM);
   CHECK(first.process->Wait() == 0);
-  CHECK(it.WaitFor([&] { return it.Owns(second); }));
+  CHECK(second.WaitOwns());
+  CHECK(it.Owns(second));
   CHECK(it.WaitForPhase("plan", JobPhase::kFinished));
   CHECK(it.Starts("plan") == 4);
 }
@@ -261,7 +277,8 @@
 TEST_CASE("a killed owner is replaced, and its gang is adopted") {
   World it;
   Scheduler first("s1", it.platform->endpoint(), "");
-  REQUIRE(it.WaitFor([&] { return it.Owns(first); }));
+  REQUIRE(first.WaitOwns());
+  CHECK(it.Owns(first));
   Scheduler second("s2", it.platform->endpoint(),
                    "\"" + http::TextOf(first.peer) + "\"");
   it.Submit(config::ResourceKind::kOrganisation, "bertolini",
@@ -270,7 +287,8 @@
   REQUIRE(it.WaitForPhase("plan", JobPhase::kRunning));
   first.process->Signal(SIGKILL);
   first.process->Wait();
-  CHECK(it.WaitFor([&] { return it.Owns(second); }));
+  CHECK(second.WaitOwns());
+  CHECK(it.Owns(second));
   CHECK(it.WaitForPhase("plan", JobPhase::kFinished));
   CHECK(it.Starts("plan") == 4);
 }
@@ -278,7 +296,8 @@
 TEST_CASE("a superseded scheduler gives its cell up and ends with 1") {
   World it;
   Scheduler first("s1", it.platform->endpoint(), "");
-  REQUIRE(it.WaitFor([&] { return it.Owns(first); }));
+  REQUIRE(first.WaitOwns());
+  CHECK(it.Owns(first));
   const auto peers = "\"" + http::TextOf(first.peer) + "\"";
   Scheduler other("s2", it.platform->endpoint(), peers);
   it.Submit(config::ResourceKind::kOrganisation, "bertolini",
@@ -291,8 +310,9 @@
   REQUIRE(it.WaitForPhase("plan", JobPhase::kRunning));
   Scheduler second("s1", it.platform->endpoint(), peers);
   CHECK(first.process->Wait() == config::kExitFailed);
-  CHECK(it.WaitFor([&] { return it.Owns(second) || it.Owns(other); }));
+  // Only an owner that has taken over can say so.
   CHECK(it.WaitForPhase("plan", JobPhase::kFinished));
+  CHECK((it.Owns(second) || it.Owns(other)));
   CHECK(it.Starts("plan") == 4);
 }
 
