Give no newcomer the room that an earlier gang has claimed

Traced: the gang claimed its place at 101727.184 s; at 101729.474 s a later gang on the same worker had another stop ordered, and the first started only when that one ended. A worker's available room counted all stops under way, so the surplus of a later stop let newcomers take what was free and claimed.

Change: what is claimed is not available, whatever stops will free.

Test: "who waits for stops does not wait for stops ordered later" was seen to fail without the change.

--- a/src/placement/internal/cell.h
+++ b/src/placement/internal/cell.h
@@ -46,9 +46,11 @@
   /// What is left once all evictions and arrivals under way are done.
   int left() const { return capacity - used + evicting - arriving; }
 
-  /// What a new gang can have now without evicting anything.
+  /// What a new gang can have now without evicting anything. What is free but
+  /// claimed is not for it, also when stops under way will make up for it: the
+  /// claim would wait for stops that were ordered later.
   int available() const {
-    return open() ? std::min(capacity - used, left()) : 0;
+    return open() ? std::max(0, capacity - used - arriving) : 0;
   }
 
   /// What is in no guaranteed block that is in use.
--- a/test/placement/policy_test.cc
+++ b/test/placement/policy_test.cc
@@ -224,6 +224,30 @@
   CHECK(std::get<StartGang>(decisions[0]).placement.borrowed);
 }
 
+TEST_CASE("who waits for stops does not wait for stops ordered later") {
+  auto planner = MakeCell(1);
+  planner.SetGuarantees({MakeGuarantee("first", 4, Adjacency::kWorker, 1),
+                         MakeGuarantee("second", 1, Adjacency::kWorker, 1)});
+  for (const auto* name : {"quiet0", "quiet1"}) {
+    auto quiet = MakeGang(name, "other", 1, 2);
+    quiet.work_class = base::WorkClass::kQuiet;
+    planner.Submit(quiet, At(0));
+  }
+  planner.Submit(MakeGang("normal", "other", 1, 4), At(0));
+  CHECK(Started(planner.Decide(At(0))).size() == 3);
+  planner.Submit(MakeGang("claims", "first", 1, 4), At(100));
+  CHECK(Evicted(planner.Decide(At(100))).size() == 2);
+  planner.Ended(JobName("quiet0"), At(101));
+  CHECK(planner.Decide(At(101)).empty());
+  planner.Submit(MakeGang("later", "second", 1, 1), At(102));
+  planner.Submit(MakeGang("small", "third", 1, 2), At(102));
+  const auto decisions = planner.Decide(At(102));
+  CHECK(Evicted(decisions) == Jobs{"normal"});
+  CHECK(Started(decisions).empty());
+  planner.Ended(JobName("quiet1"), At(103));
+  CHECK(Started(planner.Decide(At(103))) == Jobs{"claims"});
+}
+
 TEST_CASE("urgent work takes over the guarantee of its own quiet work") {
   auto planner = MakeCell(2);
   REQUIRE(planner.SetGuarantees({MakeGuarantee("owner", 8, Adjacency::kWorker,
