--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -9,7 +9,6 @@
 #include <map>
 #include <mutex>
 #include <set>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,6 +24,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using internal::Connection;
+using internal::Enqueue;
 using internal::IsExpired;
 using internal::Socket;
 using internal::Strand;
@@ -90,7 +90,7 @@
     const auto payload = Encode(message);
     const std::lock_guard lock(mutex_);
     const auto connection = FindOrOpen(to);
-    if (!connection || !Enqueue(*connection, payload)) {
+    if (!connection || !Enqueue(*connection, payload, options_)) {
       ++counts_.messages_dropped;
       return false;
     }
@@ -177,17 +177,6 @@
     return connection;
   }
 
-  bool Enqueue(Connection& connection, std::string_view payload) {
-    if (payload.size() > options_.max_frame_bytes) return false;
-    if (connection.queue.size() >= options_.max_queued_messages) return false;
-    if (connection.queued_bytes + payload.size() > options_.max_queued_bytes) {
-      return false;
-    }
-    connection.queue.push_back(MakeFrame(payload));
-    connection.queued_bytes += payload.size();
-    return true;
-  }
-
   void StartWrite(const ConnectionPtr& connection) {
     if (!connection->connected) return;
     asio::post(strand_, [self = shared_from_this(), connection] {
--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -2,6 +2,17 @@
 
 namespace lapishatch::wire::internal {
 
+bool Enqueue(Connection& connection, std::string_view payload,
+             const AsioTransportOptions& options) {
+  if (payload.size() > options.max_frame_bytes) return false;
+  if (connection.queue.size() >= options.max_queued_messages) return false;
+  const auto bytes = connection.queued_bytes + payload.size();
+  if (bytes > options.max_queued_bytes) return false;
+  connection.queue.push_back(MakeFrame(payload));
+  connection.queued_bytes = bytes;
+  return true;
+}
+
 bool IsExpired(const Connection& connection,
                const AsioTransportOptions& options, base::TimePoint now) {
   if (!connection.connected) {
--- a/src/wire/internal/connection.h
+++ b/src/wire/internal/connection.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/base.h"
@@ -63,6 +64,11 @@
   base::TimePoint last_useful;
 };
 
+/// Puts a message behind those that wait to be sent; false when it is too large
+/// or too much waits.
+bool Enqueue(Connection& connection, std::string_view payload,
+             const AsioTransportOptions& options);
+
 /// Whether the connection is to be closed: it was not opened in time, the peer
 /// did not say who it is, or nothing came or was of use for too long.
 bool IsExpired(const Connection& connection,
