--- a/testing/matrix/gang_world.cc
+++ b/testing/matrix/gang_world.cc
@@ -11,17 +11,24 @@
 
 #include "fakes/fakes.h"
 #include "matrix/internal/fault_injector.h"
+#include "matrix/internal/gang_jobs.h"
+#include "matrix/internal/gang_process.h"
 #include "matrix/world.h"
 #include "scheduler/scheduler.h"
 
 namespace lapishatch::matrix {
 namespace {
 
+using internal::Cell;
 using internal::FaultInjector;
+using internal::GangProcess;
+using internal::GangProcessPtr;
+using internal::JobPlan;
+using internal::PlannedJobs;
+using internal::SeenJob;
 
 constexpr int kWorkers = 4;
 constexpr int kWorkersPerRack = 2;
-constexpr int kAcceleratorsPerWorker = 8;
 constexpr base::Duration kReplacedAfter{2'000};
 /// When the group doubts a process that does not answer (docs/MEMBERSHIP.md).
 constexpr base::Duration kSuspectAfter{1'500};
@@ -39,7 +46,7 @@
 /// are reached: the lease of a start and an order that is not answered.
 constexpr base::Duration kPartBound{10'000};
 /// The same when the owner dies, is paused or is cut off amid a start or stop:
-/// the failover (lease 10 s, margin, the candidate's read, recovery 3 s) and an
+/// the failover (lease 10 s, margin, the candidate's read, recovery 1 s) and an
 /// order that is not answered.
 constexpr base::Duration kPartBoundFailover{20'000};
 /// The same when a worker is not reached: its running lease, renewed last by
@@ -48,48 +55,10 @@
 /// After a planned stop, running gangs are watched for so long.
 constexpr base::Duration kAfterPlannedStop{15'000};
 
-const base::CellName& Cell() {
-  static const base::CellName kName("caxias-hall-1");
-  return kName;
-}
-
 http::Endpoint WorkerEndpoint(int i) {
   return {"10.0.1.1", static_cast<std::uint16_t>(7000 + i)};
 }
 
-/// A job of the scenario and what was seen of it.
-struct SeenJob {
-  scheduler::AcceptedJob accepted;
-  base::TimePoint accepted_at{};
-  std::optional<base::TimePoint> whole_since;
-  std::optional<base::TimePoint> partial_since;
-  bool cancelled = false;
-  /// For the trace.
-  int running = 0;
-};
-
-/// One life of one scheduler process.
-struct Process {
-  Process(fakes::VirtualTime& time, fakes::FakeTable& fake_table,
-          fakes::FakeWorkers& fake_workers, fakes::FakeOwners& owners)
-      : incarnation(base::MakeUniqueText("scheduler-")),
-        loop(time),
-        table(fake_table, loop),
-        workers(fake_workers, loop),
-        probe(owners, loop) {}
-
-  base::Incarnation incarnation;
-  http::Endpoint endpoint;
-  fakes::FakeProcess loop;
-  fakes::FakeTableView table;
-  fakes::FakeWorkersView workers;
-  fakes::FakeOwnerProbe probe;
-  bool paused = false;
-  std::unique_ptr<scheduler::CellOwner> owner;
-};
-
-using ProcessPtr = std::shared_ptr<Process>;
-
 /// Two scheduler processes, one cell of four workers in two racks, the jobs of
 /// two organisations, a planned stop and a worker that leaves.
 class GangWorld {
@@ -129,7 +98,7 @@
       options.name = base::WorkerName("worker-" + std::to_string(i));
       options.rack =
           base::RackName("rack-" + std::to_string(i / kWorkersPerRack));
-      options.accelerators = kAcceleratorsPerWorker;
+      options.accelerators = internal::kAcceleratorsPerWorker;
       list.push_back({options.name, WorkerEndpoint(i), options.rack, false});
       workers_.Add(WorkerEndpoint(i), std::move(options));
     }
@@ -140,7 +109,7 @@
     scheduler::CellConfiguration configuration;
     configuration.guarantees.push_back(
         {base::OrganisationName("bertolini"),
-         {2 * kAcceleratorsPerWorker, placement::Adjacency::kRack},
+         {2 * internal::kAcceleratorsPerWorker, placement::Adjacency::kRack},
          1});
     configuration.shares.push_back({base::OrganisationName("bertolini")});
     configuration.shares.push_back({base::OrganisationName("plateau")});
@@ -148,7 +117,8 @@
   }
 
   void StartProcess(std::size_t i) {
-    auto process = std::make_shared<Process>(time_, table_, workers_, owners_);
+    auto process =
+        std::make_shared<GangProcess>(time_, table_, workers_, owners_);
     process->endpoint = {"10.0.2.1",
                          static_cast<std::uint16_t>(9000 + ++last_port_)};
     process->table.SetCommitFault(
@@ -177,37 +147,8 @@
 
   // --- what happens without faults ---
 
-  struct JobPlan {
-    std::string name;
-    std::string organisation;
-    base::WorkClass work_class = base::WorkClass::kNormal;
-    int tasks = 2;
-    int accelerators = kAcceleratorsPerWorker;
-    bool idempotent = true;
-    bool checkpoint = false;
-    int run_ms = 0;
-    int accepted_after_ms = 0;
-  };
-
   void AcceptJobs() {
-    const std::vector<JobPlan> plans = {
-        {"coverage", "plateau", base::WorkClass::kQuiet, 2, 8, true, true,
-         40'000, 0},
-        {"rescore", "plateau", base::WorkClass::kQuiet, 2, 8, true, true,
-         60'000, 100},
-        {"alignment", "bertolini", base::WorkClass::kUrgent, 2, 8, false, false,
-         20'000, 15'000},
-        {"study", "plateau", base::WorkClass::kNormal, 1, 8, true, false,
-         90'000, 20'000},
-        {"dispatch", "bertolini", base::WorkClass::kNormal, 2, 4, false, false,
-         50'000, 100'000},
-        // Together they would take all four workers.
-        {"survey-a", "plateau", base::WorkClass::kNormal, 2, 8, true, false,
-         10'000, 250'000},
-        {"survey-b", "plateau", base::WorkClass::kNormal, 2, 8, true, false,
-         10'000, 250'000},
-    };
-    for (const auto& plan : plans) {
+    for (const auto& plan : PlannedJobs()) {
       time_.After(base::Duration(plan.accepted_after_ms),
                   [this, plan] { Accept(plan); });
     }
@@ -216,17 +157,7 @@
 
   void Accept(const JobPlan& plan) {
     SeenJob job;
-    job.accepted.name = base::JobName(plan.name);
-    auto& spec = job.accepted.spec;
-    spec.organisation = base::OrganisationName(plan.organisation);
-    spec.work_class = plan.work_class;
-    spec.tasks = plan.tasks;
-    spec.needs = {plan.accelerators, plan.accelerators, 1024};
-    spec.adjacency = placement::Adjacency::kRack;
-    spec.idempotent = plan.idempotent;
-    spec.checkpoint = plan.checkpoint;
-    spec.declared_runtime = base::Duration(plan.run_ms);
-    spec.payload = "{\"run_ms\":" + std::to_string(plan.run_ms) + "}";
+    job.accepted = internal::JobOf(plan);
     job.accepted.submitted = time_.Now();
     job.accepted_at = time_.Now();
     feed_.Accept(job.accepted);
@@ -306,7 +237,7 @@
   }
 
   /// What the group of processes says of one that does not answer.
-  void DoubtLater(const ProcessPtr& process) {
+  void DoubtLater(const GangProcessPtr& process) {
     time_.After(kSuspectAfter, [this, process] {
       owners_.SetDoubt(process->endpoint, lifecycle::HolderDoubt::kSuspect);
     });
@@ -647,7 +578,7 @@
   fakes::FakeOwners owners_{time_};
   FaultInjector injector_;
   int last_port_ = 0;
-  std::vector<ProcessPtr> processes_{2};
+  std::vector<GangProcessPtr> processes_{2};
   std::map<base::JobName, SeenJob> jobs_;
   base::JobName racing_job_;
   bool worker_fault_ = false;
