Never start a gang while a part of its last attempt may still run

Cause: a member on a worker that does not answer counts as lost, its gang ends and an idempotent job was queued again at once, while that member went on until its lease lapsed: the job ran twice at once.

Ruled out: the new order of the queue as the fault (another change of the world showed the same with the old order); keeping the intent until the part has ended (it would hold the places of the other members).

Change: the owner remembers tasks at large and queues the job again when the worker has stopped them, no longer lists them or has a new life, or when their lease has lapsed.

Conclusion: not known after a failover on top of both faults; three faults at once are not played.

--- a/src/scheduler/internal/job_board.h
+++ b/src/scheduler/internal/job_board.h
@@ -125,6 +125,15 @@
     bool foreign_intent = false;
   };
 
+  /// A task of an ended attempt on a worker that did not answer: it may run
+  /// until its lease lapses.
+  struct TaskAtLarge {
+    lifecycle::TaskKey key;
+    base::WorkerName worker;
+    base::Incarnation incarnation;
+    base::TimePoint until;
+  };
+
   Job* Find(const base::JobName& job);
   void StartLoads();
   void Load(const base::JobName& job);
@@ -171,6 +180,16 @@
                  const lifecycle::TaskKey& key);
   std::vector<std::shared_ptr<GangRunner>> ActiveGangs() const;
 
+  void NoteAtLarge(const GangRunner& gang);
+  void ForgetAtLarge(const lifecycle::TaskKey& key);
+  /// The first report of a worker lists all of its tasks: the others have
+  /// ended.
+  void ForgetUnlisted(const base::WorkerName& worker,
+                      const lifecycle::WorkerReport& report);
+  /// Whether a part of an earlier attempt may still run; until then the job is
+  /// not started again, so that it never runs twice at once.
+  bool MayStillRun(const base::JobName& job);
+
   const OwnerOptions& options_;
   const lifecycle::Epoch epoch_;
   BoardPorts ports_;
@@ -186,6 +205,7 @@
   /// Attempts that run, by id, and those that are over but not recorded so.
   std::unordered_map<base::AttemptId, std::shared_ptr<GangRunner>> active_;
   std::unordered_map<base::AttemptId, std::shared_ptr<GangRunner>> ending_;
+  std::vector<TaskAtLarge> at_large_;
   bool handing_over_ = false;
   CallbackScope scope_;
 };
--- a/src/scheduler/job_board.cc
+++ b/src/scheduler/job_board.cc
@@ -17,6 +17,11 @@
 /// Pause before a stray task is told to stop again.
 constexpr base::Duration kStrayRetry{1'000};
 
+/// Between two looks at whether a part of a job's last attempt may still run.
+constexpr base::Duration kPartRetry{1'000};
+constexpr const char* kPartMayRun =
+    "a part of its last attempt may still run on a worker that does not answer";
+
 placement::Gang GangOf(const AcceptedJob& job) {
   const auto& spec = job.spec;
   placement::Gang gang;
@@ -183,11 +188,15 @@
                            const std::string& why) {
   if (handing_over_) return;
   job.waits_for = why;
-  if (delay == base::Duration(0)) return Submit(job);
+  const bool must_wait = MayStillRun(job.accepted.name);
+  if (delay == base::Duration(0) && !must_wait) return Submit(job);
   job.stage = Stage::kWaiting;
+  if (must_wait) delay = std::max(delay, kPartRetry);
   ports_.loop.After(delay, scope_.Guard([this, name = job.accepted.name] {
     auto* found = Find(name);
-    if (found != nullptr && found->stage == Stage::kWaiting) Submit(*found);
+    if (found == nullptr || found->stage != Stage::kWaiting) return;
+    if (!MayStillRun(name)) return Submit(*found);
+    SubmitAfter(*found, kPartRetry, kPartMayRun);
   }));
 }
 
@@ -365,6 +374,7 @@
                         bool first) {
   for (const auto& task : report.tasks) OnTask(link, task);
   if (!first) return;
+  ForgetUnlisted(link.name(), report);
   for (const auto& gang : ActiveGangs()) gang->OnWorkerFound(link, report);
 }
 
@@ -373,6 +383,7 @@
   const bool ours =
       active != active_.end() || ending_.contains(report.key.attempt);
   if (lifecycle::HasEnded(report.state)) {
+    ForgetAtLarge(report.key);
     if (ours) {
       link.Hold(report.key);
     } else {
@@ -401,7 +412,7 @@
                   if (guard.expired()) return;
                   const bool answered =
                       end == CommandEnd::kDone || end == CommandEnd::kRefused;
-                  if (answered) return;
+                  if (answered) return ForgetAtLarge(key);
                   ports_.loop.After(
                       kStrayRetry,
                       scope_.Guard([this, worker, incarnation, key] {
@@ -410,6 +421,45 @@
                 });
 }
 
+void JobBoard::NoteAtLarge(const GangRunner& gang) {
+  const auto lease = ports_.recorder.table_out() ? options_.outage_lease
+                                                 : options_.running_lease;
+  const auto until = ports_.loop.Now() + lease;
+  for (const int task : gang.MembersAtLarge()) {
+    const auto& member =
+        gang.intent().members.at(static_cast<std::size_t>(task));
+    const auto key = gang.KeyOf(task);
+    at_large_.push_back({key, member.worker, member.incarnation, until});
+    StopStray(member.worker, member.incarnation, key);
+  }
+}
+
+void JobBoard::ForgetAtLarge(const lifecycle::TaskKey& key) {
+  std::erase_if(at_large_, [&](const auto& it) { return it.key == key; });
+}
+
+void JobBoard::ForgetUnlisted(const base::WorkerName& worker,
+                              const lifecycle::WorkerReport& report) {
+  std::erase_if(at_large_, [&](const auto& it) {
+    return it.worker == worker &&
+           std::ranges::none_of(report.tasks, [&](const auto& task) {
+             return task.key == it.key;
+           });
+  });
+}
+
+bool JobBoard::MayStillRun(const base::JobName& job) {
+  const auto now = ports_.loop.Now();
+  std::erase_if(at_large_, [&](const auto& it) {
+    const auto* link = ports_.workers.Find(it.worker);
+    const bool same_life =
+        link != nullptr && link->incarnation() == it.incarnation;
+    return now >= it.until || !same_life;
+  });
+  return std::ranges::any_of(at_large_,
+                             [&](const auto& it) { return it.key.job == job; });
+}
+
 void JobBoard::OnWorkerLost(const base::WorkerName& worker,
                             const std::string& reason) {
   for (const auto& gang : ActiveGangs()) gang->OnWorkerLost(worker, reason);
--- a/src/scheduler/job_board_ends.cc
+++ b/src/scheduler/job_board_ends.cc
@@ -127,11 +127,7 @@
   ports_.planner.Ended(gang.job(), ports_.loop.Now());
   replan_();
   NoteStartOutcome(gang, ended);
-  for (const int task : gang.MembersAtLarge()) {
-    const auto& member =
-        gang.intent().members.at(static_cast<std::size_t>(task));
-    StopStray(member.worker, member.incarnation, gang.KeyOf(task));
-  }
+  NoteAtLarge(gang);
   auto* job = Find(gang.job());
   if (job == nullptr) return;
   if (ended.end != lifecycle::GangEnd::kFinished) {
--- a/test/matrix/matrix_test.cc
+++ b/test/matrix/matrix_test.cc
@@ -87,6 +87,8 @@
       "reserve:domain-cut+start:operators-race",
       // A planned stop cut a gang that could not be recorded.
       "stop:table-slow+checkpoint:table-down",
+      // A gang ran again while a part of it still ran on a silent worker.
+      "checkpoint:late+stop:silent",
   };
   for (const auto& text : plans) {
     const auto plan = ParsePlan(text);
