Leave room for a replacement among a runner's connections

Change: 7 connections an entry, 6 of them for requests: 63. The test of superseded entries waits for its line by the new way.

--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -28,7 +28,7 @@
 
 /// Connections to runners.
 struct RunnerConnectionOptions {
-  std::size_t connections_per_runner = 8;
+  std::size_t connections_per_runner = 7;
   base::Duration connect_timeout{500};
 };
 
--- a/src/routing/runner_pool.h
+++ b/src/routing/runner_pool.h
@@ -16,9 +16,9 @@
 namespace lapishatch::routing {
 
 struct RunnerPoolOptions {
-  /// Connections that this entry may use to one runner: the runner's 64 over 8
-  /// entries, less one for a replacement that overlaps.
-  int max_in_flight = 7;
+  /// Requests of this entry at one runner at once: the runner's 64 connections
+  /// over 8 entries and a replacement that overlaps, less one for pings.
+  int max_in_flight = 6;
   /// Slots of a runner that has not said how many it has.
   int assumed_slots = 8;
   /// Requests that may wait inside a runner that keeps some waiting, so that a
--- a/test/entry/superseded_test.cc
+++ b/test/entry/superseded_test.cc
@@ -39,7 +39,8 @@
     process = std::make_unique<testing::ChildProcess>(std::vector<std::string>{
         std::string(LAPISHATCH_BINARY_DIR) + "/bin/lapishatch-entry",
         "--config=" + file.string()});
-    const auto line = process->ReadLine();
+    const auto line =
+        process->WaitLine({"listening "}, std::chrono::seconds(60));
     const auto peers_at = line.find(" peers ");
     const std::string listening("listening ");
     REQUIRE(line.starts_with(listening));
