--- a/test/entry/superseded_test.cc
+++ b/test/entry/superseded_test.cc
@@ -5,7 +5,6 @@
 #include <future>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "config/config.h"
 #include "net/child_process.h"
@@ -110,16 +109,6 @@
     return json::parse(answer.body).at("processes").as_array().size();
   }
 
-  template <typename Condition>
-  static bool WaitFor(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + net::kTestLimit;
-    while (std::chrono::steady_clock::now() < end) {
-      if (condition()) return true;
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-    return false;
-  }
-
   int Put(const Entry& entry, const std::string& path) {
     return Call(entry.endpoint,
                 {"PUT", path, {{"If-None-Match", "*"}}, R"({"spec":{}})"})
@@ -150,13 +139,13 @@
   Entry other("e0", it.platform->endpoint(), "");
   const auto peers = "\"" + other.peer + "\"";
   Entry old_life("e1", it.platform->endpoint(), peers);
-  REQUIRE(World::WaitFor([&] { return it.IsReady(old_life); }));
-  REQUIRE(World::WaitFor([&] { return it.Processes(old_life) == 2; }));
+  REQUIRE(net::AwaitThat([&] { return it.IsReady(old_life); }));
+  REQUIRE(net::AwaitThat([&] { return it.Processes(old_life) == 2; }));
   REQUIRE(it.Put(old_life, "/v1/services/survey") == 201);
   REQUIRE(it.Put(old_life, "/v1/organisations/bertolini") == 201);
   const auto work = World::Work("first", 9'000);
   std::promise<http::Response> answered;
-  REQUIRE(World::WaitFor([&] {
+  REQUIRE(net::AwaitThat([&] {
     return it.Call(old_life.endpoint, World::Work("try", 1)).status == 200;
   }));
   // When this is answered, the join window in which it would outbid is over.
@@ -165,7 +154,7 @@
   it.Send(old_life.endpoint, work,
           [&](http::Response got) { answered.set_value(std::move(got)); });
   Entry new_life("e1", it.platform->endpoint(), peers);
-  REQUIRE(World::WaitFor([&] { return !it.IsReady(old_life); }));
+  REQUIRE(net::AwaitThat([&] { return !it.IsReady(old_life); }));
   const auto refused = it.Call(old_life.endpoint, World::Work("second", 1));
   CHECK(refused.status == 503);
   CHECK(refused.headers.Find("Lapishatch-Work") == "not-run");
@@ -176,7 +165,7 @@
   CHECK(answer.get().status == 200);
   CHECK(it.log.RunsOfBody(work.body) == 1);
   CHECK(old_life.process->Wait() == config::kExitFailed);
-  CHECK(World::WaitFor([&] { return it.IsReady(new_life); }));
+  CHECK(net::AwaitThat([&] { return it.IsReady(new_life); }));
 }
 
 }  // namespace
