--- a/src/config/change_batch.h
+++ b/src/config/change_batch.h
@@ -18,8 +18,6 @@
   ChangeSet set;
   std::function<void(ChangeOutcome)> done;
   base::TimePoint submitted;
-  /// When it is given up.
-  base::TimePoint expires;
 };
 
 /// One transaction for several sets, and what each set gets when it has taken
--- a/src/config/change_writer.cc
+++ b/src/config/change_writer.cc
@@ -85,7 +85,6 @@
 
   void ReadHeads() override {
     heads_known_ = false;
-    is_reading_ = true;
     ports_.mirror.Refresh(
         [weak = weak_from_this()](const std::optional<LogHeads>& heads) {
           const auto self = weak.lock();
@@ -182,44 +181,16 @@
     Continue();
   }
 
-  /// While the table is known to be out, the heads are read first: what cannot
-  /// be read has not been written, and nobody is left with an unknown outcome.
-  bool knows_heads() const override {
-    return heads_known_ && ports_.mirror.is_table_reachable();
-  }
+  bool knows_heads() const override { return heads_known_; }
   bool may_be_written() const override { return may_be_written_; }
 
  private:
-  /// Whether an operator waits for a table that is known to be out. What the
-  /// system reports has its usual time: nobody waits for it.
-  bool IsTableOutFor(const ChangeSet& set) const {
-    if (ports_.mirror.is_table_reachable()) return false;
-    return !std::ranges::all_of(set.changes, [](const Change& it) {
-      return std::holds_alternative<PutStatus>(it.action);
-    });
-  }
-
-  /// Gives up what has had its time in an outage, though a reading is under
-  /// way: of sets that wait for the heads, nothing has been sent.
-  void RefuseWhileOut() {
-    if (ports_.mirror.is_table_reachable()) return;
-    if (is_reading_) DropImpatient();
-    while (!waiting_.empty() && IsImpatient(waiting_.front())) {
-      GiveUp(waiting_.front());
-      waiting_.pop_front();
-    }
-  }
-
   void Enqueue(ChangeSet set, Done done) {
     if (waiting_.size() >= options_.max_waiting) {
       done(ChangesNotAccepted{"too many changes wait"});
       return;
     }
-    const bool is_out = IsTableOutFor(set);
-    const auto patience = is_out ? options_.outage_patience : options_.patience;
-    const auto now = table_.Now();
-    waiting_.push_back({std::move(set), std::move(done), now, now + patience});
-    if (is_out) table_.After(patience, [this] { RefuseWhileOut(); });
+    waiting_.push_back({std::move(set), std::move(done), table_.Now()});
     Continue();
   }
 
@@ -261,7 +232,6 @@
   }
 
   void OnHeads(const std::optional<LogHeads>& heads) {
-    is_reading_ = false;
     if (!heads) {
       machine_.Process(WriterEvent::kReadingFailed);
       return;
@@ -353,7 +323,7 @@
   }
 
   bool IsImpatient(const WaitingSet& set) const {
-    return table_.Now() >= set.expires;
+    return table_.Now() - set.submitted >= options_.patience;
   }
 
   void GiveUp(const WaitingSet& set) {
@@ -483,8 +453,6 @@
   bool heads_are_fresh_ = false;
   /// The transaction, or an earlier sending of it, may have taken effect.
   bool may_be_written_ = false;
-  /// The heads are being read for `sets_`, of which nothing has been sent.
-  bool is_reading_ = false;
   /// The status row on whose version the transaction failed, if any.
   std::string moved_status_row_;
   std::uint64_t committed_ = 0;
@@ -517,8 +485,6 @@
                   "Changes that may wait; a further one gets 503.");
   section.Millis("patience_ms", options.patience, 10, 600'000,
                  "How long a change may be tried before it gets 503.");
-  section.Millis("outage_patience_ms", options.outage_patience, 1, 600'000,
-                 "The same while the table is known to be out.");
   section.Millis("unknown_patience_ms", options.unknown_patience, 10, 600'000,
                  "How long an outcome that the table did not tell is looked "
                  "for before the operator hears that it is unknown.");
--- a/src/config/change_writer.h
+++ b/src/config/change_writer.h
@@ -23,9 +23,6 @@
   std::size_t max_waiting = 2'048;
   /// How long a set may be tried before it is given up.
   base::Duration patience{3'000};
-  /// The same for an operator's set while the table is known to be out: time to
-  /// find out that it is back.
-  base::Duration outage_patience{200};
   /// How long the outcome of a transaction is asked for before the operator is
   /// told that it is unknown.
   base::Duration unknown_patience{6'000};
--- a/test/config/change_log_test.cc
+++ b/test/config/change_log_test.cc
@@ -290,26 +290,6 @@
   CHECK(IsAccepted(a.Change(Put(Organisation("o"), 1, Weight(2)))));
 }
 
-TEST_CASE("while the table is known to be out a change is refused at once") {
-  ConfigWorld world;
-  auto& a = world.Add();
-  REQUIRE(IsAccepted(a.Change(Put(Organisation("o"), 0, Weight(1)))));
-  a.table.SetCut(true);
-  REQUIRE(world.RunUntil([&] { return !a.mirror.is_table_reachable(); }));
-  for (std::uint64_t i = 0; i < 20; ++i) {
-    const auto before = world.time.Now();
-    const auto outcome = a.Change(Put(Organisation("o"), 1, Weight(2)));
-    CHECK(std::holds_alternative<ChangesNotAccepted>(outcome));
-    CHECK(world.time.Now() - before <= base::Duration(250));
-    world.time.RunFor(base::Duration(170));
-  }
-  a.table.SetCut(false);
-  REQUIRE(world.RunUntil([&] { return a.mirror.is_table_reachable(); }));
-  world.time.RunFor(base::Duration(10'000));
-  CHECK(a.mirror.Find(Organisation("o"))->version == 1);
-  CHECK(IsAccepted(a.Change(Put(Organisation("o"), 1, Weight(3)))));
-}
-
 TEST_CASE("a status is taken while its row stands, and dropped after") {
   ConfigWorld world;
   auto& a = world.Add();
