--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -16,7 +16,7 @@
     target_link_options(${target} PRIVATE -fsanitize=${LAPISHATCH_SANITIZE})
   endif()
   target_include_directories(${target} PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/standins
-                             ${CMAKE_SOURCE_DIR}/testing)
+                             ${CMAKE_SOURCE_DIR}/testing ${CMAKE_SOURCE_DIR})
   target_compile_definitions(${target} PRIVATE BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED
                              BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS BOOST_MPL_LIMIT_LIST_SIZE=50
                              BOOST_MPL_LIMIT_VECTOR_SIZE=50 FUSION_MAX_VECTOR_SIZE=50)
--- /dev/null
+++ b/src/dispatch/fleet.cc
@@ -0,0 +1,41 @@
+#include "dispatch/fleet.h"
+
+#include <algorithm>
+
+namespace lapishatch::dispatch {
+
+bool FleetWorker::HasLabel(const std::string& label) const {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+jobs::Room CountedNeeds(const jobs::Step& step) {
+  auto out = step.needs;
+  if (step.fills) out.cpu_millis = 0;
+  return out;
+}
+
+void Fleet::Put(const WorkerEntry& entry) {
+  auto& worker = workers_[entry.name];
+  worker.name = entry.name;
+  worker.rack = entry.rack;
+  worker.domain = entry.domain;
+  worker.labels = entry.labels;
+  worker.capacity = entry.capacity;
+}
+
+void Fleet::Remove(const base::WorkerName& name) { workers_.erase(name); }
+
+FleetWorker* Fleet::Find(const base::WorkerName& name) {
+  const auto it = workers_.find(name);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+void Fleet::Take(const base::WorkerName& name, const jobs::Room& room) {
+  if (auto* worker = Find(name)) worker->used += room;
+}
+
+void Fleet::GiveBack(const base::WorkerName& name, const jobs::Room& room) {
+  if (auto* worker = Find(name)) worker->used -= room;
+}
+
+}  // namespace lapishatch::dispatch
--- /dev/null
+++ b/src/dispatch/fleet.h
@@ -0,0 +1,74 @@
+#ifndef LAPISHATCH_DISPATCH_FLEET_H_
+#define LAPISHATCH_DISPATCH_FLEET_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/worker_port.h"
+#include "jobs/job.h"
+
+namespace lapishatch::dispatch {
+
+/// A worker as placing sees it.
+struct FleetWorker {
+  base::WorkerName name;
+  base::RackName rack;
+  base::DomainName domain;
+  std::vector<std::string> labels;
+  jobs::Room capacity;
+  /// Of everything that runs there, may run there or is still being stopped.
+  jobs::Room used;
+  /// Of what runs there beyond that, as the worker says: tasks that have ended
+  /// for the owner, or that it does not know.
+  jobs::Room strays;
+  /// Promised to units that wait for others to be stopped.
+  jobs::Room claimed;
+  /// Whether anything new may start there.
+  bool is_open = false;
+
+  jobs::Room Free() const {
+    auto out = capacity;
+    out -= used;
+    out -= strays;
+    out -= claimed;
+    return out;
+  }
+
+  bool HasLabel(const std::string& label) const;
+};
+
+/// What a step takes of a worker: one that fills needs no processor of its own.
+jobs::Room CountedNeeds(const jobs::Step& step);
+
+/// The workers of a service and what is taken of each. Pure data: no time, no
+/// I/O.
+class Fleet {
+ public:
+  /// Adds a worker or changes its size, rack and labels.
+  void Put(const WorkerEntry& entry);
+
+  /// The worker is gone with all that ran there.
+  void Remove(const base::WorkerName& name);
+
+  /// Nothing where there is no such worker.
+  FleetWorker* Find(const base::WorkerName& name);
+
+  /// By name; the order is the same for the same fleet.
+  const std::map<base::WorkerName, FleetWorker>& workers() const {
+    return workers_;
+  }
+  std::map<base::WorkerName, FleetWorker>& workers() { return workers_; }
+
+  /// Takes or gives back room; nothing where the worker is gone.
+  void Take(const base::WorkerName& name, const jobs::Room& room);
+  void GiveBack(const base::WorkerName& name, const jobs::Room& room);
+
+ private:
+  std::map<base::WorkerName, FleetWorker> workers_;
+};
+
+}  // namespace lapishatch::dispatch
+
+#endif  // LAPISHATCH_DISPATCH_FLEET_H_
--- /dev/null
+++ b/src/dispatch/internal/job_book.h
@@ -0,0 +1,122 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_JOB_BOOK_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_JOB_BOOK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/fleet.h"
+#include "dispatch/internal/unit.h"
+#include "jobs/jobs.h"
+
+namespace lapishatch::dispatch::internal {
+
+/// Everything that is known of the jobs of a service, and how each changes. It
+/// sends and stores nothing: whoever calls it looks at `dirty` for what is to
+/// be recorded and at `to_stop` for what is to be stopped.
+///
+/// This is where a second run of a task is prevented: a unit goes back to
+/// waiting only in `Finish`, when every member of its last run is over, and a
+/// member is over only by OnEnded, OnRefused or OnLost, each of which says why
+/// it can run no more.
+class JobBook {
+ public:
+  explicit JobBook(Fleet& fleet) : fleet_(fleet) {}
+
+  /// Adds a job as it was accepted, with what an earlier owner recorded of it.
+  /// Members of a recorded start are unsure until their workers are heard.
+  JobEntry* Add(std::shared_ptr<const jobs::Job> job,
+                const jobs::JobProgress* progress, std::uint64_t row_version,
+                base::TimePoint now);
+
+  /// Forgets a job of which nothing may run any more.
+  void Remove(const base::JobName& name);
+
+  JobEntry* Find(const base::JobName& name);
+  const std::map<base::JobName, std::unique_ptr<JobEntry>>& jobs() const {
+    return jobs_;
+  }
+
+  /// The unit of a task, or null when no job has such a task.
+  Unit* FindUnit(const jobs::TaskName& task);
+
+  /// The member of `unit` that is task `index`.
+  static Member& MemberOf(Unit& unit, int index) {
+    return unit.members[static_cast<std::size_t>(index - unit.first_index)];
+  }
+
+  static jobs::TaskName NameOf(const Unit& unit, std::size_t member);
+
+  /// Begins the next run of a waiting unit on `places`. Nothing may be sent
+  /// before it is recorded.
+  void Plan(Unit& unit, const std::vector<base::WorkerName>& places,
+            base::TimePoint now);
+
+  /// The run of a member is over as the worker says. A run that is not the
+  /// present one is nothing.
+  void OnEnded(Unit& unit, int index, EndKind kind,
+               const std::string& checkpoint, base::TimePoint now);
+
+  /// The member has not begun and never will.
+  void OnRefused(Unit& unit, int index, base::TimePoint now);
+
+  /// The member may have begun, and is certain to run no more.
+  void OnLost(Unit& unit, int index, base::TimePoint now);
+
+  /// Stops the present run of a unit, to be started again later.
+  void Stop(Unit& unit);
+
+  void Cancel(JobEntry& job);
+
+  /// Lets the occurrences begin whose time has come.
+  void BeginDue(std::int64_t unix_ms, base::TimePoint now);
+
+  jobs::JobProgress ProgressOf(const JobEntry& job) const;
+
+  /// For each queue, jobs none of whose tasks has begun.
+  jobs::WaitingJobs CountWaiting() const;
+
+  /// Steps with units that may be started now.
+  const std::set<StepRun*>& ready() const { return ready_; }
+
+  /// Units whose present run is to be stopped, until it is over.
+  const std::set<Unit*>& to_stop() const { return to_stop_; }
+
+  /// Units with a present run.
+  const std::set<Unit*>& active() const { return active_; }
+
+  /// Jobs whose progress is not recorded as it is; taken by the recorder.
+  std::set<JobEntry*>& dirty() { return dirty_; }
+
+  /// Gives up the room that a waiting unit was promised.
+  void DropClaim(Unit& unit);
+  void SetClaim(Unit& unit, std::vector<base::WorkerName> places);
+
+ private:
+  void BuildRuns(JobEntry& job, base::TimePoint now);
+  void Restore(JobEntry& job, const jobs::JobProgress& progress,
+               base::TimePoint now);
+  void Unblock(JobEntry& job, int occurrence, int done_step,
+               base::TimePoint now);
+  void UpdateReady(StepRun& run);
+  void MemberOver(Unit& unit, Member& member, base::TimePoint now);
+  void Finish(Unit& unit, base::TimePoint now);
+  void MarkDone(Unit& unit, base::TimePoint now);
+  void End(JobEntry& job, jobs::JobState state);
+  void Unindex(JobEntry& job);
+
+  Fleet& fleet_;
+  std::map<base::JobName, std::unique_ptr<JobEntry>> jobs_;
+  std::multimap<std::int64_t, StepRun*> not_due_;
+  std::set<StepRun*> ready_;
+  std::set<Unit*> to_stop_;
+  std::set<Unit*> active_;
+  std::set<JobEntry*> dirty_;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_JOB_BOOK_H_
--- /dev/null
+++ b/src/dispatch/internal/owned_service.h
@@ -0,0 +1,122 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_OWNED_SERVICE_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_OWNED_SERVICE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/fleet.h"
+#include "dispatch/internal/job_book.h"
+#include "dispatch/internal/recorder.h"
+#include "dispatch/internal/task_planner.h"
+#include "dispatch/internal/worker_session.h"
+#include "dispatch/service_owner.h"
+#include "store/feed_follower.h"
+
+namespace lapishatch::dispatch::internal {
+
+/// What an owner may do at a moment, as its lease says.
+struct OwnerRights {
+  /// Whether it certainly is the only owner.
+  std::function<bool()> may_start;
+  /// Whether it may still renew leases at workers.
+  std::function<bool()> may_renew;
+  /// Another process owns the service.
+  std::function<void(const std::string& reason)> on_lost;
+};
+
+/// One ownership of a service, from the taking of its row to the end. Destroying
+/// it forgets everything; nothing of it acts afterwards.
+///
+/// Order of things: a start is recorded, then sent; an end is listed by the
+/// worker, recorded, then acknowledged to the worker. A new owner hears each
+/// worker under its own epoch, which ends all orders of former owners there, and
+/// takes over what runs.
+class OwnedService : public std::enable_shared_from_this<OwnedService> {
+ public:
+  OwnedService(const ServiceOwnerPorts& ports, base::ServiceName service,
+               Epoch epoch, const ServiceOwnerOptions& options,
+               OwnerRights rights);
+
+  void Start();
+
+  void PutWorker(const WorkerEntry& entry);
+  void RemoveWorker(const base::WorkerName& name);
+  void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
+
+ private:
+  struct Worker {
+    std::unique_ptr<WorkerSession> session;
+    bool is_listed = true;
+    /// Refused something lately.
+    base::TimePoint closed_until{};
+  };
+
+  // Loading.
+  void LoadProgress(const std::string& from);
+  void OnProgressPage(store::RowsReadResult result);
+  void LoadCounts();
+  void FollowRequests();
+  void OnAllRequests(const std::vector<store::StoredRow>& rows);
+  void OnRequest(const store::StoredRow& row);
+  void OnCancel(const base::JobName& name);
+
+  // Workers.
+  void OpenSession(const WorkerEntry& entry);
+  void OnNews(const base::WorkerName& name, const WorkerNews& news,
+              base::TimePoint sent);
+  void OnRunning(const base::WorkerName& name, const RunningTask& task,
+                 base::TimePoint sent);
+  void OnEnded(const base::WorkerName& name, const EndedTask& end);
+  void ResolveUnlisted(const base::WorkerName& name, const WorkerNews& news,
+                       base::TimePoint sent);
+  void EndAllOn(const base::WorkerName& name, const std::string& why);
+  void UpdateOpen();
+  void CheckLapsed();
+  std::vector<std::pair<Unit*, int>> MembersOn(const base::WorkerName& name);
+
+  // Orders.
+  void Pump();
+  void SendStarts(const std::vector<Unit*>& units);
+  void SendStart(const jobs::TaskName& task, int run);
+  void OnStarted(const jobs::TaskName& task, int run, StartResult result);
+  void SendStops();
+  void SendStop(const jobs::TaskName& task, int run,
+                const base::WorkerName& name);
+  void OnStopped(const jobs::TaskName& task, int run,
+                 const base::WorkerName& name, const StopResult& result);
+
+  /// Logs the jobs that have ended since it was called last.
+  void LogEnds();
+  void Tick();
+  void RemoveOld();
+  void Lose(const std::string& reason);
+  /// The present run of the task's unit, if it is `run`.
+  Unit* FindRun(const jobs::TaskName& task, int run);
+  Worker* FindWorker(const base::WorkerName& name);
+
+  const ServiceOwnerPorts& ports_;
+  const base::ServiceName service_;
+  const Epoch epoch_;
+  const ServiceOwnerOptions& options_;
+  const OwnerRights rights_;
+  const base::TimePoint taken_at_;
+
+  Fleet fleet_;
+  JobBook book_;
+  TaskPlanner planner_;
+  Recorder recorder_;
+  std::map<base::WorkerName, Worker> workers_;
+  std::map<base::JobName, store::StoredRow> progress_rows_;
+  std::optional<store::FeedFollower> requests_;
+  bool is_loaded_ = false;
+  bool is_pump_posted_ = false;
+  std::map<base::JobName, base::TimePoint> ended_at_;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_OWNED_SERVICE_H_
--- /dev/null
+++ b/src/dispatch/internal/recorder.h
@@ -0,0 +1,56 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_RECORDER_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_RECORDER_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/internal/job_book.h"
+#include "dispatch/worker_port.h"
+#include "store/row_store.h"
+
+namespace lapishatch::dispatch::internal {
+
+struct RecorderOptions {
+  /// Between two transactions: a part takes 150 a second, shared with what
+  /// entries accept, and each is priced.
+  base::Duration spacing{15};
+  base::Duration retry_first{50};
+  base::Duration retry_limit{400};
+};
+
+/// Writes the progress of dirty jobs, many in one transaction and one
+/// transaction at a time, each on condition that the epoch row and the jobs'
+/// progress rows are unchanged. So nothing of a former owner, and no late copy
+/// of an earlier transaction, can overwrite what came after.
+class Recorder {
+ public:
+  /// `on_lost` is called when the epoch row shows another owner.
+  Recorder(base::EventLoop& loop, store::RowStore& store,
+           base::ServiceName service, Epoch epoch, JobBook& book,
+           RecorderOptions options,
+           std::function<void(const std::string&)> on_lost);
+  ~Recorder();
+  Recorder(const Recorder&) = delete;
+  Recorder& operator=(const Recorder&) = delete;
+
+  /// Writes what is dirty, soon. `done` is called once everything that is dirty
+  /// now stands in the store; at once when nothing is.
+  void Flush(std::function<void()> done);
+
+  /// Takes the version of the row with the counts of waiting jobs.
+  void SetWaitingVersion(store::RowVersion version);
+
+  bool is_idle() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_RECORDER_H_
--- /dev/null
+++ b/src/dispatch/internal/unit.h
@@ -0,0 +1,108 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/worker_port.h"
+#include "jobs/job.h"
+#include "jobs/progress.h"
+
+namespace lapishatch::dispatch::internal {
+
+struct JobEntry;
+struct StepRun;
+
+/// What is known of one task of a started run.
+enum class MemberState : std::uint8_t {
+  /// Its start is recorded or about to be; nothing was sent.
+  kPlanned,
+  /// A start was sent and has no answer yet, or none came: it may run, or begin
+  /// to until `expires`.
+  kUnsure,
+  /// The worker has said that it runs.
+  kRunning,
+  /// It runs no more and never will.
+  kOver,
+};
+
+/// One task of a unit's present run.
+struct Member {
+  base::WorkerName worker;
+  MemberState state = MemberState::kPlanned;
+  /// Of the worker's clock: a start that comes after it is refused.
+  WorkerClock expires = 0;
+  /// When the worker last confirmed it, or a stop of it.
+  base::TimePoint confirmed{};
+  bool is_stop_confirmed = false;
+  /// Starts sent without an answer.
+  int unanswered = 0;
+  bool is_stop_under_way = false;
+};
+
+/// Tasks that start together and are one to whoever counts attempts: a whole
+/// gang, or a single task.
+struct Unit {
+  StepRun* step = nullptr;
+  int first_index = 0;
+  jobs::UnitPhase phase = jobs::UnitPhase::kWaiting;
+  int failures = 0;
+  int last_run = 0;
+  std::string checkpoint;
+  /// Of the present run, one a task; empty when nothing may run.
+  std::vector<Member> members;
+  /// A member of the present run has failed; counted once.
+  bool has_failed = false;
+  /// The present run is being stopped.
+  bool is_stopping = false;
+  /// Places that others are being stopped for; empty for none.
+  std::vector<base::WorkerName> claim;
+  base::TimePoint waiting_since{};
+  base::TimePoint started{};
+
+  bool MayRun() const { return !members.empty(); }
+};
+
+/// One step of one occurrence.
+struct StepRun {
+  JobEntry* job = nullptr;
+  int occurrence = 0;
+  int number = 0;
+  const jobs::Step* step = nullptr;
+  /// Addresses stay the same: entries are only added.
+  std::deque<Unit> units;
+  int units_done = 0;
+  /// Steps before it that are not done yet.
+  int blocked_by = 0;
+  /// Milliseconds since 1970 before which it may not begin; 0 for at once.
+  std::int64_t due_ms = 0;
+  bool is_due = true;
+  /// Tasks of the step that are or may be on each worker.
+  std::map<base::WorkerName, int> on_worker;
+  base::TimePoint ready_since{};
+
+  bool IsDone() const { return units_done == static_cast<int>(units.size()); }
+  int TasksPerUnit() const { return step->is_gang ? step->tasks : 1; }
+};
+
+/// A job that the owner knows.
+struct JobEntry {
+  std::shared_ptr<const jobs::Job> job;
+  jobs::JobState state = jobs::JobState::kQueued;
+  /// By occurrence, then step. Empty once the job has ended and nothing of it
+  /// may run.
+  std::vector<std::deque<StepRun>> runs;
+  bool is_cancel_asked = false;
+  base::TimePoint known_since{};
+  /// Of the progress row; kAbsent before the first.
+  std::uint64_t row_version = 0;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
--- /dev/null
+++ b/src/dispatch/job_book.cc
@@ -0,0 +1,346 @@
+#include "dispatch/internal/job_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lapishatch::dispatch::internal {
+
+using jobs::JobProgress;
+using jobs::JobState;
+using jobs::UnitPhase;
+using jobs::UnitRecord;
+
+JobEntry* JobBook::Add(std::shared_ptr<const jobs::Job> job,
+                       const JobProgress* progress, std::uint64_t row_version,
+                       base::TimePoint now) {
+  auto& entry = jobs_[job->name];
+  if (entry) return entry.get();
+  entry = std::make_unique<JobEntry>();
+  entry->job = std::move(job);
+  entry->known_since = now;
+  entry->row_version = row_version;
+  const bool has_ended = progress != nullptr && IsFinal(progress->state);
+  // A job that has ended may still have members somewhere, so its units are
+  // built all the same.
+  BuildRuns(*entry, now);
+  if (progress != nullptr) Restore(*entry, *progress, now);
+  if (has_ended) End(*entry, progress->state);
+  if (has_ended) dirty_.erase(entry.get());
+  return entry.get();
+}
+
+void JobBook::BuildRuns(JobEntry& job, base::TimePoint now) {
+  const auto& steps = job.job->steps;
+  const int occurrences = jobs::OccurrencesOf(*job.job);
+  job.runs.resize(static_cast<std::size_t>(occurrences));
+  for (int k = 0; k < occurrences; ++k) {
+    auto& runs = job.runs[static_cast<std::size_t>(k)];
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      auto& run = runs.emplace_back();
+      run.job = &job;
+      run.occurrence = k;
+      run.number = static_cast<int>(i);
+      run.step = &steps[i];
+      run.blocked_by = static_cast<int>(steps[i].after.size());
+      run.ready_since = now;
+      const int units = steps[i].is_gang ? 1 : steps[i].tasks;
+      for (int n = 0; n < units; ++n) {
+        auto& unit = run.units.emplace_back();
+        unit.step = &run;
+        unit.first_index = n;
+        unit.waiting_since = now;
+      }
+      if (job.job->schedule.times > 0) {
+        run.due_ms = job.job->schedule.first_due_ms +
+                     k * job.job->schedule.interval_ms;
+        run.is_due = false;
+        not_due_.emplace(run.due_ms, &run);
+      }
+      UpdateReady(run);
+    }
+  }
+}
+
+void JobBook::Restore(JobEntry& job, const JobProgress& progress,
+                      base::TimePoint now) {
+  job.state = IsFinal(progress.state) ? JobState::kRunning : progress.state;
+  for (const auto& record : progress.units) {
+    auto* unit = FindUnit(
+        {job.job->name, record.occurrence, record.step, record.index});
+    if (unit == nullptr) continue;
+    unit->failures = record.failures;
+    unit->last_run = record.last_run;
+    unit->checkpoint = record.checkpoint;
+    if (record.phase == UnitPhase::kDone) MarkDone(*unit, now);
+    if (record.phase != UnitPhase::kStarted) continue;
+    unit->last_run = record.last_run - 1;
+    Plan(*unit, record.workers, now);
+    for (auto& member : unit->members) member.state = MemberState::kUnsure;
+  }
+  dirty_.erase(&job);
+}
+
+void JobBook::Remove(const base::JobName& name) {
+  const auto it = jobs_.find(name);
+  if (it == jobs_.end()) return;
+  Unindex(*it->second);
+  dirty_.erase(it->second.get());
+  jobs_.erase(it);
+}
+
+JobEntry* JobBook::Find(const base::JobName& name) {
+  const auto it = jobs_.find(name);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+Unit* JobBook::FindUnit(const jobs::TaskName& task) {
+  auto* job = Find(task.job);
+  if (job == nullptr || task.occurrence < 0 || task.step < 0) return nullptr;
+  if (static_cast<std::size_t>(task.occurrence) >= job->runs.size()) {
+    return nullptr;
+  }
+  auto& runs = job->runs[static_cast<std::size_t>(task.occurrence)];
+  if (static_cast<std::size_t>(task.step) >= runs.size()) return nullptr;
+  auto& run = runs[static_cast<std::size_t>(task.step)];
+  if (task.index < 0 || task.index >= run.step->tasks) return nullptr;
+  const int unit = run.step->is_gang ? 0 : task.index;
+  return &run.units[static_cast<std::size_t>(unit)];
+}
+
+jobs::TaskName JobBook::NameOf(const Unit& unit, std::size_t member) {
+  return {unit.step->job->job->name, unit.step->occurrence, unit.step->number,
+          unit.first_index + static_cast<int>(member)};
+}
+
+void JobBook::Plan(Unit& unit, const std::vector<base::WorkerName>& places,
+                   base::TimePoint now) {
+  DropClaim(unit);
+  auto& run = *unit.step;
+  const auto needs = CountedNeeds(*run.step);
+  unit.phase = UnitPhase::kStarted;
+  ++unit.last_run;
+  unit.has_failed = false;
+  unit.is_stopping = false;
+  unit.started = now;
+  unit.members.clear();
+  for (const auto& it : places) {
+    unit.members.push_back({it});
+    fleet_.Take(it, needs);
+    ++run.on_worker[it];
+  }
+  active_.insert(&unit);
+  if (run.job->state == JobState::kQueued) run.job->state = JobState::kRunning;
+  dirty_.insert(run.job);
+  UpdateReady(run);
+}
+
+void JobBook::OnEnded(Unit& unit, int index, EndKind kind,
+                      const std::string& checkpoint, base::TimePoint now) {
+  auto& member = MemberOf(unit, index);
+  if (member.state == MemberState::kOver) return;
+  if (!checkpoint.empty()) unit.checkpoint = checkpoint;
+  const bool is_service = unit.step->step->is_service;
+  if (kind == EndKind::kDone && !is_service) MarkDone(unit, now);
+  if (kind == EndKind::kFailed && !unit.has_failed && !is_service) {
+    unit.has_failed = true;
+    ++unit.failures;
+    dirty_.insert(unit.step->job);
+  }
+  MemberOver(unit, member, now);
+}
+
+void JobBook::OnRefused(Unit& unit, int index, base::TimePoint now) {
+  OnLost(unit, index, now);
+}
+
+void JobBook::OnLost(Unit& unit, int index, base::TimePoint now) {
+  auto& member = MemberOf(unit, index);
+  if (member.state == MemberState::kOver) return;
+  MemberOver(unit, member, now);
+}
+
+void JobBook::MemberOver(Unit& unit, Member& member, base::TimePoint now) {
+  auto& run = *unit.step;
+  member.state = MemberState::kOver;
+  fleet_.GiveBack(member.worker, CountedNeeds(*run.step));
+  const auto it = run.on_worker.find(member.worker);
+  if (it != run.on_worker.end() && --it->second == 0) run.on_worker.erase(it);
+  const bool is_last = std::all_of(
+      unit.members.begin(), unit.members.end(),
+      [](const Member& m) { return m.state == MemberState::kOver; });
+  if (is_last) return Finish(unit, now);
+  // The rest of a gang is of no use without this one, unless the gang is done.
+  if (unit.phase != UnitPhase::kDone) Stop(unit);
+}
+
+void JobBook::Finish(Unit& unit, base::TimePoint now) {
+  auto& job = *unit.step->job;
+  unit.members.clear();
+  unit.is_stopping = false;
+  active_.erase(&unit);
+  to_stop_.erase(&unit);
+  if (unit.phase != UnitPhase::kDone) {
+    unit.phase = UnitPhase::kWaiting;
+    unit.waiting_since = now;
+    dirty_.insert(&job);
+    if (unit.failures >= job.job->max_attempts && !IsFinal(job.state)) {
+      End(job, JobState::kFailed);
+    }
+  }
+  UpdateReady(*unit.step);
+}
+
+void JobBook::MarkDone(Unit& unit, base::TimePoint now) {
+  if (unit.phase == UnitPhase::kDone) return;
+  unit.phase = UnitPhase::kDone;
+  // A done gang's other tasks end by themselves.
+  to_stop_.erase(&unit);
+  unit.is_stopping = false;
+  auto& run = *unit.step;
+  auto& job = *run.job;
+  ++run.units_done;
+  dirty_.insert(&job);
+  UpdateReady(run);
+  if (!run.IsDone()) return;
+  Unblock(job, run.occurrence, run.number, now);
+  for (const auto& runs : job.runs) {
+    for (const auto& it : runs) {
+      if (!it.IsDone()) return;
+    }
+  }
+  if (!IsFinal(job.state)) End(job, JobState::kCompleted);
+}
+
+void JobBook::Unblock(JobEntry& job, int occurrence, int done_step,
+                      base::TimePoint now) {
+  for (auto& it : job.runs[static_cast<std::size_t>(occurrence)]) {
+    const auto& after = it.step->after;
+    const auto n = std::count(after.begin(), after.end(), done_step);
+    if (n == 0) continue;
+    it.blocked_by -= static_cast<int>(n);
+    it.ready_since = now;
+    for (auto& unit : it.units) unit.waiting_since = now;
+    UpdateReady(it);
+  }
+}
+
+void JobBook::UpdateReady(StepRun& run) {
+  const bool may_start =
+      run.blocked_by == 0 && run.is_due && !IsFinal(run.job->state) &&
+      !run.job->is_cancel_asked &&
+      std::any_of(run.units.begin(), run.units.end(), [](const Unit& it) {
+        return it.phase == UnitPhase::kWaiting;
+      });
+  if (may_start) {
+    ready_.insert(&run);
+  } else {
+    ready_.erase(&run);
+  }
+}
+
+void JobBook::BeginDue(std::int64_t unix_ms, base::TimePoint now) {
+  while (!not_due_.empty() && not_due_.begin()->first <= unix_ms) {
+    auto& run = *not_due_.begin()->second;
+    not_due_.erase(not_due_.begin());
+    run.is_due = true;
+    run.ready_since = now;
+    for (auto& it : run.units) it.waiting_since = now;
+    UpdateReady(run);
+  }
+}
+
+void JobBook::Stop(Unit& unit) {
+  if (unit.members.empty()) return;
+  unit.is_stopping = true;
+  to_stop_.insert(&unit);
+}
+
+void JobBook::Cancel(JobEntry& job) {
+  if (job.is_cancel_asked || IsFinal(job.state)) return;
+  job.is_cancel_asked = true;
+  End(job, JobState::kCancelled);
+}
+
+/// Nothing of the job starts any more and what runs is stopped.
+void JobBook::End(JobEntry& job, JobState state) {
+  job.state = state;
+  dirty_.insert(&job);
+  for (auto& runs : job.runs) {
+    for (auto& run : runs) {
+      UpdateReady(run);
+      for (auto& unit : run.units) {
+        DropClaim(unit);
+        if (unit.phase != UnitPhase::kDone) Stop(unit);
+      }
+    }
+  }
+}
+
+void JobBook::Unindex(JobEntry& job) {
+  for (auto& runs : job.runs) {
+    for (auto& run : runs) {
+      ready_.erase(&run);
+      std::erase_if(not_due_,
+                    [&run](const auto& it) { return it.second == &run; });
+      for (auto& unit : run.units) {
+        DropClaim(unit);
+        to_stop_.erase(&unit);
+        active_.erase(&unit);
+      }
+    }
+  }
+}
+
+JobProgress JobBook::ProgressOf(const JobEntry& job) const {
+  JobProgress out;
+  out.state = job.state;
+  for (const auto& runs : job.runs) {
+    for (const auto& run : runs) {
+      for (const auto& unit : run.units) {
+        if (unit.last_run == 0) continue;
+        UnitRecord record;
+        record.occurrence = run.occurrence;
+        record.step = run.number;
+        record.index = unit.first_index;
+        record.phase = unit.phase;
+        record.failures = unit.failures;
+        record.last_run = unit.last_run;
+        if (unit.phase != UnitPhase::kDone) {
+          record.checkpoint = unit.checkpoint;
+          for (const auto& it : unit.members) {
+            record.workers.push_back(it.worker);
+          }
+        }
+        out.units.push_back(std::move(record));
+      }
+    }
+  }
+  return out;
+}
+
+jobs::WaitingJobs JobBook::CountWaiting() const {
+  jobs::WaitingJobs out;
+  for (const auto& [name, it] : jobs_) {
+    if (it->state == JobState::kQueued) ++out[it->job->queue];
+  }
+  return out;
+}
+
+void JobBook::DropClaim(Unit& unit) {
+  const auto needs = CountedNeeds(*unit.step->step);
+  for (const auto& it : unit.claim) {
+    if (auto* worker = fleet_.Find(it)) worker->claimed -= needs;
+  }
+  unit.claim.clear();
+}
+
+void JobBook::SetClaim(Unit& unit, std::vector<base::WorkerName> places) {
+  DropClaim(unit);
+  const auto needs = CountedNeeds(*unit.step->step);
+  for (const auto& it : places) {
+    if (auto* worker = fleet_.Find(it)) worker->claimed += needs;
+  }
+  unit.claim = std::move(places);
+}
+
+}  // namespace lapishatch::dispatch::internal
--- /dev/null
+++ b/src/dispatch/owner_lease.cc
@@ -0,0 +1,298 @@
+#include "dispatch/owner_lease.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace lapishatch::dispatch {
+namespace {
+
+using store::NotDone;
+using store::RowsCommitted;
+using store::RowsConflict;
+using store::RowsResult;
+using store::RowVersion;
+using store::StoredRow;
+
+/// A suspension shorter than this cannot make a lease look valid that is not:
+/// the holder stops so much before the lease's end.
+constexpr base::Duration kMargin{100};
+
+/// The value of a lease row that nobody holds.
+constexpr std::string_view kNobody = "-";
+
+}  // namespace
+
+class OwnerLease::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(base::EventLoop& loop, store::RowStore& store, base::ServiceName service,
+       std::string holder, std::function<base::Duration()> suspended,
+       OwnerLeaseOptions options, OwnerLeaseEvents events)
+      : loop_(loop),
+        store_(store),
+        service_(std::move(service)),
+        holder_(std::move(holder)),
+        suspended_(std::move(suspended)),
+        options_(options),
+        events_(std::move(events)),
+        random_(std::hash<std::string>()(holder_)) {}
+
+  void Start() {
+    const auto weak = weak_from_this();
+    const auto on_rows = [weak](std::vector<StoredRow> rows, RowVersion) {
+      if (const auto self = weak.lock()) self->OnRows(rows);
+    };
+    const auto on_all = [weak, on_rows](std::vector<StoredRow> rows,
+                                        RowVersion as_of) {
+      if (const auto self = weak.lock()) {
+        self->row_.reset();
+        self->epoch_row_ = store::kAbsent;
+        self->is_read_ = true;
+        on_rows(std::move(rows), as_of);
+      }
+    };
+    const auto on_failure = [weak](const std::string&) {
+      if (const auto self = weak.lock()) self->is_aging_ = false;
+    };
+    follower_.emplace(loop_, store_, std::string(kOwnerTable), service_.str(),
+                      options_.follow,
+                      store::FollowerEvents{on_all, on_rows, on_failure});
+    follower_->Start();
+  }
+
+  bool IsCertain() const {
+    if (!epoch_) return false;
+    if (suspended_() - suspended_at_renewal_ >= kMargin) return false;
+    return SinceRenewal() + kMargin < options_.length;
+  }
+
+  base::Duration SinceRenewal() const {
+    return loop_.Now() - renewed_at_ + suspended_() - suspended_at_renewal_;
+  }
+
+  bool is_holder() const { return epoch_.has_value(); }
+
+  void Release(std::function<void()> done) {
+    is_leaving_ = true;
+    if (!epoch_) return done();
+    const auto epoch = *epoch_;
+    epoch_.reset();
+    store_.Commit(
+        {service_.str(),
+         {Condition(kEpochKey, epoch), Condition(kLeaseKey, lease_row_)},
+         {Put(kLeaseKey, kNobody)},
+         {}},
+        [done = std::move(done)](const RowsResult&) { done(); });
+  }
+
+  void Drop(const std::string& reason) {
+    if (!epoch_) return;
+    epoch_.reset();
+    is_aging_ = false;
+    events_.on_lost(reason);
+  }
+
+ private:
+  static store::RowCondition Condition(std::string_view key,
+                                       RowVersion version) {
+    return {std::string(kOwnerTable), std::string(key), version};
+  }
+
+  static store::RowPut Put(std::string_view key, std::string_view value) {
+    return {std::string(kOwnerTable), std::string(key), std::string(value)};
+  }
+
+  // As a candidate.
+
+  void OnRows(const std::vector<StoredRow>& rows) {
+    bool has_changed = false;
+    for (const auto& it : rows) {
+      if (it.address.key == kEpochKey) {
+        epoch_row_ = it.is_deleted ? store::kAbsent : it.version;
+        continue;
+      }
+      if (it.address.key != kLeaseKey) continue;
+      has_changed = true;
+      row_ = it;
+      if (it.is_deleted) row_.reset();
+    }
+    if (epoch_ || is_leaving_) return CheckStillOwner();
+    const bool is_free = !row_ || row_->value == kNobody;
+    if (has_changed || !is_aging_) {
+      is_aging_ = true;
+      ++watch_;
+      const auto wait = is_free ? base::Duration(0) : options_.length;
+      ArmTake(wait + Spread());
+    }
+  }
+
+  /// The feed may be ahead of the answers to this holder's own renewals, so
+  /// only the epoch tells that another one took the service.
+  void CheckStillOwner() {
+    if (epoch_ && epoch_row_ > *epoch_) Drop("another process took it");
+  }
+
+  base::Duration Spread() {
+    std::uniform_int_distribution<std::int64_t> range(0,
+                                                      options_.spread.count());
+    return base::Duration(range(random_));
+  }
+
+  void ArmTake(base::Duration delay) {
+    loop_.After(delay, [weak = weak_from_this(), watch = watch_] {
+      const auto self = weak.lock();
+      if (self && self->watch_ == watch && self->is_aging_) self->Take();
+    });
+  }
+
+  void Take() {
+    if (epoch_ || is_leaving_) return;
+    const auto sent = loop_.Now();
+    const auto suspended = suspended_();
+    const auto lease_version = row_ ? row_->version : store::kAbsent;
+    store_.Commit(
+        {service_.str(),
+         {Condition(kEpochKey, epoch_row_),
+          Condition(kLeaseKey, lease_version)},
+         {Put(kEpochKey, holder_), Put(kLeaseKey, holder_)},
+         {}},
+        [weak = weak_from_this(), sent, suspended](const RowsResult& result) {
+          const auto self = weak.lock();
+          if (!self) return;
+          const auto* committed = std::get_if<RowsCommitted>(&result);
+          if (committed == nullptr) return self->OnTakeFailed();
+          self->OnTaken(committed->version, sent, suspended);
+        });
+  }
+
+  /// Whatever the reason, the feed shows how things stand. When the row was
+  /// taken after all without an answer, nobody renews it and it lapses.
+  void OnTakeFailed() {
+    is_aging_ = false;
+    ++watch_;
+    loop_.After(options_.retry_every, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->epoch_ && !self->is_aging_) self->OnRows({});
+    });
+  }
+
+  void OnTaken(RowVersion version, base::TimePoint sent,
+               base::Duration suspended) {
+    if (is_leaving_) return;
+    epoch_ = version;
+    epoch_row_ = std::max(epoch_row_, version);
+    lease_row_ = version;
+    renewed_at_ = sent;
+    suspended_at_renewal_ = suspended;
+    ++watch_;
+    ArmRenewal(options_.renew_every);
+    events_.on_taken(version);
+  }
+
+  // As the holder.
+
+  void ArmRenewal(base::Duration delay) {
+    loop_.After(delay, [weak = weak_from_this(), epoch = epoch_] {
+      const auto self = weak.lock();
+      if (self && self->epoch_ && self->epoch_ == epoch) self->Renew();
+    });
+  }
+
+  void Renew() {
+    const auto sent = loop_.Now();
+    const auto suspended = suspended_();
+    store_.Commit(
+        {service_.str(),
+         {Condition(kEpochKey, *epoch_), Condition(kLeaseKey, lease_row_)},
+         {Put(kLeaseKey, holder_)},
+         {}},
+        [weak = weak_from_this(), epoch = *epoch_, sent,
+         suspended](const RowsResult& result) {
+          const auto self = weak.lock();
+          if (!self || self->epoch_ != epoch) return;
+          self->OnRenewed(result, sent, suspended);
+        });
+  }
+
+  void OnRenewed(const RowsResult& result, base::TimePoint sent,
+                 base::Duration suspended) {
+    if (const auto* committed = std::get_if<RowsCommitted>(&result)) {
+      lease_row_ = committed->version;
+      renewed_at_ = sent;
+      suspended_at_renewal_ = suspended;
+      const auto next = sent + options_.renew_every - loop_.Now();
+      return ArmRenewal(std::max(next, base::Duration(0)));
+    }
+    const auto* conflict = std::get_if<RowsConflict>(&result);
+    if (conflict != nullptr && !IsStillMine(conflict->present)) {
+      return Drop("another process took it");
+    }
+    ArmRenewal(conflict != nullptr ? base::Duration(0) : options_.retry_every);
+  }
+
+  /// A renewal without an answer may have been done: then the lease row is this
+  /// holder's own with a newer version.
+  bool IsStillMine(const std::vector<StoredRow>& present) {
+    RowVersion epoch_row = store::kAbsent;
+    for (const auto& it : present) {
+      if (it.address.key == kEpochKey) epoch_row = it.version;
+      if (it.address.key == kLeaseKey) lease_row_ = it.version;
+    }
+    return epoch_row == *epoch_;
+  }
+
+  base::EventLoop& loop_;
+  store::RowStore& store_;
+  const base::ServiceName service_;
+  const std::string holder_;
+  const std::function<base::Duration()> suspended_;
+  const OwnerLeaseOptions options_;
+  const OwnerLeaseEvents events_;
+  base::Random random_;
+  std::optional<store::FeedFollower> follower_;
+
+  // What the feed has shown.
+  std::optional<StoredRow> row_;
+  RowVersion epoch_row_ = store::kAbsent;
+  bool is_read_ = false;
+
+  /// Whether the row's age is being watched, without a gap in the feed.
+  bool is_aging_ = false;
+  /// Numbers what is watched; timers of an earlier one do nothing.
+  int watch_ = 0;
+
+  /// Set while this process holds the service.
+  std::optional<Epoch> epoch_;
+  RowVersion lease_row_ = store::kAbsent;
+  base::TimePoint renewed_at_{};
+  base::Duration suspended_at_renewal_{0};
+  bool is_leaving_ = false;
+};
+
+OwnerLease::OwnerLease(base::EventLoop& loop, store::RowStore& store,
+                       base::ServiceName service, std::string holder,
+                       std::function<base::Duration()> suspended,
+                       OwnerLeaseOptions options, OwnerLeaseEvents events)
+    : impl_(std::make_shared<Impl>(loop, store, std::move(service),
+                                   std::move(holder), std::move(suspended),
+                                   options, std::move(events))) {}
+
+OwnerLease::~OwnerLease() = default;
+
+void OwnerLease::Start() { impl_->Start(); }
+
+bool OwnerLease::IsCertain() const { return impl_->IsCertain(); }
+
+base::Duration OwnerLease::SinceRenewal() const {
+  return impl_->SinceRenewal();
+}
+
+bool OwnerLease::is_holder() const { return impl_->is_holder(); }
+
+void OwnerLease::Release(std::function<void()> done) {
+  impl_->Release(std::move(done));
+}
+
+void OwnerLease::Drop(const std::string& reason) { impl_->Drop(reason); }
+
+}  // namespace lapishatch::dispatch
--- /dev/null
+++ b/src/dispatch/owner_lease.h
@@ -0,0 +1,81 @@
+#ifndef LAPISHATCH_DISPATCH_OWNER_LEASE_H_
+#define LAPISHATCH_DISPATCH_OWNER_LEASE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+#include "dispatch/worker_port.h"
+#include "store/feed_follower.h"
+#include "store/row_store.h"
+
+namespace lapishatch::dispatch {
+
+/// Rows of the table, in the service's part: kEpochKey changes only when the
+/// service is taken, kLeaseKey at every renewal.
+inline constexpr std::string_view kOwnerTable = "owners";
+inline constexpr std::string_view kEpochKey = "epoch";
+inline constexpr std::string_view kLeaseKey = "lease";
+
+struct OwnerLeaseOptions {
+  /// How long a renewal counts, from before it was sent. A takeover must end
+  /// within 2.5 s of a kill, and then some 50 ms are left to read rows.
+  base::Duration length{2'000};
+  base::Duration renew_every{500};
+  base::Duration retry_every{200};
+  /// Most that a candidate waits beyond `length`, at random, so that not all
+  /// try at once.
+  base::Duration spread{150};
+  store::FollowerOptions follow;
+};
+
+/// What the lease tells its owner. Called on the loop.
+struct OwnerLeaseEvents {
+  /// This process owns the service under `epoch` from now on.
+  std::function<void(Epoch epoch)> on_taken;
+  /// It owns it no longer.
+  std::function<void(const std::string& reason)> on_lost;
+};
+
+/// One process's part in who owns a service. A candidate takes the row when it
+/// has not changed for the lease's length by the candidate's own clock, in
+/// which the store answered all along; the holder counts from before its last
+/// renewal that succeeded. So the two never overlap, without comparing clocks.
+class OwnerLease {
+ public:
+  /// `suspended` gives for how long this VM has been suspended in all; the
+  /// steady clock does not show it.
+  OwnerLease(base::EventLoop& loop, store::RowStore& store,
+             base::ServiceName service, std::string holder,
+             std::function<base::Duration()> suspended,
+             OwnerLeaseOptions options, OwnerLeaseEvents events);
+  ~OwnerLease();
+  OwnerLease(const OwnerLease&) = delete;
+  OwnerLease& operator=(const OwnerLease&) = delete;
+
+  void Start();
+
+  /// Whether this process certainly is the only owner at this moment.
+  bool IsCertain() const;
+
+  /// Time since the last renewal that succeeded was sent.
+  base::Duration SinceRenewal() const;
+
+  bool is_holder() const;
+
+  /// Gives up the service, if it is held, so that another takes it at once, and
+  /// takes it no more. `done` is called when the store has said so, or cannot.
+  void Release(std::function<void()> done);
+
+  /// The holder has seen that another process owns the service.
+  void Drop(const std::string& reason);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace lapishatch::dispatch
+
+#endif  // LAPISHATCH_DISPATCH_OWNER_LEASE_H_
--- /dev/null
+++ b/src/dispatch/placer.h
@@ -0,0 +1,43 @@
+#ifndef LAPISHATCH_DISPATCH_PLACER_H_
+#define LAPISHATCH_DISPATCH_PLACER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/base.h"
+#include "dispatch/fleet.h"
+#include "jobs/job.h"
+
+namespace lapishatch::dispatch {
+
+/// What decides where a unit (one task, or the tasks of a gang) may go.
+struct PlaceRequest {
+  const jobs::Step* step = nullptr;
+  int tasks = 1;
+  /// Tasks of the step on each worker now, for its limit per worker.
+  const std::map<base::WorkerName, int>* on_worker = nullptr;
+  /// Room beyond what is free, per worker: what stopping others would give.
+  /// Null counts only what is free.
+  const std::map<base::WorkerName, jobs::Room>* could_free = nullptr;
+  /// Whether a rack other than the wanted one will do.
+  bool accepts_slow = false;
+};
+
+/// One worker a task.
+using Places = std::vector<base::WorkerName>;
+
+/// Where the unit fits now, or nothing. Takes the workers that it fills best, so
+/// that whole workers stay free for tasks that need all accelerators of one.
+/// A gang that wants one rack gets the rack that it fills best. Costs one pass
+/// over the workers a task, and for a gang one pass a rack.
+std::optional<Places> FindPlaces(const Fleet& fleet,
+                                 const PlaceRequest& request);
+
+/// Whether the unit would fit on its wanted rack, or anywhere where it has no
+/// wish, if nothing else ran. What never fits there need not wait for it.
+bool CouldEverFit(const Fleet& fleet, const PlaceRequest& request);
+
+}  // namespace lapishatch::dispatch
+
+#endif  // LAPISHATCH_DISPATCH_PLACER_H_
--- /dev/null
+++ b/src/dispatch/service_owner.cc
@@ -0,0 +1,108 @@
+#include "dispatch/service_owner.h"
+
+#include <utility>
+
+#include "dispatch/internal/owned_service.h"
+
+namespace lapishatch::dispatch {
+
+class ServiceOwner::Impl {
+ public:
+  Impl(ServiceOwnerPorts ports, base::ServiceName service, std::string holder,
+       ServiceOwnerOptions options)
+      : ports_(std::move(ports)),
+        service_(std::move(service)),
+        options_(options),
+        lease_(ports_.loop, ports_.store, service_, std::move(holder),
+               ports_.suspended, options.lease,
+               {[this](Epoch epoch) { OnTaken(epoch); },
+                [this](const std::string& reason) { OnLost(reason); }}) {}
+
+  void Start() { lease_.Start(); }
+
+  void PutWorker(const WorkerEntry& entry) {
+    if (entry.service != service_) return;
+    workers_[entry.name] = entry;
+    if (owned_) owned_->PutWorker(entry);
+  }
+
+  void RemoveWorker(const base::WorkerName& name) {
+    workers_.erase(name);
+    if (owned_) owned_->RemoveWorker(name);
+  }
+
+  void SetGuarantees(
+      std::map<base::OrganisationName, std::int64_t> guarantees) {
+    guarantees_ = std::move(guarantees);
+    if (owned_) owned_->SetGuarantees(guarantees_);
+  }
+
+  void Stop(std::function<void()> done) {
+    owned_.reset();
+    lease_.Release(std::move(done));
+  }
+
+  bool is_owner() const { return lease_.is_holder(); }
+
+ private:
+  void OnTaken(Epoch epoch) {
+    base::Log(base::events::kServiceTaken,
+              {{"service", service_.str()}, {"epoch", epoch}});
+    const internal::OwnerRights rights{
+        [this] { return lease_.IsCertain(); },
+        [this] {
+          return lease_.is_holder() &&
+                 lease_.SinceRenewal() < options_.orphan_limit;
+        },
+        [this](const std::string& reason) { lease_.Drop(reason); }};
+    owned_ = std::make_shared<internal::OwnedService>(ports_, service_, epoch,
+                                                      options_, rights);
+    owned_->SetGuarantees(guarantees_);
+    for (const auto& [name, entry] : workers_) owned_->PutWorker(entry);
+    owned_->Start();
+  }
+
+  void OnLost(const std::string& reason) {
+    base::Log(base::events::kServiceLost,
+              {{"service", service_.str()}, {"reason", reason}});
+    owned_.reset();
+  }
+
+  const ServiceOwnerPorts ports_;
+  const base::ServiceName service_;
+  const ServiceOwnerOptions options_;
+  OwnerLease lease_;
+  std::shared_ptr<internal::OwnedService> owned_;
+  std::map<base::WorkerName, WorkerEntry> workers_;
+  std::map<base::OrganisationName, std::int64_t> guarantees_;
+};
+
+ServiceOwner::ServiceOwner(ServiceOwnerPorts ports, base::ServiceName service,
+                           std::string holder, ServiceOwnerOptions options)
+    : impl_(std::make_unique<Impl>(std::move(ports), std::move(service),
+                                   std::move(holder), options)) {}
+
+ServiceOwner::~ServiceOwner() = default;
+
+void ServiceOwner::Start() { impl_->Start(); }
+
+void ServiceOwner::PutWorker(const WorkerEntry& entry) {
+  impl_->PutWorker(entry);
+}
+
+void ServiceOwner::RemoveWorker(const base::WorkerName& name) {
+  impl_->RemoveWorker(name);
+}
+
+void ServiceOwner::SetGuarantees(
+    std::map<base::OrganisationName, std::int64_t> guarantees) {
+  impl_->SetGuarantees(std::move(guarantees));
+}
+
+void ServiceOwner::Stop(std::function<void()> done) {
+  impl_->Stop(std::move(done));
+}
+
+bool ServiceOwner::is_owner() const { return impl_->is_owner(); }
+
+}  // namespace lapishatch::dispatch
--- /dev/null
+++ b/src/dispatch/service_owner.h
@@ -0,0 +1,88 @@
+#ifndef LAPISHATCH_DISPATCH_SERVICE_OWNER_H_
+#define LAPISHATCH_DISPATCH_SERVICE_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+#include "dispatch/owner_lease.h"
+#include "dispatch/worker_port.h"
+#include "store/row_store.h"
+
+namespace lapishatch::dispatch {
+
+/// What an owner works with. All must outlive it.
+struct ServiceOwnerPorts {
+  base::EventLoop& loop;
+  store::RowStore& store;
+  WorkerPort& workers;
+  /// For how long this VM has been suspended in all.
+  std::function<base::Duration()> suspended;
+  /// Milliseconds since 1970.
+  std::function<std::int64_t()> unix_ms;
+  /// May be null.
+  base::MetricRegistry* metrics = nullptr;
+};
+
+struct ServiceOwnerOptions {
+  OwnerLeaseOptions lease;
+  /// An owner that misses the store goes on renewing leases at workers for so
+  /// long after its last renewal, so that what runs outlives an outage. A
+  /// successor waits as long before it starts elsewhere what was last on a
+  /// worker that it does not reach. Outages last up to 9 s.
+  base::Duration orphan_limit{8'000};
+  /// Most time from a decision to its order at the worker: what a suspended
+  /// process sends later is refused as late.
+  base::Duration start_window{1'500};
+  base::Duration start_timeout{500};
+  base::Duration stop_timeout{600};
+  /// A stop is sent again until its end is listed.
+  base::Duration stop_again{500};
+  int start_tries = 3;
+  /// A worker that refused for want of health or room gets nothing for so long.
+  base::Duration refused_pause{1'000};
+  /// Between two looks at what has lapsed, waits too long or is due.
+  base::Duration tick{100};
+  /// Jobs that ended so long ago are removed; callers may ask for 120 s.
+  base::Duration keep_ended{180'000};
+};
+
+/// One process's part in owning a service: as the owner it starts, stops and
+/// records the tasks of the service's jobs; otherwise it waits to become it.
+class ServiceOwner {
+ public:
+  ServiceOwner(ServiceOwnerPorts ports, base::ServiceName service,
+               std::string holder, ServiceOwnerOptions options);
+  ~ServiceOwner();
+  ServiceOwner(const ServiceOwner&) = delete;
+  ServiceOwner& operator=(const ServiceOwner&) = delete;
+
+  void Start();
+
+  /// A worker has registered or changed; workers of other services are passed
+  /// over.
+  void PutWorker(const WorkerEntry& entry);
+
+  /// A worker's registration is gone. What runs there is over only when its
+  /// lease is.
+  void RemoveWorker(const base::WorkerName& name);
+
+  /// Accelerators that each organisation is guaranteed for urgent jobs.
+  void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
+
+  /// Hands the service over; `done` is called when that is written, or cannot
+  /// be.
+  void Stop(std::function<void()> done);
+
+  bool is_owner() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace lapishatch::dispatch
+
+#endif  // LAPISHATCH_DISPATCH_SERVICE_OWNER_H_
--- /dev/null
+++ b/src/jobs/job_rows.cc
@@ -0,0 +1,231 @@
+#include "jobs/job_rows.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace lapishatch::jobs {
+namespace {
+
+namespace json = boost::json;
+
+std::string Text(const json::string& text) {
+  return {text.data(), text.size()};
+}
+
+/// Reads members of an object whose writer is this file. A member of another
+/// type makes the whole text unreadable.
+class Reader {
+ public:
+  explicit Reader(const json::object& object) : object_(object) {}
+
+  std::int64_t Number(std::string_view key) const {
+    const auto* value = Find(key);
+    return value == nullptr ? 0 : value->to_number<std::int64_t>();
+  }
+
+  double Real(std::string_view key) const {
+    const auto* value = Find(key);
+    return value == nullptr ? 0 : value->to_number<double>();
+  }
+
+  bool Flag(std::string_view key) const {
+    const auto* value = Find(key);
+    return value != nullptr && value->as_bool();
+  }
+
+  std::string String(std::string_view key) const {
+    const auto* value = Find(key);
+    return value == nullptr ? std::string() : Text(value->as_string());
+  }
+
+  const json::array& Array(std::string_view key) const {
+    static const json::array kNone;
+    const auto* value = Find(key);
+    return value == nullptr ? kNone : value->as_array();
+  }
+
+ private:
+  const json::value* Find(std::string_view key) const {
+    return object_.if_contains(json::string_view(key.data(), key.size()));
+  }
+
+  const json::object& object_;
+};
+
+json::object Encode(const Step& step) {
+  json::object out;
+  out["tasks"] = step.tasks;
+  out["cpu"] = step.needs.cpu_millis;
+  out["memory"] = step.needs.memory_mb;
+  out["accelerators"] = step.needs.accelerators;
+  out["estimate"] = step.estimate.count();
+  if (!step.after.empty()) {
+    out["after"] = json::array(step.after.begin(), step.after.end());
+  }
+  if (step.has_checkpoints) out["checkpoints"] = true;
+  if (step.is_gang) out["gang"] = true;
+  if (step.wants_one_rack) out["one_rack"] = true;
+  if (step.allows_copies) out["copies"] = true;
+  if (step.is_service) out["service"] = true;
+  if (!step.required_label.empty()) out["label"] = step.required_label;
+  if (!step.preferred_rack.empty()) out["rack"] = step.preferred_rack.str();
+  if (step.most_per_worker > 0) out["per_worker"] = step.most_per_worker;
+  if (step.fills) out["fills"] = true;
+  return out;
+}
+
+Step DecodeStep(const json::object& object) {
+  const Reader reader(object);
+  Step out;
+  out.tasks = static_cast<int>(reader.Number("tasks"));
+  out.needs = {reader.Number("cpu"), reader.Number("memory"),
+               reader.Number("accelerators")};
+  out.estimate = base::Duration(reader.Number("estimate"));
+  for (const auto& it : reader.Array("after")) {
+    out.after.push_back(it.to_number<int>());
+  }
+  out.has_checkpoints = reader.Flag("checkpoints");
+  out.is_gang = reader.Flag("gang");
+  out.wants_one_rack = reader.Flag("one_rack");
+  out.allows_copies = reader.Flag("copies");
+  out.is_service = reader.Flag("service");
+  out.required_label = reader.String("label");
+  out.preferred_rack = base::RackName(reader.String("rack"));
+  out.most_per_worker = static_cast<int>(reader.Number("per_worker"));
+  out.fills = reader.Flag("fills");
+  return out;
+}
+
+/// Positional, since a row has one for each task that has begun and holds 64 KB:
+/// occurrence, step, index, phase, last run, failures, checkpoint, workers. What
+/// a done unit no longer needs is left out.
+json::array EncodeUnit(const UnitRecord& unit) {
+  json::array out{unit.occurrence,
+                  unit.step,
+                  unit.index,
+                  static_cast<int>(unit.phase),
+                  unit.last_run,
+                  unit.failures};
+  if (unit.phase == UnitPhase::kDone) return out;
+  out.emplace_back(unit.checkpoint);
+  json::array workers;
+  for (const auto& it : unit.workers) workers.emplace_back(it.str());
+  out.emplace_back(std::move(workers));
+  return out;
+}
+
+UnitRecord DecodeUnit(const json::array& fields) {
+  UnitRecord out;
+  out.occurrence = fields.at(0).to_number<int>();
+  out.step = fields.at(1).to_number<int>();
+  out.index = fields.at(2).to_number<int>();
+  out.phase = static_cast<UnitPhase>(fields.at(3).to_number<int>());
+  out.last_run = fields.at(4).to_number<int>();
+  out.failures = fields.at(5).to_number<int>();
+  if (fields.size() < 8) return out;
+  out.checkpoint = Text(fields.at(6).as_string());
+  for (const auto& it : fields.at(7).as_array()) {
+    out.workers.emplace_back(Text(it.as_string()));
+  }
+  return out;
+}
+
+/// Parses `text` and lets `read` take it apart; nothing where either fails.
+template <typename Read>
+auto Decode(std::string_view text, Read read)
+    -> std::optional<decltype(read(json::object()))> {
+  try {
+    const auto value = json::parse(json::string_view(text.data(), text.size()));
+    return read(value.as_object());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodeJob(const Job& job) {
+  json::object out;
+  out["name"] = job.name.str();
+  out["spec"] = job.spec;
+  json::array steps;
+  for (const auto& it : job.steps) steps.push_back(Encode(it));
+  out["steps"] = std::move(steps);
+  if (job.schedule.times > 0) {
+    out["times"] = job.schedule.times;
+    out["first_due"] = job.schedule.first_due_ms;
+    out["interval"] = job.schedule.interval_ms;
+  }
+  out["queue"] = job.queue.str();
+  out["service"] = job.service.str();
+  out["organisation"] = job.organisation.str();
+  out["priority"] = job.priority;
+  out["max_attempts"] = job.max_attempts;
+  out["slack"] = job.slack_factor;
+  out["target_latency"] = job.target_latency.count();
+  out["accepted"] = job.accepted_ms;
+  return json::serialize(out);
+}
+
+std::optional<Job> DecodeJob(std::string_view text) {
+  return Decode(text, [](const json::object& object) {
+    const Reader reader(object);
+    Job out;
+    out.name = base::JobName(reader.String("name"));
+    out.spec = reader.String("spec");
+    for (const auto& it : reader.Array("steps")) {
+      out.steps.push_back(DecodeStep(it.as_object()));
+    }
+    out.schedule = {static_cast<int>(reader.Number("times")),
+                    reader.Number("first_due"), reader.Number("interval")};
+    out.queue = QueueName(reader.String("queue"));
+    out.service = base::ServiceName(reader.String("service"));
+    out.organisation = base::OrganisationName(reader.String("organisation"));
+    out.priority = static_cast<int>(reader.Number("priority"));
+    out.max_attempts = static_cast<int>(reader.Number("max_attempts"));
+    out.slack_factor = reader.Real("slack");
+    out.target_latency = base::Duration(reader.Number("target_latency"));
+    out.accepted_ms = reader.Number("accepted");
+    return out;
+  });
+}
+
+std::string EncodeProgress(const JobProgress& progress) {
+  json::object out;
+  out["state"] = static_cast<int>(progress.state);
+  json::array units;
+  for (const auto& it : progress.units) units.push_back(EncodeUnit(it));
+  out["units"] = std::move(units);
+  return json::serialize(out);
+}
+
+std::optional<JobProgress> DecodeProgress(std::string_view text) {
+  return Decode(text, [](const json::object& object) {
+    const Reader reader(object);
+    JobProgress out;
+    out.state = static_cast<JobState>(reader.Number("state"));
+    for (const auto& it : reader.Array("units")) {
+      out.units.push_back(DecodeUnit(it.as_array()));
+    }
+    return out;
+  });
+}
+
+std::string EncodeWaiting(const WaitingJobs& waiting) {
+  json::object out;
+  for (const auto& [queue, n] : waiting) out[queue.str()] = n;
+  return json::serialize(out);
+}
+
+std::optional<WaitingJobs> DecodeWaiting(std::string_view text) {
+  return Decode(text, [](const json::object& object) {
+    WaitingJobs out;
+    for (const auto& it : object) {
+      const std::string name(it.key().data(), it.key().size());
+      out[QueueName(name)] = it.value().to_number<int>();
+    }
+    return out;
+  });
+}
+
+}  // namespace lapishatch::jobs
--- /dev/null
+++ b/src/jobs/job_service.cc
@@ -0,0 +1,136 @@
+#include "jobs/job_service.h"
+
+#include <utility>
+
+#include "jobs/job_rows.h"
+
+namespace lapishatch::jobs {
+namespace {
+
+using store::NotDone;
+using store::ReadFailed;
+using store::RowsCommitted;
+using store::RowsConflict;
+using store::RowsRead;
+using store::RowsReadResult;
+using store::RowsResult;
+using store::UnknownOutcome;
+
+store::RowRange OneRow(std::string_view table, const base::ServiceName& service,
+                       const std::string& key) {
+  return {std::string(table), service.str(), key, store::KeyAfter(key),
+          1};
+}
+
+std::string CancelKey(const base::JobName& name) {
+  return name.str() + std::string(kCancelSuffix);
+}
+
+}  // namespace
+
+void JobService::Submit(const Job& job,
+                        std::function<void(SubmitResult)> done) {
+  const auto part = job.service.str();
+  const std::string table(kRequestTable);
+  const auto key = job.name.str();
+  store_.Commit(
+      {part, {{table, key, store::kAbsent}}, {{table, key, EncodeJob(job)}}, {}},
+      [this, service = job.service, key,
+       done = std::move(done)](RowsResult result) {
+        if (auto* not_done = std::get_if<NotDone>(&result)) {
+          return done(JobNotAccepted{std::move(not_done->detail)});
+        }
+        auto* unknown = std::get_if<UnknownOutcome>(&result);
+        // A conflict means that an earlier request of this name stands there.
+        if (unknown == nullptr) return done(JobAccepted{});
+        store_.Read(OneRow(kRequestTable, service, key),
+                    [done, detail = std::move(unknown->detail)](
+                        const RowsReadResult& read) {
+                      const auto* rows = std::get_if<RowsRead>(&read);
+                      if (rows != nullptr && !rows->rows.empty()) {
+                        return done(JobAccepted{});
+                      }
+                      // Not there yet: the write may still take effect.
+                      done(JobUnknown{detail});
+                    });
+      });
+}
+
+void JobService::State(const base::ServiceName& service,
+                       const base::JobName& name,
+                       std::function<void(StateResult)> done) {
+  const auto read_request = [this, service, name, done] {
+    store_.Read(OneRow(kRequestTable, service, name.str()),
+                [done](const RowsReadResult& result) {
+                  if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+                    return done(JobUnavailable{failed->detail});
+                  }
+                  if (std::get<RowsRead>(result).rows.empty()) {
+                    return done(NoSuchJob{});
+                  }
+                  done(JobState::kQueued);
+                });
+  };
+  store_.Read(
+      OneRow(kProgressTable, service, name.str()),
+      [done, read_request](const RowsReadResult& result) {
+        if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+          return done(JobUnavailable{failed->detail});
+        }
+        const auto& rows = std::get<RowsRead>(result).rows;
+        if (rows.empty()) return read_request();
+        const auto progress = DecodeProgress(rows.front().value);
+        if (!progress) return done(JobUnavailable{"unreadable progress"});
+        done(progress->state);
+      });
+}
+
+void JobService::Cancel(const base::ServiceName& service,
+                        const base::JobName& name,
+                        std::function<void(CancelResult)> done) {
+  store_.Read(
+      OneRow(kRequestTable, service, name.str()),
+      [this, service, name, done = std::move(done)](RowsReadResult result) {
+        if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+          return done(JobUnavailable{failed->detail});
+        }
+        const auto& rows = std::get<RowsRead>(result).rows;
+        if (rows.empty()) return done(NoSuchJob{});
+        const std::string table(kRequestTable);
+        // The row of a cancelling says nothing but that it is there, so one
+        // that is written twice does no harm and needs no condition on itself.
+        store_.Commit({service.str(),
+                       {{table, name.str(), rows.front().version}},
+                       {{table, CancelKey(name), "{}"}},
+                       {}},
+                      [done](const RowsResult& committed) {
+                        if (std::holds_alternative<RowsCommitted>(committed)) {
+                          return done(JobCancelled{});
+                        }
+                        if (std::holds_alternative<RowsConflict>(committed)) {
+                          return done(NoSuchJob{});
+                        }
+                        done(JobUnavailable{"the store did not confirm"});
+                      });
+      });
+}
+
+void JobService::Waiting(const base::ServiceName& service,
+                         const QueueName& queue,
+                         std::function<void(WaitingResult)> done) {
+  store_.Read(OneRow(kWaitingTable, service, std::string(kWaitingKey)),
+              [queue, done = std::move(done)](const RowsReadResult& result) {
+                if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+                  return done(JobUnavailable{failed->detail});
+                }
+                const auto& rows = std::get<RowsRead>(result).rows;
+                // Before the owner's first row no job has been accepted long.
+                if (rows.empty()) return done(0);
+                const auto waiting = DecodeWaiting(rows.front().value);
+                if (!waiting) return done(JobUnavailable{"unreadable counts"});
+                const auto it = waiting->find(queue);
+                done(it == waiting->end() ? 0 : it->second);
+              });
+}
+
+}  // namespace lapishatch::jobs
--- /dev/null
+++ b/src/store/feed_follower.cc
@@ -0,0 +1,133 @@
+#include "store/feed_follower.h"
+
+#include <iterator>
+#include <utility>
+
+namespace lapishatch::store {
+
+/// Callbacks hold a weak pointer, so that an answer that comes after the
+/// follower is gone finds nobody.
+class FeedFollower::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(base::EventLoop& loop, RowStore& store, std::string table,
+       std::string part, FollowerOptions options, FollowerEvents events)
+      : loop_(loop),
+        store_(store),
+        table_(std::move(table)),
+        part_(std::move(part)),
+        options_(options),
+        events_(std::move(events)),
+        random_(std::hash<std::string>()(base::MakeUniqueText(table_))),
+        backoff_(options.retry_first, options.retry_limit) {}
+
+  void ReadAll() {
+    collected_.clear();
+    ++generation_;
+    ReadPage("");
+  }
+
+ private:
+  template <typename Method>
+  auto Guarded(Method method) {
+    return [weak = weak_from_this(), method,
+            generation = generation_](auto result) {
+      const auto self = weak.lock();
+      if (!self || self->generation_ != generation) return;
+      ((*self).*method)(std::move(result));
+    };
+  }
+
+  void ReadPage(std::string from) {
+    store_.Read({table_, part_, std::move(from), "", kPageRows},
+                Guarded(&Impl::OnPage));
+  }
+
+  void OnPage(RowsReadResult result) {
+    if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+      return Retry(failed->detail, &Impl::ReadAll);
+    }
+    backoff_.Reset();
+    auto& page = std::get<RowsRead>(result);
+    // Pages are of different moments. Following from the first one tells again
+    // what changed between them, so nothing is missed.
+    if (collected_.empty()) {
+      if (page.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
+      as_of_ = page.as_of;
+    }
+    const bool has_more = page.has_more && !page.rows.empty();
+    const auto next =
+        has_more ? KeyAfter(page.rows.back().address.key) : std::string();
+    std::move(page.rows.begin(), page.rows.end(),
+              std::back_inserter(collected_));
+    if (has_more) return ReadPage(next);
+    const auto weak = weak_from_this();
+    events_.on_all(std::exchange(collected_, {}), as_of_);
+    if (const auto self = weak.lock()) Follow();
+  }
+
+  void Follow() {
+    store_.Feed(table_, as_of_, options_.wait, Guarded(&Impl::OnFeed));
+  }
+
+  void OnFeed(RowsFeedResult result) {
+    if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+      return Retry(failed->detail, &Impl::Follow);
+    }
+    backoff_.Reset();
+    if (std::holds_alternative<HistoryGone>(result)) return ReadAll();
+    auto& changes = std::get<RowsChanged>(result);
+    // An answer that lags behind what was told already is never told.
+    if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
+    as_of_ = changes.as_of;
+    std::erase_if(changes.rows, [this](const StoredRow& row) {
+      return row.address.part != part_;
+    });
+    const auto weak = weak_from_this();
+    events_.on_changes(std::move(changes.rows), as_of_);
+    if (const auto self = weak.lock()) Follow();
+  }
+
+  void Retry(const std::string& detail, void (Impl::*again)()) {
+    const auto weak = weak_from_this();
+    if (events_.on_failure) events_.on_failure(detail);
+    const auto self = weak.lock();
+    if (!self) return;
+    loop_.After(backoff_.Next(random_),
+                [weak, again, generation = generation_] {
+                  const auto held = weak.lock();
+                  if (!held || held->generation_ != generation) return;
+                  ((*held).*again)();
+                });
+  }
+
+  /// The store's own limit for one answer.
+  static constexpr std::size_t kPageRows = 500;
+
+  base::EventLoop& loop_;
+  RowStore& store_;
+  const std::string table_;
+  const std::string part_;
+  const FollowerOptions options_;
+  const FollowerEvents events_;
+  base::Random random_;
+  base::Backoff backoff_;
+  RowVersion as_of_ = kAbsent;
+  std::vector<StoredRow> collected_;
+  /// Counts the reloads; answers of an earlier one are dropped.
+  int generation_ = 0;
+};
+
+FeedFollower::FeedFollower(base::EventLoop& loop, RowStore& store,
+                           std::string table, std::string part,
+                           FollowerOptions options, FollowerEvents events)
+    : impl_(std::make_shared<Impl>(loop, store, std::move(table),
+                                   std::move(part), options,
+                                   std::move(events))) {}
+
+FeedFollower::~FeedFollower() = default;
+
+void FeedFollower::Start() { impl_->ReadAll(); }
+
+void FeedFollower::Reload() { impl_->ReadAll(); }
+
+}  // namespace lapishatch::store
--- /dev/null
+++ b/src/store/feed_follower.h
@@ -0,0 +1,61 @@
+#ifndef LAPISHATCH_STORE_FEED_FOLLOWER_H_
+#define LAPISHATCH_STORE_FEED_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "store/row_store.h"
+
+namespace lapishatch::store {
+
+struct FollowerOptions {
+  /// How long one call waits for news. A connection that fell silent is noticed
+  /// after this and the store client's own timeout, so it is bounded by the
+  /// 2 s within which a configuration must be in force.
+  base::Duration wait{1'000};
+  /// Between a failed call and the next; with jitter.
+  base::Duration retry_first{100};
+  base::Duration retry_limit{400};
+};
+
+/// What a follower tells. All are called on the loop.
+struct FollowerEvents {
+  /// The part as a whole, at the start and whenever changes were missed. Rows
+  /// that are not in it are gone.
+  std::function<void(std::vector<StoredRow> rows, RowVersion as_of)> on_all;
+  /// Rows that changed since, in order, with deletions. May be empty: the
+  /// follower heard from the store and nothing has changed.
+  std::function<void(std::vector<StoredRow> rows, RowVersion as_of)> on_changes;
+  /// A call failed; may be left empty.
+  std::function<void(const std::string& detail)> on_failure;
+};
+
+/// Keeps up with one part of a table: reads it whole, then follows its changes
+/// from that version. After a failure it goes on where it was; when the store
+/// has dropped the history in between, it reads the part whole again. What was
+/// told last stays true until something newer is told.
+class FeedFollower {
+ public:
+  FeedFollower(base::EventLoop& loop, RowStore& store, std::string table,
+               std::string part, FollowerOptions options,
+               FollowerEvents events);
+  ~FeedFollower();
+  FeedFollower(const FeedFollower&) = delete;
+  FeedFollower& operator=(const FeedFollower&) = delete;
+
+  void Start();
+
+  /// Reads the part whole again.
+  void Reload();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace lapishatch::store
+
+#endif  // LAPISHATCH_STORE_FEED_FOLLOWER_H_
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,10 +5,12 @@
 /// VM list behind narrow interfaces, their HTTP implementations, and what makes
 /// the table cheap and safe to use: group commit and reading back.
 
+#include "store/feed_follower.h"
 #include "store/group_commit.h"
 #include "store/http_platform.h"
 #include "store/object_store.h"
 #include "store/read_back.h"
+#include "store/row_store.h"
 #include "store/table.h"
 #include "store/vm_list.h"
 
