Keep room taken on workers not yet known; ask silent workers without renewal

Ruled out: strays missing from the workers' lists.

Change: the fleet counts by name, also for workers that it does not know; a session renews only while its worker answers.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -21,9 +21,19 @@
   worker.domain = entry.domain;
   worker.labels = entry.labels;
   worker.capacity = entry.capacity;
+  worker.is_known = true;
 }
 
-void Fleet::Remove(const base::WorkerName& name) { workers_.erase(name); }
+void Fleet::Remove(const base::WorkerName& name) {
+  const auto it = workers_.find(name);
+  if (it == workers_.end()) return;
+  if (it->second.used == jobs::Room{}) {
+    workers_.erase(it);
+    return;
+  }
+  it->second.is_known = false;
+  it->second.is_open = false;
+}
 
 FleetWorker* Fleet::Find(const base::WorkerName& name) {
   const auto it = workers_.find(name);
@@ -31,11 +41,17 @@
 }
 
 void Fleet::Take(const base::WorkerName& name, const jobs::Room& room) {
-  if (auto* worker = Find(name)) worker->used += room;
+  auto& worker = workers_[name];
+  worker.name = name;
+  worker.used += room;
 }
 
 void Fleet::GiveBack(const base::WorkerName& name, const jobs::Room& room) {
-  if (auto* worker = Find(name)) worker->used -= room;
+  const auto it = workers_.find(name);
+  if (it == workers_.end()) return;
+  it->second.used -= room;
+  const bool is_unused = it->second.used == jobs::Room{};
+  if (!it->second.is_known && is_unused) workers_.erase(it);
 }
 
 }  // namespace lapishatch::dispatch
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -27,6 +27,9 @@
   jobs::Room claimed;
   /// Whether anything new may start there.
   bool is_open = false;
+  /// Whether its size is known; room is counted on others too, since tasks may
+  /// be recorded on a worker before it is heard of.
+  bool is_known = false;
 
   jobs::Room Free() const {
     auto out = capacity;
@@ -49,7 +52,8 @@
   /// Adds a worker or changes its size, rack and labels.
   void Put(const WorkerEntry& entry);
 
-  /// The worker is gone with all that ran there.
+  /// Takes the worker out. What is taken of it stays counted until it is given
+  /// back, also when the worker comes back in between.
   void Remove(const base::WorkerName& name);
 
   /// Nothing where there is no such worker.
@@ -61,7 +65,7 @@
   }
   std::map<base::WorkerName, FleetWorker>& workers() { return workers_; }
 
-  /// Takes or gives back room; nothing where the worker is gone.
+  /// Takes or gives back room, on workers that are not known as well.
   void Take(const base::WorkerName& name, const jobs::Room& room);
   void GiveBack(const base::WorkerName& name, const jobs::Room& room);
 
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -27,7 +27,9 @@
     order.epoch = epoch_;
     order.ends_recorded = recorded_;
     order.wait = wait;
-    if (is_heard_) {
+    // A worker that did not answer is only asked, not renewed, until it does:
+    // otherwise it could never be certain that its lease has run out.
+    if (is_heard_ && is_reached_) {
       order.expires = Clock() + options_.lease.count();
       NoteExpiry(*order.expires);
     }
