Take a good end that comes to light late, and stop what replaced it

Cause: a worker behind a cut ended a task well; its lease ran out before the end was acknowledged, the task ran again elsewhere, and the listed end of the earlier run was passed over. Ruled out by a trace of the book: a lost start, a leaked claim, a stuck recorder.

Change: an end 'done' of an earlier run is the task's end.

--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -60,6 +60,10 @@
   void OnEnded(Unit& unit, int index, EndKind kind,
                const std::string& checkpoint, base::TimePoint now);
 
+  /// A run that had been given up as lost turns out to have ended well, on a
+  /// worker that was not reached then: what replaced it is stopped.
+  void OnEarlierDone(Unit& unit, int run, base::TimePoint now);
+
   /// The member has not begun and never will.
   void OnRefused(Unit& unit, int index, base::TimePoint now);
 
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -149,6 +149,16 @@
   MemberOver(unit, member, now);
 }
 
+void JobBook::OnEarlierDone(Unit& unit, int run, base::TimePoint now) {
+  const bool is_over = unit.phase == UnitPhase::kDone ||
+                       unit.step->step->is_service ||
+                       IsFinal(unit.step->job->state);
+  if (is_over || run > unit.last_run) return;
+  DropClaim(unit);
+  MarkDone(unit, now);
+  Stop(unit);
+}
+
 void JobBook::OnRefused(Unit& unit, int index, base::TimePoint now) {
   OnLost(unit, index, now);
 }
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -303,8 +303,15 @@
 
 void OwnedService::OnEnded(const base::WorkerName& name, const EndedTask& end) {
   auto* unit = FindRun(end.task, end.run);
-  if (unit == nullptr) return;
-  if (JobBook::MemberOf(*unit, end.task.index).worker != name) return;
+  const bool is_present =
+      unit != nullptr &&
+      JobBook::MemberOf(*unit, end.task.index).worker == name;
+  if (!is_present) {
+    auto* former = book_.FindUnit(end.task);
+    if (former == nullptr || end.kind != EndKind::kDone) return;
+    book_.OnEarlierDone(*former, end.run, ports_.loop.Now());
+    return;
+  }
   if (end.kind != EndKind::kDone) {
     base::Log(base::events::kTaskEnded, {{"request", end.task.job},
                                          {"task", TextOf(end.task)},
