--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,6 +1,6 @@
 # One folder per package. `lapishatch_package(src/routing DEPS http)` makes the library
 # `lapishatch_routing` from every .cc of the folder; with PROGRAM NAME, the folder's main.cc becomes
-# that program. Files are found by pattern, so adding one needs no change here.
+# that program. NAME replaces the folder's name. Files are found by pattern, so adding one needs no change here.
 
 set(LAPISHATCH_PACKAGES "" CACHE INTERNAL "")
 
@@ -49,8 +49,11 @@
 endfunction()
 
 function(lapishatch_package folder)
-  cmake_parse_arguments(ARG "" "PROGRAM" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "PROGRAM;NAME" "DEPS" ${ARGN})
   get_filename_component(name ${folder} NAME)
+  if(ARG_NAME)
+    set(name ${ARG_NAME})
+  endif()
   set(target lapishatch_${name})
   if(folder MATCHES "^standins/")
     set(target standin_${name}_lib)
--- /dev/null
+++ b/test/dispatch/owner_test.cc
@@ -0,0 +1,276 @@
+#include <catch2/catch.hpp>
+
+#include "owner_world.h"
+
+namespace lapishatch::dispatch {
+namespace {
+
+using fakes::StoreFault;
+using jobs::JobState;
+
+jobs::TaskName TaskOf(const std::string& job, int index, int step = 0) {
+  return {base::JobName(job), 0, step, index};
+}
+
+TEST_CASE("a job's tasks run and the job is shown as completed") {
+  OwnerWorld world(2, 4);
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 5, 2));
+  world.RunFor(200);
+  CHECK(world.workers().running() == 5);
+  CHECK(world.StateOf("plan") == JobState::kRunning);
+  world.RunFor(3'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().unacknowledged() == 0);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("a step begins only after the steps that it waits for") {
+  OwnerWorld world(1, 2);
+  world.RunFor(1'000);
+  auto job = OwnerWorld::MakeJob("map", 3, 1);
+  job.steps.push_back(job.steps.front());
+  job.steps.back().after = {0};
+  world.Submit(job);
+  world.RunFor(1'500);
+  CHECK(world.workers().starts(TaskOf("map", 0, 0)) == 1);
+  CHECK(world.workers().starts(TaskOf("map", 0, 1)) == 0);
+  world.RunFor(5'000);
+  CHECK(world.StateOf("map") == JobState::kCompleted);
+}
+
+TEST_CASE("a task that fails as often as allowed fails its job") {
+  OwnerWorld world(1, 2);
+  world.workers().outcome = [](const jobs::TaskName&, int) {
+    return EndKind::kFailed;
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("poison", 1, 1));
+  world.RunFor(12'000);
+  CHECK(world.StateOf("poison") == JobState::kFailed);
+  CHECK(world.workers().starts(TaskOf("poison", 0)) == 3);
+}
+
+TEST_CASE("a cancelled job's tasks are stopped and none starts") {
+  OwnerWorld world(1, 1);
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("map", 12, 1));
+  world.RunFor(500);
+  CHECK(world.workers().running() == 8);
+  world.Cancel("map");
+  world.RunFor(1'000);
+  CHECK(world.workers().running() == 0);
+  CHECK(world.StateOf("map") == JobState::kCancelled);
+  world.RunFor(5'000);
+  CHECK(world.workers().starts(TaskOf("map", 11)) == 0);
+}
+
+TEST_CASE("a gang starts whole or not at all") {
+  OwnerWorld world(1, 2);
+  world.RunFor(1'000);
+  auto first = OwnerWorld::MakeJob("a", 12, 1);
+  first.steps[0].is_gang = true;
+  auto second = OwnerWorld::MakeJob("b", 8, 1);
+  second.steps[0].is_gang = true;
+  world.Submit(first);
+  world.RunFor(100);
+  world.Submit(second);
+  world.RunFor(1'000);
+  CHECK(world.workers().running() == 12);
+  world.RunFor(5'000);
+  CHECK(world.StateOf("b") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("after its owner was killed, work goes on within 2.5 seconds") {
+  OwnerWorld world(3, 4);
+  world.RunFor(1'000);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(8'000);
+  };
+  world.Submit(OwnerWorld::MakeJob("long", 4, 1));
+  world.RunFor(2'000);
+  world.KillOwner(world.OwnerName());
+  world.Submit(OwnerWorld::MakeJob("new", 1, 1));
+  world.RunFor(2'500);
+  CHECK(world.workers().IsRunning(TaskOf("new", 0)));
+  world.RunFor(8'000);
+  CHECK(world.StateOf("long") == JobState::kCompleted);
+  CHECK(world.workers().starts(TaskOf("long", 0)) == 1);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("an owner that stops hands its service over at once") {
+  OwnerWorld world(3, 2);
+  world.RunFor(1'000);
+  const auto former = world.OwnerName();
+  world.owner(former).Stop([] {});
+  world.RunFor(400);
+  CHECK(world.OwnerName() != former);
+  CHECK_FALSE(world.OwnerName().empty());
+}
+
+TEST_CASE("an owner cut off from the store is replaced and starts nothing") {
+  OwnerWorld world(3, 4);
+  world.RunFor(1'000);
+  const auto former = world.OwnerName();
+  world.store().SetFault(former, StoreFault::kSilent);
+  world.RunFor(3'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 6, 1));
+  world.RunFor(5'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("what runs outlives an outage of the store") {
+  OwnerWorld world(3, 4);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(9'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("long", 4, 1));
+  world.RunFor(1'000);
+  world.store().SetFaultForAll(StoreFault::kSilent);
+  world.RunFor(7'000);
+  world.store().SetFaultForAll(StoreFault::kNone);
+  world.RunFor(8'000);
+  CHECK(world.StateOf("long") == JobState::kCompleted);
+  CHECK(world.workers().starts(TaskOf("long", 0)) == 1);
+}
+
+TEST_CASE("a start that is carried out late runs nothing twice") {
+  OwnerWorld world(2, 3);
+  world.RunFor(1'000);
+  for (int i = 0; i < 3; ++i) {
+    world.workers().MakeNextStartLate(OwnerWorld::WorkerCalled(i),
+                                      base::Duration(5'000));
+  }
+  world.Submit(OwnerWorld::MakeJob("plan", 6, 2));
+  world.RunFor(12'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("tasks of a worker that crashed run elsewhere after its lease") {
+  OwnerWorld world(2, 2);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(4'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 10, 1));
+  world.RunFor(1'000);
+  const auto lost = world.workers().WhereRuns(TaskOf("plan", 0));
+  world.workers().Crash(lost);
+  world.Unlist(lost);
+  world.RunFor(18'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("a worker that is not registered yet counts what is recorded there") {
+  // All processes restart while a worker is missing from the list; when it is
+  // back, its size must not seem to have grown by what ran there.
+  OwnerWorld world(1, 2);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(6'000);
+  };
+  world.RunFor(1'000);
+  auto gang = OwnerWorld::MakeJob("old", 2, 8);
+  gang.steps[0].is_gang = true;
+  world.Submit(gang);
+  world.RunFor(500);
+  CHECK(world.workers().running() == 2);
+  world.KillOwner("vm0");
+  world.Unlist(OwnerWorld::WorkerCalled(0));
+  world.StartOwner("vm1");
+  world.RunFor(3'000);
+  // It is registered again, and what was recorded there ends.
+  WorkerEntry entry;
+  entry.name = OwnerWorld::WorkerCalled(0);
+  entry.service = base::ServiceName(OwnerWorld::kService);
+  entry.rack = base::RackName("r0");
+  entry.capacity = {OwnerWorld::kCoresMillis, OwnerWorld::kMemoryMb,
+                    OwnerWorld::kAccelerators};
+  world.owner("vm1").PutWorker(entry);
+  for (int i = 0; i < 6; ++i) {
+    world.Submit(OwnerWorld::MakeJob("new" + std::to_string(i), 1, 8));
+  }
+  world.RunFor(30'000);
+  CHECK(world.StateOf("new5") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("a worker that left does not keep its task for ever") {
+  // A silent worker was renewed with every call that had no answer, so that it
+  // never counted as lapsed.
+  OwnerWorld world(1, 2);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(3'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 1, 1));
+  world.RunFor(500);
+  const auto lost = world.workers().WhereRuns(TaskOf("plan", 0));
+  world.workers().Crash(lost);
+  world.Unlist(lost);
+  world.RunFor(12'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+}
+
+TEST_CASE("a good end behind a cut counts when it comes to light") {
+  OwnerWorld world(1, 2);
+  const auto first = TaskOf("plan", 0);
+  int runs = 0;
+  world.workers().run_time = [&runs](const jobs::TaskName& task) {
+    const bool is_second_run = task.index == 0 && ++runs > 1;
+    return base::Duration(is_second_run ? 60'000 : 3'000);
+  };
+  world.RunFor(1'000);
+  auto job = OwnerWorld::MakeJob("plan", 1, 1);
+  job.steps.push_back(job.steps.front());
+  job.steps.back().after = {0};
+  world.Submit(job);
+  world.RunFor(500);
+  const auto behind = world.workers().WhereRuns(first);
+  world.workers().Cut("", behind);
+  world.RunFor(9'000);
+  CHECK(world.workers().starts(first) == 2);
+  world.workers().Join("", behind);
+  world.RunFor(2'000);
+  CHECK(world.workers().starts(TaskOf("plan", 0, 1)) == 1);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("urgent work that is owed its place gets it from others") {
+  OwnerWorld world(1, 2);
+  world.SetGuarantee("crews", 8);
+  world.workers().run_time = [](const jobs::TaskName& task) {
+    return base::Duration(task.job.str() == "urgent" ? 1'000 : 60'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("quiet", 16, 1));
+  world.RunFor(500);
+  CHECK(world.workers().running() == 16);
+  auto urgent = OwnerWorld::MakeJob("urgent", 1, 8);
+  urgent.priority = 0;
+  world.Submit(urgent);
+  world.RunFor(2'000);
+  CHECK(world.StateOf("urgent") == JobState::kCompleted);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("a feed whose history is gone misses no job") {
+  OwnerWorld world(1, 2);
+  world.RunFor(1'000);
+  world.store().SetFaultForAll(StoreFault::kBusy);
+  world.RunFor(300);
+  world.store().SetFaultForAll(StoreFault::kNone);
+  world.Submit(OwnerWorld::MakeJob("plan", 1, 1));
+  world.RunFor(15);
+  world.store().DropHistory();
+  world.RunFor(4'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch
--- /dev/null
+++ b/test/dispatch/owner_world.h
@@ -0,0 +1,172 @@
+#ifndef LAPISHATCH_TEST_DISPATCH_OWNER_WORLD_H_
+#define LAPISHATCH_TEST_DISPATCH_OWNER_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatch.h"
+#include "fakes/fake_row_store.h"
+#include "fakes/fake_task_workers.h"
+#include "fakes/virtual_time.h"
+#include "jobs/jobs.h"
+
+namespace lapishatch::dispatch {
+
+/// Some candidates for owning one service, its workers and its store, all in
+/// virtual time. Jobs are submitted by an entry that no fault touches.
+class OwnerWorld {
+ public:
+  static constexpr const char* kService = "survey";
+  static constexpr int kAccelerators = 8;
+  static constexpr int kCoresMillis = 64'000;
+  static constexpr int kMemoryMb = 262'144;
+
+  OwnerWorld(int owners, int workers) : store_(time_), workers_(time_) {
+    workers_.needs = [this](const jobs::TaskName& task) {
+      return NeedsOf(task);
+    };
+    workers_.gang_size = [this](const jobs::TaskName& task) {
+      const auto it = jobs_.find(task.job);
+      if (it == jobs_.end()) return 1;
+      const auto& step = it->second.steps[static_cast<std::size_t>(task.step)];
+      return step.is_gang ? step.tasks : 1;
+    };
+    for (int i = 0; i < workers; ++i) AddWorker(i);
+    for (int i = 0; i < owners; ++i) StartOwner("vm" + std::to_string(i));
+  }
+
+  static base::WorkerName WorkerCalled(int i) {
+    return base::WorkerName("w" + std::to_string(i));
+  }
+
+  void AddWorker(int i) {
+    constexpr int kPerRack = 4;
+    WorkerEntry entry;
+    entry.name = WorkerCalled(i);
+    entry.service = base::ServiceName(kService);
+    entry.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1 + i)};
+    entry.rack = base::RackName("r" + std::to_string(i / kPerRack));
+    entry.labels = {"a", entry.rack.str()};
+    entry.capacity = {kCoresMillis, kMemoryMb, kAccelerators};
+    entries_[entry.name] = entry;
+    workers_.Add(entry);
+    for (const auto& [name, owner] : owners_) owner->PutWorker(entry);
+  }
+
+  /// The worker's registration goes; whether it runs on is another matter.
+  void Unlist(const base::WorkerName& name) {
+    entries_.erase(name);
+    for (const auto& [unused, owner] : owners_) owner->RemoveWorker(name);
+  }
+
+  void StartOwner(const std::string& name) {
+    const auto life = name + '#' + std::to_string(++lives_);
+    auto owner = std::make_unique<ServiceOwner>(
+        ServiceOwnerPorts{time_, store_.For(name), workers_.For(name),
+                          [] { return base::Duration(0); },
+                          [this] {
+                            return time_.Now().time_since_epoch().count();
+                          }},
+        base::ServiceName(kService), life, ServiceOwnerOptions{});
+    owner->SetGuarantees(guarantees_);
+    for (const auto& [unused, entry] : entries_) owner->PutWorker(entry);
+    owner->Start();
+    owners_[name] = std::move(owner);
+  }
+
+  /// The process is gone from one moment to the next.
+  void KillOwner(const std::string& name) { owners_.erase(name); }
+
+  /// The name of a process that holds the service, or an empty text.
+  std::string OwnerName() const {
+    for (const auto& [name, owner] : owners_) {
+      if (owner->is_owner()) return name;
+    }
+    return {};
+  }
+
+  ServiceOwner& owner(const std::string& name) { return *owners_.at(name); }
+  bool HasOwner(const std::string& name) const {
+    return owners_.contains(name);
+  }
+
+  void SetGuarantee(const std::string& organisation, std::int64_t n) {
+    guarantees_[base::OrganisationName(organisation)] = n;
+    for (const auto& [name, it] : owners_) it->SetGuarantees(guarantees_);
+  }
+
+  static jobs::Job MakeJob(const std::string& name, int tasks,
+                           int accelerators) {
+    jobs::Job out;
+    out.name = base::JobName(name);
+    out.spec = "spec";
+    out.queue = jobs::QueueName("queue");
+    out.service = base::ServiceName(kService);
+    out.organisation = base::OrganisationName("crews");
+    out.priority = 1;
+    out.max_attempts = 3;
+    jobs::Step step;
+    step.tasks = tasks;
+    step.needs = {1'000, 1'000, accelerators};
+    step.estimate = base::Duration(2'000);
+    out.steps.push_back(step);
+    return out;
+  }
+
+  void Submit(const jobs::Job& job) {
+    jobs_[job.name] = job;
+    entry_.Submit(job, [this, name = job.name](const jobs::SubmitResult& it) {
+      if (std::holds_alternative<jobs::JobAccepted>(it)) accepted_.insert(name);
+    });
+  }
+
+  void Cancel(const std::string& job) {
+    entry_.Cancel(base::ServiceName(kService), base::JobName(job),
+                  [](const jobs::CancelResult&) {});
+  }
+
+  /// What a caller is told; nothing while it is not known.
+  std::optional<jobs::JobState> StateOf(const std::string& job) {
+    std::optional<jobs::JobState> out;
+    entry_.State(base::ServiceName(kService), base::JobName(job),
+                 [&out](const jobs::StateResult& it) {
+                   if (const auto* state = std::get_if<jobs::JobState>(&it)) {
+                     out = *state;
+                   }
+                 });
+    RunFor(20);
+    return out;
+  }
+
+  void RunFor(int ms) { time_.RunFor(base::Duration(ms)); }
+
+  fakes::FakeRowStore& store() { return store_; }
+  fakes::FakeTaskWorkers& workers() { return workers_; }
+  fakes::VirtualTime& time() { return time_; }
+  const std::map<base::JobName, jobs::Job>& jobs() const { return jobs_; }
+
+ private:
+  jobs::Room NeedsOf(const jobs::TaskName& task) const {
+    const auto it = jobs_.find(task.job);
+    if (it == jobs_.end()) return {};
+    return it->second.steps[static_cast<std::size_t>(task.step)].needs;
+  }
+
+  fakes::VirtualTime time_;
+  fakes::FakeRowStore store_;
+  fakes::FakeTaskWorkers workers_;
+  std::map<base::JobName, jobs::Job> jobs_;
+  std::set<base::JobName> accepted_;
+  std::map<base::WorkerName, WorkerEntry> entries_;
+  std::map<base::OrganisationName, std::int64_t> guarantees_;
+  std::map<std::string, std::unique_ptr<ServiceOwner>> owners_;
+  jobs::JobService entry_{store_.For("entry")};
+  int lives_ = 0;
+};
+
+}  // namespace lapishatch::dispatch
+
+#endif  // LAPISHATCH_TEST_DISPATCH_OWNER_WORLD_H_
--- /dev/null
+++ b/testing/fakes/fake_row_store.cc
@@ -0,0 +1,242 @@
+#include "fakes/fake_row_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lapishatch::fakes {
+
+using store::RowsChanged;
+using store::RowsConflict;
+using store::RowsFeedResult;
+using store::RowsRead;
+using store::RowsReadResult;
+using store::RowsResult;
+using store::RowVersion;
+using store::StoredRow;
+
+namespace {
+
+/// What a caller waits for an answer that never comes.
+constexpr base::Duration kCommitTimeout{2'000};
+constexpr base::Duration kReadTimeout{1'500};
+constexpr base::Duration kFeedSlack{700};
+constexpr base::Duration kLateBy{3'000};
+
+}  // namespace
+
+class FakeRowStore::Caller final : public store::RowStore {
+ public:
+  explicit Caller(FakeRowStore& store) : store_(store) {}
+
+  StoreFault fault = StoreFault::kNone;
+
+  void Commit(store::RowTransaction transaction,
+              std::function<void(RowsResult)> done) override {
+    switch (Fault()) {
+      case StoreFault::kSilent:
+        return After(kCommitTimeout, [done = std::move(done)] {
+          done(store::UnknownOutcome{"silent"});
+        });
+      case StoreFault::kBusy:
+        return After(2 * store_.delay, [done = std::move(done)] {
+          done(store::NotDone{"busy"});
+        });
+      case StoreFault::kAnswersLost:
+      case StoreFault::kLate: {
+        const auto when = Fault() == StoreFault::kLate
+                              ? kLateBy
+                              : store_.delay + store_.commit_time;
+        After(when, [this, transaction] { store_.Apply(transaction); });
+        return After(kCommitTimeout, [done = std::move(done)] {
+          done(store::UnknownOutcome{"no answer"});
+        });
+      }
+      case StoreFault::kNone:
+        break;
+    }
+    After(store_.delay + store_.commit_time,
+          [this, transaction = std::move(transaction),
+           done = std::move(done)] {
+            auto result = store_.Apply(transaction);
+            After(store_.delay, [done, result = std::move(result)] {
+              done(result);
+            });
+          });
+  }
+
+  void Read(store::RowRange range,
+            std::function<void(RowsReadResult)> done) override {
+    if (Fault() != StoreFault::kNone) {
+      return After(Fault() == StoreFault::kBusy ? store_.delay : kReadTimeout,
+                   [done = std::move(done)] {
+                     done(store::ReadFailed{"no answer"});
+                   });
+    }
+    After(store_.delay,
+          [this, range = std::move(range), done = std::move(done)] {
+            auto rows = store_.Scan(range);
+            After(store_.delay, [done, rows = std::move(rows)] { done(rows); });
+          });
+  }
+
+  void Parts(std::string table,
+             std::function<void(store::PartsResult)> done) override {
+    After(store_.delay, [this, table = std::move(table),
+                         done = std::move(done)] {
+      store::PartsRead out;
+      for (const auto& [address, row] : store_.rows_) {
+        if (address.table != table) continue;
+        if (out.parts.empty() || out.parts.back() != address.part) {
+          out.parts.push_back(address.part);
+        }
+      }
+      done(out);
+    });
+  }
+
+  void Feed(std::string table, RowVersion after, base::Duration wait,
+            std::function<void(RowsFeedResult)> done) override {
+    if (Fault() != StoreFault::kNone) {
+      const auto when =
+          Fault() == StoreFault::kBusy ? store_.delay : wait + kFeedSlack;
+      return After(when, [done = std::move(done)] {
+        done(store::ReadFailed{"no answer"});
+      });
+    }
+    auto feed = std::make_shared<WaitingFeed>();
+    feed->table = std::move(table);
+    feed->after = after;
+    // What is under way when a fault begins has no answer either.
+    feed->done = [this, wait, done = std::move(done)](RowsFeedResult result) {
+      if (Fault() != StoreFault::kNone) {
+        return After(wait + kFeedSlack, [done] {
+          done(store::ReadFailed{"no answer"});
+        });
+      }
+      After(store_.delay, [done, result = std::move(result)] { done(result); });
+    };
+    store_.feeds_.push_back(feed);
+    store_.Wake(feed->table);
+    After(wait, [this, feed] {
+      if (feed->is_answered) return;
+      feed->is_answered = true;
+      feed->done(RowsChanged{{}, store_.version_});
+    });
+  }
+
+ private:
+  StoreFault Fault() const {
+    return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
+  }
+
+  void After(base::Duration delay, std::function<void()> task) {
+    store_.time_.After(delay, std::move(task));
+  }
+
+  FakeRowStore& store_;
+};
+
+FakeRowStore::FakeRowStore(VirtualTime& time) : time_(time) {}
+
+FakeRowStore::~FakeRowStore() = default;
+
+store::RowStore& FakeRowStore::For(const std::string& caller) {
+  auto& out = callers_[caller];
+  if (!out) out = std::make_unique<Caller>(*this);
+  return *out;
+}
+
+void FakeRowStore::SetFault(const std::string& caller, StoreFault fault) {
+  static_cast<Caller&>(For(caller)).fault = fault;
+}
+
+void FakeRowStore::SetFaultForAll(StoreFault fault) { fault_for_all_ = fault; }
+
+void FakeRowStore::Put(const std::string& table, const std::string& part,
+                       const std::string& key, const std::string& value) {
+  Apply({part, {}, {{table, key, value}}, {}});
+}
+
+std::string FakeRowStore::ValueOf(const std::string& table,
+                                  const std::string& part,
+                                  const std::string& key) const {
+  const auto it = rows_.find({table, part, key});
+  return it == rows_.end() ? std::string() : it->second.value;
+}
+
+std::size_t FakeRowStore::rows_in(const std::string& table) const {
+  return static_cast<std::size_t>(
+      std::count_if(rows_.begin(), rows_.end(), [&](const auto& it) {
+        return it.first.table == table;
+      }));
+}
+
+RowsResult FakeRowStore::Apply(const store::RowTransaction& transaction) {
+  ++transactions_;
+  RowsConflict conflict;
+  bool holds = true;
+  for (const auto& it : transaction.conditions) {
+    const auto row = rows_.find({it.table, transaction.part, it.key});
+    const auto version =
+        row == rows_.end() ? store::kAbsent : row->second.version;
+    if (row != rows_.end()) conflict.present.push_back(row->second);
+    holds = holds && version == it.version;
+  }
+  if (!holds) return conflict;
+  ++version_;
+  for (const auto& it : transaction.puts) {
+    const store::RowAddress address{it.table, transaction.part, it.key};
+    rows_[address] = {address, it.value, version_};
+    history_.push_back(rows_[address]);
+  }
+  for (const auto& it : transaction.removals) {
+    const store::RowAddress address{it.table, transaction.part, it.key};
+    if (rows_.erase(address) == 0) continue;
+    history_.push_back({address, "", version_, true});
+  }
+  for (const auto& it : transaction.puts) Wake(it.table);
+  for (const auto& it : transaction.removals) Wake(it.table);
+  return store::RowsCommitted{version_};
+}
+
+RowsRead FakeRowStore::Scan(const store::RowRange& range) const {
+  RowsRead out;
+  out.as_of = version_;
+  for (auto it = rows_.lower_bound({range.table, range.part, range.from});
+       it != rows_.end(); ++it) {
+    const auto& address = it->first;
+    if (address.table != range.table || address.part != range.part) break;
+    if (!range.until.empty() && address.key >= range.until) break;
+    if (out.rows.size() == range.limit) {
+      out.has_more = true;
+      break;
+    }
+    out.rows.push_back(it->second);
+  }
+  return out;
+}
+
+RowsFeedResult FakeRowStore::ChangesOf(const std::string& table,
+                                       RowVersion after) const {
+  if (after < oldest_) return store::HistoryGone{};
+  RowsChanged out;
+  out.as_of = version_;
+  for (const auto& it : history_) {
+    if (it.version > after && it.address.table == table) out.rows.push_back(it);
+  }
+  return out;
+}
+
+void FakeRowStore::Wake(const std::string& table) {
+  feeds_.remove_if([](const auto& it) { return it->is_answered; });
+  for (const auto& it : feeds_) {
+    if (it->table != table) continue;
+    auto changes = ChangesOf(table, it->after);
+    const auto* rows = std::get_if<RowsChanged>(&changes);
+    if (rows != nullptr && rows->rows.empty()) continue;
+    it->is_answered = true;
+    it->done(std::move(changes));
+  }
+}
+
+}  // namespace lapishatch::fakes
--- /dev/null
+++ b/testing/fakes/fake_task_workers.h
@@ -0,0 +1,102 @@
+#ifndef LAPISHATCH_TESTING_FAKES_FAKE_TASK_WORKERS_H_
+#define LAPISHATCH_TESTING_FAKES_FAKE_TASK_WORKERS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/worker_port.h"
+#include "fakes/virtual_time.h"
+
+namespace lapishatch::fakes {
+
+/// Workers in virtual time that run tasks as the protocol says: epochs, leases,
+/// capacity that they do not guard, ends that are listed until acknowledged,
+/// gangs that wait for each other. They note whatever must never happen.
+class FakeTaskWorkers {
+ public:
+  explicit FakeTaskWorkers(VirtualTime& time);
+  ~FakeTaskWorkers();
+  FakeTaskWorkers(const FakeTaskWorkers&) = delete;
+  FakeTaskWorkers& operator=(const FakeTaskWorkers&) = delete;
+
+  /// How tasks behave; the defaults run 2 s and end well.
+  std::function<base::Duration(const jobs::TaskName&)> run_time;
+  std::function<dispatch::EndKind(const jobs::TaskName&, int run)> outcome;
+  /// What a task takes; without it nothing is checked of capacity.
+  std::function<jobs::Room(const jobs::TaskName&)> needs;
+  /// Tasks of the gang that a task belongs to; 1 for none.
+  std::function<int(const jobs::TaskName&)> gang_size;
+
+  void Add(const dispatch::WorkerEntry& entry);
+
+  /// The worker's process dies with all that it ran, and does not come back.
+  void Crash(const base::WorkerName& name);
+
+  /// Orders and answers between `owner` and the worker are lost until Join.
+  /// An empty owner means all.
+  void Cut(const std::string& owner, const base::WorkerName& name);
+  void Join(const std::string& owner, const base::WorkerName& name);
+
+  /// The next start at the worker has no answer and is carried out after
+  /// `delay`.
+  void MakeNextStartLate(const base::WorkerName& name, base::Duration delay);
+
+  /// The port of one owner; it outlives this object's use of it.
+  dispatch::WorkerPort& For(const std::string& owner);
+
+  /// What must never happen and did, in order.
+  const std::vector<std::string>& violations() const { return violations_; }
+
+  /// Tasks that run now, over all workers that live.
+  std::size_t running() const;
+  bool IsRunning(const jobs::TaskName& task) const;
+  /// Where it runs, or an empty name.
+  base::WorkerName WhereRuns(const jobs::TaskName& task) const;
+  int starts(const jobs::TaskName& task) const;
+  /// Ends that are listed and not acknowledged, on workers that live.
+  std::size_t unacknowledged() const;
+
+ private:
+  struct Run {
+    jobs::TaskName task;
+    int run = 0;
+    std::uint64_t id = 0;
+  };
+  struct Worker;
+  class Port;
+  friend class Port;
+
+  Worker* Find(const base::WorkerName& name);
+  bool IsCut(const std::string& owner, const base::WorkerName& name) const;
+  dispatch::StartResult Start(Worker& worker, const dispatch::StartOrder& order);
+  dispatch::StopResult Stop(Worker& worker, const dispatch::StopOrder& order);
+  void Hold(Worker& worker, const dispatch::HoldOrder& order,
+            std::function<void(dispatch::HoldResult)> answer);
+  dispatch::WorkerNews NewsOf(Worker& worker, std::uint64_t after);
+  void Extend(Worker& worker, dispatch::WorkerClock expires);
+  void CheckLease(Worker& worker);
+  void EndRun(Worker& worker, std::uint64_t id, dispatch::EndKind kind);
+  void BeginWork(Worker& worker, const Run& run);
+  void NoteStart(Worker& worker, const Run& run);
+  dispatch::WorkerClock ClockOf(const Worker& worker) const;
+  void Violate(std::string what) { violations_.push_back(std::move(what)); }
+
+  VirtualTime& time_;
+  std::map<base::WorkerName, std::unique_ptr<Worker>> workers_;
+  std::map<std::string, std::unique_ptr<Port>> ports_;
+  std::set<std::pair<std::string, base::WorkerName>> cuts_;
+  std::map<jobs::TaskName, int> starts_;
+  /// Ends "done" that were acknowledged.
+  std::set<jobs::TaskName> done_;
+  std::vector<std::string> violations_;
+  std::uint64_t last_id_ = 0;
+};
+
+}  // namespace lapishatch::fakes
+
+#endif  // LAPISHATCH_TESTING_FAKES_FAKE_TASK_WORKERS_H_
--- a/testing/fakes/fakes.h
+++ b/testing/fakes/fakes.h
@@ -10,8 +10,10 @@
 #include "fakes/fake_objects.h"
 #include "fakes/fake_owner_probe.h"
 #include "fakes/fake_process.h"
+#include "fakes/fake_row_store.h"
 #include "fakes/fake_runners.h"
 #include "fakes/fake_table.h"
+#include "fakes/fake_task_workers.h"
 #include "fakes/fake_workers.h"
 #include "fakes/virtual_time.h"
 
