Report not ready while the store is out; follow workers only as their owner

Causes: (1) every VM followed the workers' heartbeats: 272 calls a second to the store. (2) In a cut zone or an outage requests waited for the store's time-out, and connections stayed with a VM that could do nothing for them.

Change: MonitoredStore says whether the store answers (probes only when nothing else asks); while it is out, requests are refused at once with Retry-After and the connection ends, and the VM is not ready. Only the owner follows workers, with 300 ms between calls.

--- a/src/dispatch/service_owner.cc
+++ b/src/dispatch/service_owner.cc
@@ -38,7 +38,7 @@
   }
 
   void Stop(std::function<void()> done) {
-    owned_.reset();
+    Forget();
     lease_.Release(std::move(done));
   }
 
@@ -60,12 +60,20 @@
     owned_->SetGuarantees(guarantees_);
     for (const auto& [name, entry] : workers_) owned_->PutWorker(entry);
     owned_->Start();
+    if (ports_.on_ownership) ports_.on_ownership(true);
   }
 
   void OnLost(const std::string& reason) {
     base::Log(base::events::kServiceLost,
               {{"service", service_.str()}, {"reason", reason}});
+    Forget();
+  }
+
+  void Forget() {
+    if (!owned_) return;
     owned_.reset();
+    workers_.clear();
+    if (ports_.on_ownership) ports_.on_ownership(false);
   }
 
   const ServiceOwnerPorts ports_;
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -24,6 +24,9 @@
   std::function<std::int64_t()> unix_ms;
   /// May be null.
   base::MetricRegistry* metrics = nullptr;
+  /// Called when this process begins or ceases to own the service: it needs to
+  /// hear of workers only in between. May be empty.
+  std::function<void(bool is_owner)> on_ownership = nullptr;
 };
 
 struct ServiceOwnerOptions {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -67,6 +67,9 @@
   int status = 200;
   Headers headers;
   std::string body;
+  /// Ends the connection after this answer, so that the caller's next request
+  /// may reach another process.
+  bool closes_connection = false;
 };
 
 /// The path of a target and its query parameters, percent-decoded.
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -105,7 +105,8 @@
   void Answer(Response response) override {
     OnStrand([this, response = std::move(response)]() mutable {
       if (phase_ != Phase::kHandling) return FinishExchange();
-      SendResponse(std::move(response), WantsKeepAlive());
+      const bool keep_alive = WantsKeepAlive() && !response.closes_connection;
+      SendResponse(std::move(response), keep_alive);
     });
   }
 
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -83,8 +83,15 @@
       return row.address.part != part_;
     });
     const auto weak = weak_from_this();
+    const bool had_news = !changes.rows.empty();
     events_.on_changes(std::move(changes.rows), as_of_);
-    if (const auto self = weak.lock()) Follow();
+    const auto self = weak.lock();
+    if (!self) return;
+    if (!had_news || options_.spacing.count() == 0) return Follow();
+    loop_.After(options_.spacing, [weak, generation = generation_] {
+      const auto held = weak.lock();
+      if (held && held->generation_ == generation) held->Follow();
+    });
   }
 
   void Retry(const std::string& detail, void (Impl::*again)()) {
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -16,6 +16,9 @@
   /// after this and the store client's own timeout, so it is bounded by the
   /// 2 s within which a configuration must be in force.
   base::Duration wait{1'000};
+  /// Between an answer with news and the next call: news that need not be heard
+  /// at once are so gathered into fewer calls.
+  base::Duration spacing{0};
   /// Between a failed call and the next; with jitter.
   base::Duration retry_first{100};
   base::Duration retry_limit{400};
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,6 +11,7 @@
 #include "store/object_store.h"
 #include "store/read_back.h"
 #include "store/row_store.h"
+#include "store/store_health.h"
 #include "store/table.h"
 #include "store/vm_list.h"
 
--- /dev/null
+++ b/src/store/store_health.cc
@@ -0,0 +1,124 @@
+#include "store/store_health.h"
+
+#include <utility>
+
+namespace lapishatch::store {
+namespace {
+
+/// Which row does not matter: none need be there.
+constexpr const char* kProbeTable = "health";
+
+}  // namespace
+
+class MonitoredStore::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(base::EventLoop& loop, RowStore& store, StoreHealthOptions options)
+      : loop_(loop), store_(store), options_(options) {}
+
+  void Tick() {
+    Watch();
+    loop_.After(options_.probe_every, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->Tick();
+    });
+  }
+
+  bool IsOut() const {
+    const auto silence = loop_.Now() - answered_at_;
+    return silence > options_.out_after ||
+           (is_refused_ && silence > options_.refused_after);
+  }
+
+  /// Passes a call's answer on after noting it.
+  template <typename Result>
+  std::function<void(Result)> Noting(std::function<void(Result)> done) {
+    return [weak = weak_from_this(), sent = loop_.Now(),
+            done = std::move(done)](Result result) {
+      if (const auto self = weak.lock()) self->Note(result, sent);
+      done(std::move(result));
+    };
+  }
+
+  RowStore& store() { return store_; }
+
+ private:
+  void Watch() {
+    const bool is_out = IsOut();
+    if (is_out != was_out_) {
+      was_out_ = is_out;
+      base::Log(is_out ? base::events::kStoreOut : base::events::kStoreBack,
+                {{"silent_ms", (loop_.Now() - answered_at_).count()}});
+    }
+    if (loop_.Now() - answered_at_ < options_.probe_after) return;
+    store_.Read({kProbeTable, "", "", "", 1},
+                Noting<RowsReadResult>([](const RowsReadResult&) {}));
+  }
+
+  void Note(const RowsResult& result, base::TimePoint sent) {
+    if (std::holds_alternative<RowsCommitted>(result) ||
+        std::holds_alternative<RowsConflict>(result)) {
+      return NoteAnswer();
+    }
+    NoteFailure(sent);
+  }
+
+  template <typename Result>
+  void Note(const Result& result, base::TimePoint sent) {
+    if (std::holds_alternative<ReadFailed>(result)) return NoteFailure(sent);
+    NoteAnswer();
+  }
+
+  void NoteAnswer() {
+    answered_at_ = loop_.Now();
+    is_refused_ = false;
+  }
+
+  /// A failure within milliseconds is a refusal or a broken connection, and not
+  /// silence.
+  void NoteFailure(base::TimePoint sent) {
+    if (loop_.Now() - sent < options_.refused_after) is_refused_ = true;
+  }
+
+  base::EventLoop& loop_;
+  RowStore& store_;
+  const StoreHealthOptions options_;
+  base::TimePoint answered_at_{};
+  bool is_refused_ = false;
+  bool was_out_ = false;
+};
+
+MonitoredStore::MonitoredStore(base::EventLoop& loop, RowStore& store,
+                               StoreHealthOptions options)
+    : impl_(std::make_shared<Impl>(loop, store, options)) {}
+
+MonitoredStore::~MonitoredStore() = default;
+
+void MonitoredStore::Start() { impl_->Tick(); }
+
+bool MonitoredStore::IsOut() const { return impl_->IsOut(); }
+
+void MonitoredStore::Commit(RowTransaction transaction,
+                            std::function<void(RowsResult)> done) {
+  impl_->store().Commit(std::move(transaction),
+                        impl_->Noting<RowsResult>(std::move(done)));
+}
+
+void MonitoredStore::Read(RowRange range,
+                          std::function<void(RowsReadResult)> done) {
+  impl_->store().Read(std::move(range),
+                      impl_->Noting<RowsReadResult>(std::move(done)));
+}
+
+void MonitoredStore::Parts(std::string table,
+                           std::function<void(PartsResult)> done) {
+  impl_->store().Parts(std::move(table),
+                       impl_->Noting<PartsResult>(std::move(done)));
+}
+
+void MonitoredStore::Feed(std::string table, RowVersion after,
+                          base::Duration wait,
+                          std::function<void(RowsFeedResult)> done) {
+  impl_->store().Feed(std::move(table), after, wait,
+                      impl_->Noting<RowsFeedResult>(std::move(done)));
+}
+
+}  // namespace lapishatch::store
