Order tasks by what can still be in time; let urgent work stop others

The victims were the youngest, so the same tasks were stopped again and again.

Change: ready steps are ordered by what can still come of their jobs, then priority, then the latest beginning; urgent work that can be in time stops work that is not urgent, cheapest first by work lost since its checkpoint, and not where that is over three times its own work. Off its wanted rack a step goes after twice its estimate.

--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -28,9 +28,14 @@
 
   /// Adds a job as it was accepted, with what an earlier owner recorded of it.
   /// Members of a recorded start are unsure until their workers are heard.
+  /// `age` is the time since its acceptance.
   JobEntry* Add(std::shared_ptr<const jobs::Job> job,
                 const jobs::JobProgress* progress, std::uint64_t row_version,
-                base::TimePoint now);
+                base::Duration age, base::TimePoint now);
+
+  /// A run was seen with a checkpoint.
+  static void OnCheckpoint(Unit& unit, const std::string& checkpoint,
+                           base::TimePoint now);
 
   /// Forgets a job of which nothing may run any more.
   void Remove(const base::JobName& name);
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -11,13 +11,30 @@
 
 namespace lapishatch::dispatch::internal {
 
+/// What can still come of a job.
+enum class Outlook : std::uint8_t {
+  kInTime,
+  kLate,
+  /// Too late to be worth anything.
+  kHopeless,
+};
+
 struct TaskPlannerOptions {
   /// After so much waiting, as a share of the step's estimate, a place off its
-  /// wanted rack will do: it costs about twice the estimate in run time.
-  double slow_place_after = 1.0;
+  /// wanted rack will do: there the step takes three times as long, so less
+  /// waiting than twice the estimate is the better choice.
+  double slow_place_after = 2.0;
   /// The same for urgent work that is owed its place, which must begin within
   /// 2.9 s of its acceptance.
   base::Duration owed_slow_after{900};
+  /// Estimates are up to half off: a job counts as late only when this share of
+  /// what is left of its chain does not fit before its objective.
+  double sure_share = 0.7;
+  /// A job that ends after this many objectives is worth nothing to its caller:
+  /// it runs when nothing else wants the room.
+  int hopeless_after = 3;
+  /// Most work thrown away for an urgent unit, as a multiple of its own.
+  double most_waste = 3.0;
 };
 
 /// Decides which units start where and which are stopped for whom. Changes the
@@ -38,10 +55,13 @@
  private:
   void StartClaimed(base::TimePoint now, std::vector<Unit*>& out);
   void StartReady(StepRun& run, base::TimePoint now, std::vector<Unit*>& out);
-  bool TryReclaim(Unit& unit, base::TimePoint now);
+  bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now);
   bool IsOwed(const JobEntry& job) const;
   std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
-  std::vector<Unit*> VictimsFor(const Unit& unit) const;
+  std::vector<Unit*> VictimsFor(const Unit& unit, bool is_owed,
+                                base::TimePoint now) const;
+  double CostOf(const Unit& victim, base::TimePoint now) const;
+  Outlook OutlookOf(const StepRun& run, base::TimePoint now) const;
 
   JobBook& book_;
   Fleet& fleet_;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -54,6 +54,8 @@
   int failures = 0;
   int last_run = 0;
   std::string checkpoint;
+  /// When the present run was last seen with a new checkpoint.
+  base::TimePoint checkpointed{};
   /// Of the present run, one a task; empty when nothing may run.
   std::vector<Member> members;
   /// A member of the present run has failed; counted once.
@@ -77,6 +79,9 @@
   /// Addresses stay the same: entries are only added.
   std::deque<Unit> units;
   int units_done = 0;
+  /// The longest chain of estimates from this step's beginning to the end of
+  /// the occurrence.
+  base::Duration tail{0};
   /// Steps before it that are not done yet.
   int blocked_by = 0;
   /// Milliseconds since 1970 before which it may not begin; 0 for at once.
@@ -99,6 +104,11 @@
   std::vector<std::deque<StepRun>> runs;
   bool is_cancel_asked = false;
   base::TimePoint known_since{};
+  /// When it was accepted, by this process's clock.
+  base::TimePoint accepted{};
+  /// From its acceptance (an occurrence: its time) to its end, so that it is in
+  /// time.
+  base::Duration objective{0};
   /// Of the progress row; kAbsent before the first.
   std::uint64_t row_version = 0;
 };
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -4,6 +4,21 @@
 #include <utility>
 
 namespace lapishatch::dispatch::internal {
+namespace {
+
+/// Fills in the tails of an occurrence's steps, the last first: a step comes
+/// only after earlier ones.
+void SetTails(std::deque<StepRun>& runs) {
+  for (auto it = runs.rbegin(); it != runs.rend(); ++it) {
+    it->tail += it->step->estimate;
+    for (const int before : it->step->after) {
+      auto& tail = runs[static_cast<std::size_t>(before)].tail;
+      tail = std::max(tail, it->tail);
+    }
+  }
+}
+
+}  // namespace
 
 using jobs::JobProgress;
 using jobs::JobState;
@@ -12,12 +27,13 @@
 
 JobEntry* JobBook::Add(std::shared_ptr<const jobs::Job> job,
                        const JobProgress* progress, std::uint64_t row_version,
-                       base::TimePoint now) {
+                       base::Duration age, base::TimePoint now) {
   auto& entry = jobs_[job->name];
   if (entry) return entry.get();
   entry = std::make_unique<JobEntry>();
   entry->job = std::move(job);
   entry->known_since = now;
+  entry->accepted = now - age;
   entry->row_version = row_version;
   const bool has_ended = progress != nullptr && IsFinal(progress->state);
   // A job that has ended may still have members somewhere, so its units are
@@ -58,7 +74,21 @@
       }
       UpdateReady(run);
     }
+    SetTails(runs);
   }
+  auto chain = base::Duration(0);
+  for (const auto& it : job.runs.front()) chain = std::max(chain, it.tail);
+  job.objective = job.job->target_latency +
+                  base::Duration(static_cast<std::int64_t>(
+                      job.job->slack_factor *
+                      static_cast<double>(chain.count())));
+}
+
+void JobBook::OnCheckpoint(Unit& unit, const std::string& checkpoint,
+                           base::TimePoint now) {
+  if (checkpoint.empty() || checkpoint == unit.checkpoint) return;
+  unit.checkpoint = checkpoint;
+  unit.checkpointed = now;
 }
 
 void JobBook::Restore(JobEntry& job, const JobProgress& progress,
@@ -122,6 +152,7 @@
   unit.has_failed = false;
   unit.is_stopping = false;
   unit.started = now;
+  unit.checkpointed = now;
   unit.members.clear();
   for (const auto& it : places) {
     unit.members.push_back({it});
@@ -138,7 +169,7 @@
                       const std::string& checkpoint, base::TimePoint now) {
   auto& member = MemberOf(unit, index);
   if (member.state == MemberState::kOver) return;
-  if (!checkpoint.empty()) unit.checkpoint = checkpoint;
+  OnCheckpoint(unit, checkpoint, now);
   const bool is_service = unit.step->step->is_service;
   if (kind == EndKind::kDone && !is_service) MarkDone(unit, now);
   if (kind == EndKind::kFailed && !unit.has_failed && !is_service) {
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -162,8 +162,13 @@
       return;
     }
   }
+  // Clocks of two VMs may differ a little, and one may have jumped.
+  constexpr base::Duration kMostAge{600'000};
+  const auto age = std::clamp(base::Duration(ports_.unix_ms() -
+                                             job->accepted_ms),
+                              base::Duration(0), kMostAge);
   book_.Add(std::make_shared<const jobs::Job>(std::move(*job)),
-            progress ? &*progress : nullptr, version, ports_.loop.Now());
+            progress ? &*progress : nullptr, version, age, ports_.loop.Now());
 }
 
 void OwnedService::OnCancel(const base::JobName& name) {
@@ -295,7 +300,7 @@
   auto* unit = FindRun(task.task, task.run);
   auto& member = JobBook::MemberOf(*unit, task.task.index);
   if (member.worker != name) return;
-  if (!task.checkpoint.empty()) unit->checkpoint = task.checkpoint;
+  JobBook::OnCheckpoint(*unit, task.checkpoint, sent);
   if (member.state == MemberState::kRunning) return;
   member.state = MemberState::kRunning;
   member.confirmed = sent;
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -25,7 +25,8 @@
   /// May be null.
   base::MetricRegistry* metrics = nullptr;
   /// Called when this process begins or ceases to own the service: it needs to
-  /// hear of workers only in between. May be empty.
+  /// hear of workers only in between, and of all of them each time it begins.
+  /// May be empty.
   std::function<void(bool is_owner)> on_ownership = nullptr;
 };
 
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -259,6 +259,67 @@
   CHECK(world.workers().violations().empty());
 }
 
+TEST_CASE("urgent work takes the place of others where little is thrown away") {
+  // No guarantee: the urgent job only can be in time this way.
+  OwnerWorld world(1, 2);
+  world.workers().run_time = [](const jobs::TaskName& task) {
+    return base::Duration(task.job.str() == "urgent" ? 1'000 : 60'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("quiet", 16, 1));
+  world.RunFor(300);
+  auto urgent = OwnerWorld::MakeJob("urgent", 1, 8);
+  urgent.priority = 0;
+  urgent.slack_factor = 1.5;
+  world.Submit(urgent);
+  world.RunFor(2'000);
+  CHECK(world.StateOf("urgent") == JobState::kCompleted);
+}
+
+TEST_CASE("urgent work does not throw away far more than it is") {
+  OwnerWorld world(1, 1);
+  world.workers().run_time = [](const jobs::TaskName& task) {
+    return base::Duration(task.job.str() == "urgent" ? 100 : 20'000);
+  };
+  world.RunFor(1'000);
+  auto quiet = OwnerWorld::MakeJob("quiet", 8, 1);
+  quiet.steps[0].estimate = base::Duration(20'000);
+  world.Submit(quiet);
+  world.RunFor(15'000);
+  auto urgent = OwnerWorld::MakeJob("urgent", 1, 8);
+  urgent.priority = 0;
+  urgent.steps[0].estimate = base::Duration(100);
+  urgent.target_latency = base::Duration(1'000);
+  world.Submit(urgent);
+  world.RunFor(2'000);
+  CHECK(world.workers().starts(TaskOf("quiet", 0)) == 1);
+  CHECK(world.workers().running() == 8);
+  world.RunFor(6'000);
+  CHECK(world.StateOf("urgent") == JobState::kCompleted);
+}
+
+TEST_CASE("work that can be in time goes before work that is too late") {
+  OwnerWorld world(1, 1);
+  world.workers().run_time = [](const jobs::TaskName& task) {
+    return base::Duration(task.job.str() == "first" ? 8'000 : 1'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("first", 8, 1));
+  world.RunFor(100);
+  auto late = OwnerWorld::MakeJob("late", 1, 8);
+  late.slack_factor = 1;
+  world.Submit(late);
+  world.RunFor(5'000);
+  auto fresh = OwnerWorld::MakeJob("fresh", 1, 8);
+  fresh.slack_factor = 5;
+  world.Submit(fresh);
+  world.RunFor(4'200);
+  CHECK(world.StateOf("fresh") == JobState::kCompleted);
+  CHECK(world.StateOf("late") != JobState::kCompleted);
+  world.RunFor(3'000);
+  CHECK(world.StateOf("late") == JobState::kCompleted);
+}
+
 TEST_CASE("a feed whose history is gone misses no job") {
   OwnerWorld world(1, 2);
   world.RunFor(1'000);
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -69,14 +69,23 @@
                           [] { return base::Duration(0); },
                           [this] {
                             return time_.Now().time_since_epoch().count();
+                          },
+                          nullptr,
+                          [this, name](bool is_owner) {
+                            if (is_owner) TellWorkers(name);
                           }},
         base::ServiceName(kService), life, ServiceOwnerOptions{});
     owner->SetGuarantees(guarantees_);
-    for (const auto& [unused, entry] : entries_) owner->PutWorker(entry);
     owner->Start();
     owners_[name] = std::move(owner);
   }
 
+  void TellWorkers(const std::string& name) {
+    for (const auto& [unused, entry] : entries_) {
+      owners_.at(name)->PutWorker(entry);
+    }
+  }
+
   /// The process is gone from one moment to the next.
   void KillOwner(const std::string& name) { owners_.erase(name); }
 
@@ -116,7 +125,8 @@
     return out;
   }
 
-  void Submit(const jobs::Job& job) {
+  void Submit(jobs::Job job) {
+    job.accepted_ms = time_.Now().time_since_epoch().count();
     jobs_[job.name] = job;
     entry_.Submit(job, [this, name = job.name](const jobs::SubmitResult& it) {
       if (std::holds_alternative<jobs::JobAccepted>(it)) accepted_.insert(name);
