--- a/src/store/store_health.cc
+++ b/src/store/store_health.cc
@@ -15,6 +15,11 @@
   Impl(base::EventLoop& loop, RowStore& store, StoreHealthOptions options)
       : loop_(loop), store_(store), options_(options) {}
 
+  void Start() {
+    answered_at_ = loop_.Now();
+    Tick();
+  }
+
   void Tick() {
     Watch();
     loop_.After(options_.probe_every, [weak = weak_from_this()] {
@@ -92,7 +97,7 @@
 
 MonitoredStore::~MonitoredStore() = default;
 
-void MonitoredStore::Start() { impl_->Tick(); }
+void MonitoredStore::Start() { impl_->Start(); }
 
 bool MonitoredStore::IsOut() const { return impl_->IsOut(); }
 
