Spread a service's jobs over eight parts, each fenced by its owner

Cause: a part takes transactions one after another, 8 ms each and 0.7 s when the store is slow; acceptances, records and the owner's renewals shared one, so a slow store refused most of them and the owner lost its lease.

Change: jobs lie in one of eight parts by a hash of their names, the lease in a part of its own; a new owner writes a fence row in each part before it reads it (ServiceLoader), and records are written on that row's version. Leases at workers are 5.9 s, renewed every 0.8 s, so that work outlives most cuts.

--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_JOB_BOOK_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_JOB_BOOK_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -97,14 +98,18 @@
   /// Units with a present run.
   const std::set<Unit*>& active() const { return active_; }
 
-  /// Jobs whose progress is not recorded as it is; taken by the recorder.
-  std::set<JobEntry*>& dirty() { return dirty_; }
+  /// Jobs of a part whose progress is not recorded as it is; taken by the part's
+  /// recorder.
+  std::set<JobEntry*>& dirty(int part) {
+    return dirty_[static_cast<std::size_t>(part)];
+  }
 
   /// Gives up the room that a waiting unit was promised.
   void DropClaim(Unit& unit);
   void SetClaim(Unit& unit, std::vector<base::WorkerName> places);
 
  private:
+  void MarkDirty(JobEntry& job) { dirty(job.part).insert(&job); }
   void BuildRuns(JobEntry& job, base::TimePoint now);
   void Restore(JobEntry& job, const jobs::JobProgress& progress,
                base::TimePoint now);
@@ -123,7 +128,7 @@
   std::set<StepRun*> ready_;
   std::set<Unit*> to_stop_;
   std::set<Unit*> active_;
-  std::set<JobEntry*> dirty_;
+  std::array<std::set<JobEntry*>, jobs::kParts> dirty_;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -11,7 +11,9 @@
 #include "dispatch/fleet.h"
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/recorder.h"
+#include "dispatch/internal/service_loader.h"
 #include "dispatch/internal/task_planner.h"
+#include "dispatch/internal/waiting_counter.h"
 #include "dispatch/internal/worker_session.h"
 #include "dispatch/service_owner.h"
 #include "store/feed_follower.h"
@@ -56,9 +58,7 @@
   };
 
   // Loading.
-  void LoadProgress(const std::string& from);
-  void OnProgressPage(store::RowsReadResult result);
-  void LoadCounts();
+  void OnLoaded(LoadedService loaded);
   void FollowRequests();
   void OnAllRequests(const std::vector<store::StoredRow>& rows);
   void OnRequest(const store::StoredRow& row);
@@ -80,6 +80,7 @@
 
   // Orders.
   void Pump();
+  void FlushAll(std::function<void()> done);
   void SendStarts(const std::vector<Unit*>& units);
   void SendStart(const jobs::TaskName& task, int run);
   void OnStarted(const jobs::TaskName& task, int run, StartResult result);
@@ -91,6 +92,7 @@
 
   /// Logs the jobs that have ended since it was called last.
   void LogEnds();
+  void LogEnd(const JobEntry& job);
   void Tick();
   void RemoveOld();
   void Lose(const std::string& reason);
@@ -108,7 +110,10 @@
   Fleet fleet_;
   JobBook book_;
   TaskPlanner planner_;
-  Recorder recorder_;
+  WaitingCounter counter_;
+  ServiceLoader loader_;
+  /// By part; none before the service is loaded.
+  std::vector<std::unique_ptr<Recorder>> recorders_;
   std::map<base::WorkerName, Worker> workers_;
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> requests_;
--- a/src/dispatch/internal/recorder.h
+++ b/src/dispatch/internal/recorder.h
@@ -22,15 +22,16 @@
   base::Duration retry_limit{400};
 };
 
-/// Writes the progress of dirty jobs, many in one transaction and one
-/// transaction at a time, each on condition that the epoch row and the jobs'
-/// progress rows are unchanged. So nothing of a former owner, and no late copy
+/// Writes the progress of the dirty jobs of one part, many in one transaction and
+/// one transaction at a time, each on condition that the part's fence row and
+/// the jobs' progress rows are unchanged. So nothing of a former owner, and no late copy
 /// of an earlier transaction, can overwrite what came after.
 class Recorder {
  public:
-  /// `on_lost` is called when the epoch row shows another owner.
-  Recorder(base::EventLoop& loop, store::RowStore& store,
-           base::ServiceName service, Epoch epoch, JobBook& book,
+  /// `fence` is the version of the part's fence row; `on_lost` is called when
+  /// the row shows another owner.
+  Recorder(base::EventLoop& loop, store::RowStore& store, std::string part,
+           int index, store::RowVersion fence, JobBook& book,
            RecorderOptions options,
            std::function<void(const std::string&)> on_lost);
   ~Recorder();
@@ -41,11 +42,10 @@
   /// now stands in the store; at once when nothing is.
   void Flush(std::function<void()> done);
 
-  /// Takes the version of the row with the counts of waiting jobs.
-  void SetWaitingVersion(store::RowVersion version);
-
   bool is_idle() const;
 
+  store::RowVersion fence() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -98,6 +98,8 @@
 /// A job that the owner knows.
 struct JobEntry {
   std::shared_ptr<const jobs::Job> job;
+  /// Index of the part with its rows.
+  int part = 0;
   jobs::JobState state = jobs::JobState::kQueued;
   /// By occurrence, then step. Empty once the job has ended and nothing of it
   /// may run.
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -16,9 +16,9 @@
   /// renewal was sent. Long enough for a takeover (2.5 s) after a renewal that
   /// is as old as `wait`; short, since work on a worker that nobody reaches may
   /// start elsewhere only after it.
-  base::Duration lease{4'500};
+  base::Duration lease{5'900};
   /// How long a worker may wait for a task to end before it answers.
-  base::Duration wait{1'500};
+  base::Duration wait{800};
   /// Beyond the wait: one round trip and the worker's own delay.
   base::Duration answer_timeout{600};
   base::Duration retry{250};
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -32,6 +32,7 @@
   if (entry) return entry.get();
   entry = std::make_unique<JobEntry>();
   entry->job = std::move(job);
+  entry->part = jobs::PartIndexOf(entry->job->name);
   entry->known_since = now;
   entry->accepted = now - age;
   entry->row_version = row_version;
@@ -41,7 +42,7 @@
   BuildRuns(*entry, now);
   if (progress != nullptr) Restore(*entry, *progress, now);
   if (has_ended) End(*entry, progress->state);
-  if (has_ended) dirty_.erase(entry.get());
+  if (has_ended) dirty(entry->part).erase(entry.get());
   return entry.get();
 }
 
@@ -107,14 +108,14 @@
     Plan(*unit, record.workers, now);
     for (auto& member : unit->members) member.state = MemberState::kUnsure;
   }
-  dirty_.erase(&job);
+  dirty(job.part).erase(&job);
 }
 
 void JobBook::Remove(const base::JobName& name) {
   const auto it = jobs_.find(name);
   if (it == jobs_.end()) return;
   Unindex(*it->second);
-  dirty_.erase(it->second.get());
+  dirty(it->second->part).erase(it->second.get());
   jobs_.erase(it);
 }
 
@@ -161,7 +162,7 @@
   }
   active_.insert(&unit);
   if (run.job->state == JobState::kQueued) run.job->state = JobState::kRunning;
-  dirty_.insert(run.job);
+  MarkDirty(*run.job);
   UpdateReady(run);
 }
 
@@ -175,7 +176,7 @@
   if (kind == EndKind::kFailed && !unit.has_failed && !is_service) {
     unit.has_failed = true;
     ++unit.failures;
-    dirty_.insert(unit.step->job);
+    MarkDirty(*unit.step->job);
   }
   MemberOver(unit, member, now);
 }
@@ -223,7 +224,7 @@
   if (unit.phase != UnitPhase::kDone) {
     unit.phase = UnitPhase::kWaiting;
     unit.waiting_since = now;
-    dirty_.insert(&job);
+    MarkDirty(job);
     if (unit.failures >= job.job->max_attempts && !IsFinal(job.state)) {
       End(job, JobState::kFailed);
     }
@@ -240,7 +241,7 @@
   auto& run = *unit.step;
   auto& job = *run.job;
   ++run.units_done;
-  dirty_.insert(&job);
+  MarkDirty(job);
   UpdateReady(run);
   if (!run.IsDone()) return;
   Unblock(job, run.occurrence, run.number, now);
@@ -305,7 +306,7 @@
 /// Nothing of the job starts any more and what runs is stopped.
 void JobBook::End(JobEntry& job, JobState state) {
   job.state = state;
-  dirty_.insert(&job);
+  MarkDirty(job);
   for (auto& runs : job.runs) {
     for (auto& run : runs) {
       UpdateReady(run);
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -37,11 +37,14 @@
       taken_at_(ports.loop.Now()),
       book_(fleet_),
       planner_(book_, fleet_, {}),
-      recorder_(ports.loop, ports.store, service_, epoch, book_, {},
-                [this](const std::string& reason) { Lose(reason); }) {}
+      counter_(ports.loop, ports.store, service_, epoch, book_),
+      loader_(
+          ports.loop, ports.store, service_, epoch,
+          [this](LoadedService loaded) { OnLoaded(std::move(loaded)); },
+          [this](const std::string& reason) { Lose(reason); }) {}
 
 void OwnedService::Start() {
-  LoadProgress("");
+  loader_.Start();
   Tick();
 }
 
@@ -54,60 +57,24 @@
 
 // Loading.
 
-void OwnedService::LoadProgress(const std::string& from) {
-  ports_.store.Read({std::string(jobs::kProgressTable), service_.str(), from,
-                     "", 500},
-                    [weak = weak_from_this()](store::RowsReadResult result) {
-                      const auto self = weak.lock();
-                      if (self) self->OnProgressPage(std::move(result));
-                    });
-}
-
-void OwnedService::OnProgressPage(store::RowsReadResult result) {
-  auto* page = std::get_if<RowsRead>(&result);
-  if (page == nullptr) {
-    // Nothing can be started before this is known.
-    constexpr base::Duration kAgain{100};
-    ports_.loop.After(kAgain, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (!self) return;
-      self->progress_rows_.clear();
-      self->LoadProgress("");
-    });
-    return;
-  }
-  std::string last;
-  for (auto& it : page->rows) {
-    last = it.address.key;
-    progress_rows_[base::JobName(last)] = std::move(it);
+void OwnedService::OnLoaded(LoadedService loaded) {
+  progress_rows_ = std::move(loaded.progress);
+  const auto parts = jobs::PartsOf(service_);
+  for (int i = 0; i < jobs::kParts; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    recorders_.push_back(std::make_unique<Recorder>(
+        ports_.loop, ports_.store, parts[index], i, loaded.fences[index], book_,
+        RecorderOptions{},
+        [this](const std::string& reason) { Lose(reason); }));
   }
-  if (page->has_more) return LoadProgress(store::KeyAfter(last));
-  LoadCounts();
-}
-
-void OwnedService::LoadCounts() {
-  const std::string key(jobs::kWaitingKey);
-  ports_.store.Read(
-      {std::string(jobs::kWaitingTable), service_.str(), key, store::KeyAfter(key),
-       1},
-      [weak = weak_from_this()](const store::RowsReadResult& result) {
-        const auto self = weak.lock();
-        if (!self) return;
-        // When it cannot be read, the first write meets a conflict and learns
-        // the version.
-        const auto* page = std::get_if<RowsRead>(&result);
-        if (page != nullptr && !page->rows.empty()) {
-          self->recorder_.SetWaitingVersion(page->rows.front().version);
-        }
-        self->FollowRequests();
-      });
+  FollowRequests();
 }
 
 void OwnedService::FollowRequests() {
   const auto weak = weak_from_this();
   requests_.emplace(
       ports_.loop, ports_.store, std::string(jobs::kRequestTable),
-      service_.str(), options_.lease.follow,
+      jobs::PartsOf(service_), options_.lease.follow,
       store::FollowerEvents{
           [weak](const std::vector<StoredRow>& rows, store::RowVersion) {
             if (const auto self = weak.lock()) self->OnAllRequests(rows);
@@ -133,6 +100,7 @@
                {"jobs", book_.jobs().size()},
                {"workers", workers_.size()},
                {"after_ms", (ports_.loop.Now() - taken_at_).count()}});
+    counter_.Start();
     for (auto& [name, worker] : workers_) worker.session->Start();
   }
   Pump();
@@ -277,7 +245,7 @@
   ResolveUnlisted(name, news, sent);
   const auto told = worker->session->ends_told();
   if (!news.ended.empty()) {
-    recorder_.Flush([weak = weak_from_this(), name, told] {
+    FlushAll([weak = weak_from_this(), name, told] {
       const auto self = weak.lock();
       if (!self) return;
       if (auto* it = self->FindWorker(name)) it->session->EndsRecorded(told);
@@ -435,17 +403,27 @@
     self->SendStops();
     if (!units.empty()) self->SendStarts(units);
     self->LogEnds();
-    self->recorder_.Flush(nullptr);
+    for (const auto& it : self->recorders_) it->Flush(nullptr);
   });
 }
 
-/// Sends the starts of `units` once they are recorded.
+/// Calls `done` once everything that is dirty now stands in the store.
+void OwnedService::FlushAll(std::function<void()> done) {
+  auto left = std::make_shared<std::size_t>(recorders_.size());
+  for (const auto& it : recorders_) {
+    it->Flush([left, done] {
+      if (--*left == 0) done();
+    });
+  }
+}
+
+/// Sends the starts of `units` once they are recorded, each part's by itself.
 void OwnedService::SendStarts(const std::vector<Unit*>& units) {
   struct Planned {
     jobs::TaskName task;
     int run = 0;
   };
-  std::vector<Planned> planned;
+  std::map<int, std::vector<Planned>> by_part;
   for (const auto* unit : units) {
     const auto& job = *unit->step->job;
     base::Log(base::events::kUnitStarted,
@@ -455,17 +433,21 @@
                {"tasks", unit->members.size()},
                {"worker", unit->members.front().worker},
                {"waited_ms", (unit->started - unit->waiting_since).count()},
-               {"age_ms", (unit->started - job.known_since).count()}});
+               {"age_ms", (unit->started - job.accepted).count()}});
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
-      planned.push_back({JobBook::NameOf(*unit, i), unit->last_run});
+      by_part[job.part].push_back(
+          {JobBook::NameOf(*unit, i), unit->last_run});
     }
   }
-  recorder_.Flush([weak = weak_from_this(), planned = std::move(planned)] {
-    const auto self = weak.lock();
-    if (!self) return;
-    for (const auto& it : planned) self->SendStart(it.task, it.run);
-    self->Pump();
-  });
+  for (auto& [part, planned] : by_part) {
+    recorders_[static_cast<std::size_t>(part)]->Flush(
+        [weak = weak_from_this(), planned = std::move(planned)] {
+          const auto self = weak.lock();
+          if (!self) return;
+          for (const auto& it : planned) self->SendStart(it.task, it.run);
+          self->Pump();
+        });
+  }
 }
 
 void OwnedService::SendStart(const jobs::TaskName& task, int run) {
@@ -598,17 +580,21 @@
 }
 
 void OwnedService::LogEnds() {
-  for (const auto* job : book_.dirty()) {
-    if (!IsFinal(job->state) || ended_at_.contains(job->job->name)) continue;
-    const auto now = ports_.loop.Now();
-    ended_at_.emplace(job->job->name, now);
-    base::Log(base::events::kJobEnded,
-              {{"request", job->job->name},
-               {"state", base::NameOf(job->state)},
-               {"after_ms", (now - job->known_since).count()}});
+  for (int i = 0; i < jobs::kParts; ++i) {
+    for (const auto* job : book_.dirty(i)) LogEnd(*job);
   }
 }
 
+void OwnedService::LogEnd(const JobEntry& job) {
+  if (!IsFinal(job.state) || ended_at_.contains(job.job->name)) return;
+  const auto now = ports_.loop.Now();
+  ended_at_.emplace(job.job->name, now);
+  base::Log(base::events::kJobEnded,
+            {{"request", job.job->name},
+             {"state", base::NameOf(job.state)},
+             {"after_ms", (now - job.accepted).count()}});
+}
+
 // From time to time.
 
 void OwnedService::Tick() {
@@ -637,11 +623,13 @@
     const bool may_run = std::any_of(
         book_.active().begin(), book_.active().end(),
         [job](const Unit* it) { return it->step->job == job; });
-    if (may_run || book_.dirty().contains(job) || !recorder_.is_idle()) continue;
+    const auto& recorder = *recorders_[static_cast<std::size_t>(job->part)];
+    if (may_run || !recorder.is_idle()) continue;
     const std::string requests(jobs::kRequestTable);
     ports_.store.Commit(
-        {service_.str(),
-         {{std::string(kOwnerTable), std::string(kEpochKey), epoch_}},
+        {jobs::PartOf(service_, name),
+         {{std::string(kOwnerTable), std::string(kFenceKey),
+           recorder.fence()}},
          {},
          {{requests, name.str()},
           {requests, name.str() + std::string(jobs::kCancelSuffix)},
--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -54,8 +54,8 @@
     const auto on_failure = [weak](const std::string&) {
       if (const auto self = weak.lock()) self->is_aging_ = false;
     };
-    follower_.emplace(loop_, store_, std::string(kOwnerTable), service_.str(),
-                      options_.follow,
+    follower_.emplace(loop_, store_, std::string(kOwnerTable),
+                      std::vector<std::string>{service_.str()}, options_.follow,
                       store::FollowerEvents{on_all, on_rows, on_failure});
     follower_->Start();
   }
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -18,6 +18,10 @@
 inline constexpr std::string_view kEpochKey = "epoch";
 inline constexpr std::string_view kLeaseKey = "lease";
 
+/// Row of the table in each part with jobs: every owner writes it anew before it
+/// reads the part, so that nothing of a former owner is written there any more.
+inline constexpr std::string_view kFenceKey = "fence";
+
 struct OwnerLeaseOptions {
   /// How long a renewal counts, from before it was sent. A takeover must end
   /// within 2.5 s of a kill, and then some 50 ms are left to read rows.
--- a/src/dispatch/recorder.cc
+++ b/src/dispatch/recorder.cc
@@ -16,8 +16,8 @@
 using store::RowVersion;
 using store::UnknownOutcome;
 
-/// Jobs in one transaction: two entries each, beside the epoch and the counts.
-constexpr std::size_t kMostJobs = (store::kMaxTransactionEntries - 3) / 2;
+/// Jobs in one transaction: two entries each, beside the fence.
+constexpr std::size_t kMostJobs = (store::kMaxTransactionEntries - 1) / 2;
 
 /// Values are sent in base64, four bytes for three.
 constexpr std::size_t kMostValueBytes = store::kMaxTransactionBytes / 2;
@@ -26,32 +26,33 @@
 
 class Recorder::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(base::EventLoop& loop, store::RowStore& store, base::ServiceName service,
-       Epoch epoch, JobBook& book, RecorderOptions options,
+  Impl(base::EventLoop& loop, store::RowStore& store, std::string part,
+       int index, RowVersion fence, JobBook& book, RecorderOptions options,
        std::function<void(const std::string&)> on_lost)
       : loop_(loop),
         store_(store),
-        service_(std::move(service)),
-        epoch_(epoch),
+        part_(std::move(part)),
+        fence_(fence),
         book_(book),
+        dirty_(book.dirty(index)),
         options_(options),
         on_lost_(std::move(on_lost)),
-        random_(epoch),
+        random_(fence),
         backoff_(options.retry_first, options.retry_limit) {}
 
   void Flush(std::function<void()> done) {
     if (!done) return Kick();
-    if (book_.dirty().empty() && writing_.empty()) {
+    if (dirty_.empty() && writing_.empty()) {
       return loop_.Post(std::move(done));
     }
     waiting_.push_back(
-        {book_.dirty().empty() ? batch_ : batch_ + 1, std::move(done)});
+        {dirty_.empty() ? batch_ : batch_ + 1, std::move(done)});
     Kick();
   }
 
-  void SetWaitingVersion(RowVersion version) { counts_version_ = version; }
+  RowVersion fence() const { return fence_; }
 
-  bool is_idle() const { return book_.dirty().empty() && writing_.empty(); }
+  bool is_idle() const { return dirty_.empty() && writing_.empty(); }
 
  private:
   struct Waiter {
@@ -75,19 +76,17 @@
   }
 
   void Write() {
-    const auto counts = jobs::EncodeWaiting(book_.CountWaiting());
-    const bool has_counts = counts != counts_written_;
-    if (book_.dirty().empty() && !has_counts) return CallWaiters();
+    if (dirty_.empty()) return CallWaiters();
     const std::string table(jobs::kProgressTable);
     store::RowTransaction out;
-    out.part = service_.str();
+    out.part = part_;
     out.conditions.push_back(
-        {std::string(kOwnerTable), std::string(kEpochKey), epoch_});
+        {std::string(kOwnerTable), std::string(kFenceKey), fence_});
     std::size_t bytes = 0;
-    while (!book_.dirty().empty() && writing_.size() < kMostJobs &&
+    while (!dirty_.empty() && writing_.size() < kMostJobs &&
            bytes < kMostValueBytes) {
-      auto* job = *book_.dirty().begin();
-      book_.dirty().erase(book_.dirty().begin());
+      auto* job = *dirty_.begin();
+      dirty_.erase(dirty_.begin());
       const auto& key = job->job->name.str();
       auto value = EncodeProgress(book_.ProgressOf(*job));
       bytes += value.size();
@@ -95,15 +94,8 @@
       out.puts.push_back({table, key, std::move(value)});
       writing_.insert(job->job->name);
     }
-    if (has_counts) {
-      const std::string counts_table(jobs::kWaitingTable);
-      const std::string counts_key(jobs::kWaitingKey);
-      out.conditions.push_back({counts_table, counts_key, counts_version_});
-      out.puts.push_back({counts_table, counts_key, counts});
-      counts_writing_ = counts;
-    }
     ++batch_;
-    if (!book_.dirty().empty()) DeferWaiters();
+    if (!dirty_.empty()) DeferWaiters();
     Send(std::move(out));
   }
 
@@ -135,13 +127,9 @@
     for (const auto& name : writing_) {
       if (auto* job = book_.Find(name)) job->row_version = version;
     }
-    if (!counts_writing_.empty()) {
-      counts_version_ = version;
-      counts_written_ = std::exchange(counts_writing_, {});
-    }
     writing_.clear();
     CallWaiters();
-    if (!book_.dirty().empty()) Kick();
+    if (!dirty_.empty()) Kick();
   }
 
   /// The present batch does not write everything that was dirty: who waits for
@@ -169,22 +157,20 @@
     }
   }
 
-  /// The rows are only written by the owner. When the epoch is still this one,
+  /// The rows are only written by the owner. When the fence is still this one,
   /// an earlier transaction without an answer was done after all: its versions
   /// are taken over and the present values written again.
   void OnConflict(const std::vector<store::StoredRow>& present) {
-    RowVersion epoch_row = store::kAbsent;
+    RowVersion fence = store::kAbsent;
     std::map<std::string, RowVersion> versions;
-    RowVersion counts = store::kAbsent;
     for (const auto& it : present) {
-      if (it.address.table == kOwnerTable) epoch_row = it.version;
+      if (it.address.table == kOwnerTable) fence = it.version;
       if (it.address.table == jobs::kProgressTable) {
         versions[it.address.key] = it.version;
       }
-      if (it.address.table == jobs::kWaitingTable) counts = it.version;
     }
-    if (epoch_row != epoch_) {
-      return on_lost_("the store's epoch row shows another owner");
+    if (fence != fence_) {
+      return on_lost_("the store's fence row shows another owner");
     }
     for (const auto& name : writing_) {
       auto* job = book_.Find(name);
@@ -192,18 +178,16 @@
       const auto it = versions.find(name.str());
       job->row_version = it == versions.end() ? store::kAbsent : it->second;
     }
-    if (!counts_writing_.empty()) counts_version_ = counts;
     Again("rows were written before");
   }
 
   void Again(const std::string& detail) {
     base::Log(base::events::kRecordDelayed,
-              {{"service", service_.str()}, {"detail", detail}});
+              {{"part", part_}, {"detail", detail}});
     for (const auto& name : writing_) {
-      if (auto* job = book_.Find(name)) book_.dirty().insert(job);
+      if (auto* job = book_.Find(name)) dirty_.insert(job);
     }
     writing_.clear();
-    counts_writing_.clear();
     DeferWaiters();
     is_armed_ = true;
     loop_.After(backoff_.Next(random_), [weak = weak_from_this()] {
@@ -216,9 +200,10 @@
 
   base::EventLoop& loop_;
   store::RowStore& store_;
-  const base::ServiceName service_;
-  const Epoch epoch_;
+  const std::string part_;
+  const RowVersion fence_;
   JobBook& book_;
+  std::set<JobEntry*>& dirty_;
   const RecorderOptions options_;
   const std::function<void(const std::string&)> on_lost_;
   base::Random random_;
@@ -231,18 +216,14 @@
   base::TimePoint last_sent_{};
   std::uint64_t batch_ = 0;
   std::vector<Waiter> waiting_;
-
-  std::string counts_written_;
-  std::string counts_writing_;
-  RowVersion counts_version_ = store::kAbsent;
 };
 
 Recorder::Recorder(base::EventLoop& loop, store::RowStore& store,
-                   base::ServiceName service, Epoch epoch, JobBook& book,
-                   RecorderOptions options,
+                   std::string part, int index, store::RowVersion fence,
+                   JobBook& book, RecorderOptions options,
                    std::function<void(const std::string&)> on_lost)
-    : impl_(std::make_shared<Impl>(loop, store, std::move(service), epoch, book,
-                                   options, std::move(on_lost))) {}
+    : impl_(std::make_shared<Impl>(loop, store, std::move(part), index, fence,
+                                   book, options, std::move(on_lost))) {}
 
 Recorder::~Recorder() = default;
 
@@ -250,10 +231,8 @@
   impl_->Flush(std::move(done));
 }
 
-void Recorder::SetWaitingVersion(store::RowVersion version) {
-  impl_->SetWaitingVersion(version);
-}
-
 bool Recorder::is_idle() const { return impl_->is_idle(); }
 
+store::RowVersion Recorder::fence() const { return impl_->fence(); }
+
 }  // namespace lapishatch::dispatch::internal
--- /dev/null
+++ b/src/dispatch/waiting_counter.cc
@@ -0,0 +1,86 @@
+#include "dispatch/internal/waiting_counter.h"
+
+#include <utility>
+
+#include "dispatch/owner_lease.h"
+
+namespace lapishatch::dispatch::internal {
+namespace {
+
+using store::RowsCommitted;
+using store::RowsConflict;
+using store::RowsResult;
+using store::RowVersion;
+
+/// A count may be 2 s old when it is told.
+constexpr base::Duration kEvery{400};
+
+}  // namespace
+
+class WaitingCounter::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(base::EventLoop& loop, store::RowStore& store, base::ServiceName service,
+       Epoch epoch, const JobBook& book)
+      : loop_(loop),
+        store_(store),
+        service_(std::move(service)),
+        epoch_(epoch),
+        book_(book) {}
+
+  void Tick() {
+    const auto counts = jobs::EncodeWaiting(book_.CountWaiting());
+    if (counts == written_) return Again();
+    const std::string table(jobs::kWaitingTable);
+    const std::string key(jobs::kWaitingKey);
+    store_.Commit({service_.str(),
+                   {{std::string(kOwnerTable), std::string(kEpochKey), epoch_},
+                    {table, key, version_}},
+                   {{table, key, counts}},
+                   {}},
+                  [weak = weak_from_this(), counts](const RowsResult& result) {
+                    const auto self = weak.lock();
+                    if (self) self->OnResult(result, counts);
+                  });
+  }
+
+ private:
+  void OnResult(const RowsResult& result, const std::string& counts) {
+    if (const auto* committed = std::get_if<RowsCommitted>(&result)) {
+      version_ = committed->version;
+      written_ = counts;
+    }
+    if (const auto* conflict = std::get_if<RowsConflict>(&result)) {
+      version_ = store::kAbsent;
+      for (const auto& it : conflict->present) {
+        if (it.address.table == jobs::kWaitingTable) version_ = it.version;
+      }
+    }
+    Again();
+  }
+
+  void Again() {
+    loop_.After(kEvery, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->Tick();
+    });
+  }
+
+  base::EventLoop& loop_;
+  store::RowStore& store_;
+  const base::ServiceName service_;
+  const Epoch epoch_;
+  const JobBook& book_;
+  std::string written_;
+  RowVersion version_ = store::kAbsent;
+};
+
+WaitingCounter::WaitingCounter(base::EventLoop& loop, store::RowStore& store,
+                               base::ServiceName service, Epoch epoch,
+                               const JobBook& book)
+    : impl_(std::make_shared<Impl>(loop, store, std::move(service), epoch,
+                                   book)) {}
+
+WaitingCounter::~WaitingCounter() = default;
+
+void WaitingCounter::Start() { impl_->Tick(); }
+
+}  // namespace lapishatch::dispatch::internal
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -1,5 +1,7 @@
 #include "jobs/job_rows.h"
 
+#include <xxhash.h>
+
 #include <boost/json.hpp>
 #include <utility>
 
@@ -144,6 +146,23 @@
 
 }  // namespace
 
+int PartIndexOf(const base::JobName& job) {
+  const auto hash = XXH3_64bits(job.str().data(), job.str().size());
+  return static_cast<int>(hash % kParts);
+}
+
+std::string PartOf(const base::ServiceName& service, const base::JobName& job) {
+  return service.str() + '.' + std::to_string(PartIndexOf(job));
+}
+
+std::vector<std::string> PartsOf(const base::ServiceName& service) {
+  std::vector<std::string> out;
+  for (int i = 0; i < kParts; ++i) {
+    out.push_back(service.str() + '.' + std::to_string(i));
+  }
+  return out;
+}
+
 std::string EncodeJob(const Job& job) {
   json::object out;
   out["name"] = job.name.str();
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -16,10 +16,9 @@
 using store::RowsResult;
 using store::UnknownOutcome;
 
-store::RowRange OneRow(std::string_view table, const base::ServiceName& service,
+store::RowRange OneRow(std::string_view table, const std::string& part,
                        const std::string& key) {
-  return {std::string(table), service.str(), key, store::KeyAfter(key),
-          1};
+  return {std::string(table), part, key, store::KeyAfter(key), 1};
 }
 
 std::string CancelKey(const base::JobName& name) {
@@ -30,12 +29,12 @@
 
 void JobService::Submit(const Job& job,
                         std::function<void(SubmitResult)> done) {
-  const auto part = job.service.str();
+  const auto part = PartOf(job.service, job.name);
   const std::string table(kRequestTable);
   const auto key = job.name.str();
   store_.Commit(
       {part, {{table, key, store::kAbsent}}, {{table, key, EncodeJob(job)}}, {}},
-      [this, service = job.service, key,
+      [this, part, key,
        done = std::move(done)](RowsResult result) {
         if (auto* not_done = std::get_if<NotDone>(&result)) {
           return done(JobNotAccepted{std::move(not_done->detail)});
@@ -43,7 +42,7 @@
         auto* unknown = std::get_if<UnknownOutcome>(&result);
         // A conflict means that an earlier request of this name stands there.
         if (unknown == nullptr) return done(JobAccepted{});
-        store_.Read(OneRow(kRequestTable, service, key),
+        store_.Read(OneRow(kRequestTable, part, key),
                     [done, detail = std::move(unknown->detail)](
                         const RowsReadResult& read) {
                       const auto* rows = std::get_if<RowsRead>(&read);
@@ -59,8 +58,9 @@
 void JobService::State(const base::ServiceName& service,
                        const base::JobName& name,
                        std::function<void(StateResult)> done) {
-  const auto read_request = [this, service, name, done] {
-    store_.Read(OneRow(kRequestTable, service, name.str()),
+  const auto part = PartOf(service, name);
+  const auto read_request = [this, part, name, done] {
+    store_.Read(OneRow(kRequestTable, part, name.str()),
                 [done](const RowsReadResult& result) {
                   if (const auto* failed = std::get_if<ReadFailed>(&result)) {
                     return done(JobUnavailable{failed->detail});
@@ -72,7 +72,7 @@
                 });
   };
   store_.Read(
-      OneRow(kProgressTable, service, name.str()),
+      OneRow(kProgressTable, part, name.str()),
       [done, read_request](const RowsReadResult& result) {
         if (const auto* failed = std::get_if<ReadFailed>(&result)) {
           return done(JobUnavailable{failed->detail});
@@ -88,9 +88,10 @@
 void JobService::Cancel(const base::ServiceName& service,
                         const base::JobName& name,
                         std::function<void(CancelResult)> done) {
+  const auto part = PartOf(service, name);
   store_.Read(
-      OneRow(kRequestTable, service, name.str()),
-      [this, service, name, done = std::move(done)](RowsReadResult result) {
+      OneRow(kRequestTable, part, name.str()),
+      [this, part, name, done = std::move(done)](RowsReadResult result) {
         if (const auto* failed = std::get_if<ReadFailed>(&result)) {
           return done(JobUnavailable{failed->detail});
         }
@@ -99,7 +100,7 @@
         const std::string table(kRequestTable);
         // The row of a cancelling says nothing but that it is there, so one
         // that is written twice does no harm and needs no condition on itself.
-        store_.Commit({service.str(),
+        store_.Commit({part,
                        {{table, name.str(), rows.front().version}},
                        {{table, CancelKey(name), "{}"}},
                        {}},
@@ -118,7 +119,7 @@
 void JobService::Waiting(const base::ServiceName& service,
                          const QueueName& queue,
                          std::function<void(WaitingResult)> done) {
-  store_.Read(OneRow(kWaitingTable, service, std::string(kWaitingKey)),
+  store_.Read(OneRow(kWaitingTable, service.str(), std::string(kWaitingKey)),
               [queue, done = std::move(done)](const RowsReadResult& result) {
                 if (const auto* failed = std::get_if<ReadFailed>(&result)) {
                   return done(JobUnavailable{failed->detail});
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -1,6 +1,8 @@
 #include "store/feed_follower.h"
 
+#include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace lapishatch::store {
@@ -10,11 +12,12 @@
 class FeedFollower::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(base::EventLoop& loop, RowStore& store, std::string table,
-       std::string part, FollowerOptions options, FollowerEvents events)
+       std::vector<std::string> parts, FollowerOptions options,
+       FollowerEvents events)
       : loop_(loop),
         store_(store),
         table_(std::move(table)),
-        part_(std::move(part)),
+        parts_(std::move(parts)),
         options_(options),
         events_(std::move(events)),
         random_(std::hash<std::string>()(base::MakeUniqueText(table_))),
@@ -23,43 +26,51 @@
   void ReadAll() {
     collected_.clear();
     ++generation_;
-    ReadPage("");
+    parts_left_ = parts_.size();
+    oldest_ = std::numeric_limits<RowVersion>::max();
+    for (const auto& part : parts_) ReadPage(part, "");
   }
 
  private:
-  template <typename Method>
-  auto Guarded(Method method) {
-    return [weak = weak_from_this(), method,
-            generation = generation_](auto result) {
+  /// Calls `method` with the result, unless the follower is gone or has begun
+  /// to read anew.
+  template <typename Method, typename... Arguments>
+  auto Guarded(Method method, Arguments... arguments) {
+    return [weak = weak_from_this(), method, generation = generation_,
+            ... arguments = std::move(arguments)](auto result) {
       const auto self = weak.lock();
       if (!self || self->generation_ != generation) return;
-      ((*self).*method)(std::move(result));
+      ((*self).*method)(arguments..., std::move(result));
     };
   }
 
-  void ReadPage(std::string from) {
-    store_.Read({table_, part_, std::move(from), "", kPageRows},
-                Guarded(&Impl::OnPage));
+  void ReadPage(const std::string& part, std::string from) {
+    store_.Read({table_, part, std::move(from), "", kPageRows},
+                Guarded(&Impl::OnPage, part));
   }
 
-  void OnPage(RowsReadResult result) {
+  /// Pages are of different moments. Following from the oldest one tells again
+  /// what changed between them, so nothing is missed.
+  void OnPage(const std::string& part, RowsReadResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+      ++generation_;
       return Retry(failed->detail, &Impl::ReadAll);
     }
     backoff_.Reset();
     auto& page = std::get<RowsRead>(result);
-    // Pages are of different moments. Following from the first one tells again
-    // what changed between them, so nothing is missed.
-    if (collected_.empty()) {
-      if (page.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
-      as_of_ = page.as_of;
-    }
+    oldest_ = std::min(oldest_, page.as_of);
     const bool has_more = page.has_more && !page.rows.empty();
     const auto next =
         has_more ? KeyAfter(page.rows.back().address.key) : std::string();
     std::move(page.rows.begin(), page.rows.end(),
               std::back_inserter(collected_));
-    if (has_more) return ReadPage(next);
+    if (has_more) return ReadPage(part, next);
+    if (--parts_left_ == 0) OnAllRead();
+  }
+
+  void OnAllRead() {
+    if (oldest_ < as_of_) return Retry("stale", &Impl::ReadAll);
+    as_of_ = oldest_;
     const auto weak = weak_from_this();
     events_.on_all(std::exchange(collected_, {}), as_of_);
     if (const auto self = weak.lock()) Follow();
@@ -80,7 +91,8 @@
     if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = changes.as_of;
     std::erase_if(changes.rows, [this](const StoredRow& row) {
-      return row.address.part != part_;
+      return std::find(parts_.begin(), parts_.end(), row.address.part) ==
+             parts_.end();
     });
     const auto weak = weak_from_this();
     const bool had_news = !changes.rows.empty();
@@ -113,22 +125,26 @@
   base::EventLoop& loop_;
   RowStore& store_;
   const std::string table_;
-  const std::string part_;
+  const std::vector<std::string> parts_;
   const FollowerOptions options_;
   const FollowerEvents events_;
   base::Random random_;
   base::Backoff backoff_;
   RowVersion as_of_ = kAbsent;
   std::vector<StoredRow> collected_;
+  std::size_t parts_left_ = 0;
+  /// Version of the oldest page of the present reading.
+  RowVersion oldest_ = kAbsent;
   /// Counts the reloads; answers of an earlier one are dropped.
   int generation_ = 0;
 };
 
 FeedFollower::FeedFollower(base::EventLoop& loop, RowStore& store,
-                           std::string table, std::string part,
+                           std::string table,
+                           std::vector<std::string> parts,
                            FollowerOptions options, FollowerEvents events)
     : impl_(std::make_shared<Impl>(loop, store, std::move(table),
-                                   std::move(part), options,
+                                   std::move(parts), options,
                                    std::move(events))) {}
 
 FeedFollower::~FeedFollower() = default;
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -26,7 +26,7 @@
 
 /// What a follower tells. All are called on the loop.
 struct FollowerEvents {
-  /// The part as a whole, at the start and whenever changes were missed. Rows
+  /// The parts as a whole, at the start and whenever changes were missed. Rows
   /// that are not in it are gone.
   std::function<void(std::vector<StoredRow> rows, RowVersion as_of)> on_all;
   /// Rows that changed since, in order, with deletions. May be empty: the
@@ -36,14 +36,14 @@
   std::function<void(const std::string& detail)> on_failure;
 };
 
-/// Keeps up with one part of a table: reads it whole, then follows its changes
-/// from that version. After a failure it goes on where it was; when the store
-/// has dropped the history in between, it reads the part whole again. What was
+/// Keeps up with some parts of a table: reads them whole, at once, then follows
+/// their changes by one feed. After a failure it goes on where it was; when the
+/// store has dropped the history in between, it reads all again. What was
 /// told last stays true until something newer is told.
 class FeedFollower {
  public:
   FeedFollower(base::EventLoop& loop, RowStore& store, std::string table,
-               std::string part, FollowerOptions options,
+               std::vector<std::string> parts, FollowerOptions options,
                FollowerEvents events);
   ~FeedFollower();
   FeedFollower(const FeedFollower&) = delete;
@@ -51,7 +51,7 @@
 
   void Start();
 
-  /// Reads the part whole again.
+  /// Reads all parts whole again.
   void Reload();
 
  private:
--- a/test/store/feed_follower_test.cc
+++ b/test/store/feed_follower_test.cc
@@ -15,7 +15,7 @@
 /// A follower that keeps a copy of the table.
 struct World {
   explicit World(FollowerOptions options = {})
-      : follower(time, store.For("vm"), "t", "p", options,
+      : follower(time, store.For("vm"), "t", {"p"}, options,
                  {[this](const std::vector<StoredRow>& rows, RowVersion) {
                     ++reads;
                     copy.clear();
