Count the failure of a run once, over owners too

Change: a unit's record names the last run that counts among its failures.

Also: places for urgent work are looked for where the least is stopped, rack by rack (FindReclaim), in place of the shortest list of victims that leaves any; room that urgent work had lately is kept for it from work that can wait.

--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -98,8 +98,8 @@
   /// Units with a present run.
   const std::set<Unit*>& active() const { return active_; }
 
-  /// Jobs of a part whose progress is not recorded as it is; taken by the part's
-  /// recorder.
+  /// Jobs of a part whose progress is not recorded as it is; taken by the
+  /// part's recorder.
   std::set<JobEntry*>& dirty(int part) {
     return dirty_[static_cast<std::size_t>(part)];
   }
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -30,13 +30,13 @@
   std::function<void(const std::string& reason)> on_lost;
 };
 
-/// One ownership of a service, from the taking of its row to the end. Destroying
-/// it forgets everything; nothing of it acts afterwards.
+/// One ownership of a service, from the taking of its row to the end.
+/// Destroying it forgets everything; nothing of it acts afterwards.
 ///
 /// Order of things: a start is recorded, then sent; an end is listed by the
 /// worker, recorded, then acknowledged to the worker. A new owner hears each
-/// worker under its own epoch, which ends all orders of former owners there, and
-/// takes over what runs.
+/// worker under its own epoch, which ends all orders of former owners there,
+/// and takes over what runs.
 class OwnedService : public std::enable_shared_from_this<OwnedService> {
  public:
   OwnedService(const ServiceOwnerPorts& ports, base::ServiceName service,
--- a/src/dispatch/internal/recorder.h
+++ b/src/dispatch/internal/recorder.h
@@ -22,10 +22,10 @@
   base::Duration retry_limit{400};
 };
 
-/// Writes the progress of the dirty jobs of one part, many in one transaction and
-/// one transaction at a time, each on condition that the part's fence row and
-/// the jobs' progress rows are unchanged. So nothing of a former owner, and no late copy
-/// of an earlier transaction, can overwrite what came after.
+/// Writes the progress of the dirty jobs of one part, many in one transaction
+/// and one transaction at a time, each on condition that the part's fence row
+/// and the jobs' progress rows are unchanged. So nothing of a former owner, and
+/// no late copy of an earlier transaction, can overwrite what came after.
 class Recorder {
  public:
   /// `fence` is the version of the part's fence row; `on_lost` is called when
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -7,6 +7,7 @@
 #include "base/base.h"
 #include "dispatch/fleet.h"
 #include "dispatch/internal/job_book.h"
+#include "dispatch/internal/reclaim.h"
 #include "jobs/queue_table.h"
 
 namespace lapishatch::dispatch::internal {
@@ -33,6 +34,13 @@
   /// A job that ends after this many objectives is worth nothing to its caller:
   /// it runs when nothing else wants the room.
   int hopeless_after = 3;
+  /// Room that urgent work had lately is kept for it from work that can still
+  /// wait: the peak of its accelerators in use, fading over this time.
+  base::Duration peak_fades{8'000};
+  /// Most of all accelerators that are kept so.
+  double most_kept = 0.35;
+  /// Work waits for that room only while it has so much time to spare.
+  base::Duration keep_slack{2'000};
   /// Most work thrown away for an urgent unit, as a multiple of its own.
   double most_waste = 3.0;
 };
@@ -58,8 +66,10 @@
   bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now);
   bool IsOwed(const JobEntry& job) const;
   std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
-  std::vector<Unit*> VictimsFor(const Unit& unit, bool is_owed,
-                                base::TimePoint now) const;
+  std::vector<Victim> VictimsFor(const Unit& unit, bool is_owed,
+                                 base::TimePoint now) const;
+  void UpdateKept(base::TimePoint now);
+  bool MustLeaveRoom(const StepRun& run, base::TimePoint now) const;
   double CostOf(const Unit& victim, base::TimePoint now) const;
   Outlook OutlookOf(const StepRun& run, base::TimePoint now) const;
 
@@ -67,7 +77,12 @@
   Fleet& fleet_;
   const TaskPlannerOptions options_;
   std::map<base::OrganisationName, std::int64_t> guarantees_;
+  /// Accelerators that urgent work had in use, fading.
+  double urgent_peak_ = 0;
+  base::TimePoint peak_at_{};
   /// Of the present call.
+  std::int64_t kept_ = 0;
+  std::int64_t free_ = 0;
   std::map<base::OrganisationName, std::int64_t> urgent_needs_;
 };
 
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -52,14 +52,14 @@
   int first_index = 0;
   jobs::UnitPhase phase = jobs::UnitPhase::kWaiting;
   int failures = 0;
+  /// The last run that counts among the failures.
+  int failed_run = 0;
   int last_run = 0;
   std::string checkpoint;
   /// When the present run was last seen with a new checkpoint.
   base::TimePoint checkpointed{};
   /// Of the present run, one a task; empty when nothing may run.
   std::vector<Member> members;
-  /// A member of the present run has failed; counted once.
-  bool has_failed = false;
   /// The present run is being stopped.
   bool is_stopping = false;
   /// Places that others are being stopped for; empty for none.
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -68,8 +68,8 @@
         unit.waiting_since = now;
       }
       if (job.job->schedule.times > 0) {
-        run.due_ms = job.job->schedule.first_due_ms +
-                     k * job.job->schedule.interval_ms;
+        run.due_ms =
+            job.job->schedule.first_due_ms + k * job.job->schedule.interval_ms;
         run.is_due = false;
         not_due_.emplace(run.due_ms, &run);
       }
@@ -79,10 +79,10 @@
   }
   auto chain = base::Duration(0);
   for (const auto& it : job.runs.front()) chain = std::max(chain, it.tail);
-  job.objective = job.job->target_latency +
-                  base::Duration(static_cast<std::int64_t>(
-                      job.job->slack_factor *
-                      static_cast<double>(chain.count())));
+  job.objective =
+      job.job->target_latency +
+      base::Duration(static_cast<std::int64_t>(
+          job.job->slack_factor * static_cast<double>(chain.count())));
 }
 
 void JobBook::OnCheckpoint(Unit& unit, const std::string& checkpoint,
@@ -96,10 +96,11 @@
                       base::TimePoint now) {
   job.state = IsFinal(progress.state) ? JobState::kRunning : progress.state;
   for (const auto& record : progress.units) {
-    auto* unit = FindUnit(
-        {job.job->name, record.occurrence, record.step, record.index});
+    auto* unit =
+        FindUnit({job.job->name, record.occurrence, record.step, record.index});
     if (unit == nullptr) continue;
     unit->failures = record.failures;
+    unit->failed_run = record.failed_run;
     unit->last_run = record.last_run;
     unit->checkpoint = record.checkpoint;
     if (record.phase == UnitPhase::kDone) MarkDone(*unit, now);
@@ -150,7 +151,6 @@
   const auto needs = CountedNeeds(*run.step);
   unit.phase = UnitPhase::kStarted;
   ++unit.last_run;
-  unit.has_failed = false;
   unit.is_stopping = false;
   unit.started = now;
   unit.checkpointed = now;
@@ -173,8 +173,9 @@
   OnCheckpoint(unit, checkpoint, now);
   const bool is_service = unit.step->step->is_service;
   if (kind == EndKind::kDone && !is_service) MarkDone(unit, now);
-  if (kind == EndKind::kFailed && !unit.has_failed && !is_service) {
-    unit.has_failed = true;
+  const bool counts = unit.failed_run < unit.last_run && !is_service;
+  if (kind == EndKind::kFailed && counts) {
+    unit.failed_run = unit.last_run;
     ++unit.failures;
     MarkDirty(*unit.step->job);
   }
@@ -346,6 +347,7 @@
         record.index = unit.first_index;
         record.phase = unit.phase;
         record.failures = unit.failures;
+        record.failed_run = unit.failed_run;
         record.last_run = unit.last_run;
         if (unit.phase != UnitPhase::kDone) {
           record.checkpoint = unit.checkpoint;
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -19,8 +19,7 @@
 /// The job whose cancelling a row of the requests is; nothing for another row.
 std::optional<base::JobName> CancelledJob(const std::string& key) {
   if (!key.ends_with(jobs::kCancelSuffix)) return std::nullopt;
-  return base::JobName(
-      key.substr(0, key.size() - jobs::kCancelSuffix.size()));
+  return base::JobName(key.substr(0, key.size() - jobs::kCancelSuffix.size()));
 }
 
 }  // namespace
@@ -132,9 +131,9 @@
   }
   // Clocks of two VMs may differ a little, and one may have jumped.
   constexpr base::Duration kMostAge{600'000};
-  const auto age = std::clamp(base::Duration(ports_.unix_ms() -
-                                             job->accepted_ms),
-                              base::Duration(0), kMostAge);
+  const auto age =
+      std::clamp(base::Duration(ports_.unix_ms() - job->accepted_ms),
+                 base::Duration(0), kMostAge);
   book_.Add(std::make_shared<const jobs::Job>(std::move(*job)),
             progress ? &*progress : nullptr, version, age, ports_.loop.Now());
 }
@@ -310,14 +309,13 @@
           return it.task == task && it.run == unit->last_run;
         });
     if (is_listed || member.state == MemberState::kPlanned) continue;
-    const bool was_confirmed = member.confirmed != TimePoint{} &&
-                               member.confirmed < sent &&
-                               (member.state == MemberState::kRunning ||
-                                member.is_stop_confirmed);
+    const bool was_confirmed =
+        member.confirmed != TimePoint{} && member.confirmed < sent &&
+        (member.state == MemberState::kRunning || member.is_stop_confirmed);
     // A start of a former owner has no known expiry here (0): this owner's
     // epoch has ended it.
-    const bool is_too_late = member.state == MemberState::kUnsure &&
-                             news.clock > member.expires;
+    const bool is_too_late =
+        member.state == MemberState::kUnsure && news.clock > member.expires;
     if (!was_confirmed && !is_too_late) continue;
     base::Log(base::events::kTaskVanished, {{"request", task.job},
                                             {"task", TextOf(task)},
@@ -348,8 +346,7 @@
   // of the row, which was at least the lease's length before it was taken.
   const SessionOptions session;
   const auto unheard = options_.orphan_limit - options_.lease.length +
-                       session.lease + session.lease / 20 +
-                       session.clock_slack;
+                       session.lease + session.lease / 20 + session.clock_slack;
   std::vector<base::WorkerName> gone;
   for (auto& [name, worker] : workers_) {
     const auto& it = *worker.session;
@@ -435,8 +432,7 @@
                {"waited_ms", (unit->started - unit->waiting_since).count()},
                {"age_ms", (unit->started - job.accepted).count()}});
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
-      by_part[job.part].push_back(
-          {JobBook::NameOf(*unit, i), unit->last_run});
+      by_part[job.part].push_back({JobBook::NameOf(*unit, i), unit->last_run});
     }
   }
   for (auto& [part, planned] : by_part) {
@@ -466,8 +462,11 @@
     return;
   }
   auto& session = *worker->session;
-  StartOrder order{task, run, unit->step->job->job->spec,
-                   session.Clock() + options_.start_window.count(), epoch_,
+  StartOrder order{task,
+                   run,
+                   unit->step->job->job->spec,
+                   session.Clock() + options_.start_window.count(),
+                   epoch_,
                    unit->checkpoint};
   session.NoteExpiry(order.expires);
   member.state = MemberState::kUnsure;
@@ -544,13 +543,12 @@
                             const base::WorkerName& name) {
   auto* worker = FindWorker(name);
   if (worker == nullptr || !rights_.may_renew()) return;
-  ports_.workers.Stop(worker->session->address(), {task, run, epoch_},
-                      options_.stop_timeout,
-                      [weak = weak_from_this(), task, run,
-                       name](const StopResult& result) {
-                        const auto self = weak.lock();
-                        if (self) self->OnStopped(task, run, name, result);
-                      });
+  ports_.workers.Stop(
+      worker->session->address(), {task, run, epoch_}, options_.stop_timeout,
+      [weak = weak_from_this(), task, run, name](const StopResult& result) {
+        const auto self = weak.lock();
+        if (self) self->OnStopped(task, run, name, result);
+      });
 }
 
 void OwnedService::OnStopped(const jobs::TaskName& task, int run,
@@ -620,16 +618,15 @@
   }
   for (const auto& name : old) {
     auto* job = book_.Find(name);
-    const bool may_run = std::any_of(
-        book_.active().begin(), book_.active().end(),
-        [job](const Unit* it) { return it->step->job == job; });
+    const bool may_run =
+        std::any_of(book_.active().begin(), book_.active().end(),
+                    [job](const Unit* it) { return it->step->job == job; });
     const auto& recorder = *recorders_[static_cast<std::size_t>(job->part)];
     if (may_run || !recorder.is_idle()) continue;
     const std::string requests(jobs::kRequestTable);
     ports_.store.Commit(
         {jobs::PartOf(service_, name),
-         {{std::string(kOwnerTable), std::string(kFenceKey),
-           recorder.fence()}},
+         {{std::string(kOwnerTable), std::string(kFenceKey), recorder.fence()}},
          {},
          {{requests, name.str()},
           {requests, name.str() + std::string(jobs::kCancelSuffix)},
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -18,8 +18,9 @@
 inline constexpr std::string_view kEpochKey = "epoch";
 inline constexpr std::string_view kLeaseKey = "lease";
 
-/// Row of the table in each part with jobs: every owner writes it anew before it
-/// reads the part, so that nothing of a former owner is written there any more.
+/// Row of the table in each part with jobs: every owner writes it anew before
+/// it reads the part, so that nothing of a former owner is written there any
+/// more.
 inline constexpr std::string_view kFenceKey = "fence";
 
 struct OwnerLeaseOptions {
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -27,8 +27,8 @@
 /// One worker a task.
 using Places = std::vector<base::WorkerName>;
 
-/// Where the unit fits now, or nothing. Takes the workers that it fills best, so
-/// that whole workers stay free for tasks that need all accelerators of one.
+/// Where the unit fits now, or nothing. Takes the workers that it fills best,
+/// so that whole workers stay free for tasks that need all accelerators of one.
 /// A gang that wants one rack gets the rack that it fills best. Costs one pass
 /// over the workers a task, and for a gang one pass a rack.
 std::optional<Places> FindPlaces(const Fleet& fleet,
--- a/src/dispatch/recorder.cc
+++ b/src/dispatch/recorder.cc
@@ -45,8 +45,7 @@
     if (dirty_.empty() && writing_.empty()) {
       return loop_.Post(std::move(done));
     }
-    waiting_.push_back(
-        {dirty_.empty() ? batch_ : batch_ + 1, std::move(done)});
+    waiting_.push_back({dirty_.empty() ? batch_ : batch_ + 1, std::move(done)});
     Kick();
   }
 
@@ -65,8 +64,7 @@
     if (is_armed_ || !writing_.empty() || is_sending_) return;
     is_armed_ = true;
     const auto earliest = last_sent_ + options_.spacing;
-    const auto delay =
-        std::max(earliest - loop_.Now(), base::Duration(0));
+    const auto delay = std::max(earliest - loop_.Now(), base::Duration(0));
     loop_.After(delay, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (!self) return;
--- a/src/dispatch/service_loader.cc
+++ b/src/dispatch/service_loader.cc
@@ -74,12 +74,12 @@
   }
 
   void Read(std::size_t part, const std::string& from) {
-    store_.Read({std::string(jobs::kProgressTable), parts_[part], from, "",
-                 kPageRows},
-                [weak = weak_from_this(), part, from](RowsReadResult result) {
-                  const auto self = weak.lock();
-                  if (self) self->OnPage(part, from, std::move(result));
-                });
+    store_.Read(
+        {std::string(jobs::kProgressTable), parts_[part], from, "", kPageRows},
+        [weak = weak_from_this(), part, from](RowsReadResult result) {
+          const auto self = weak.lock();
+          if (self) self->OnPage(part, from, std::move(result));
+        });
   }
 
   void OnPage(std::size_t part, const std::string& from,
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
+#include "dispatch/internal/reclaim.h"
 #include "dispatch/placer.h"
 
 namespace lapishatch::dispatch::internal {
@@ -44,15 +46,11 @@
          SecondsOf(run.step->estimate);
 }
 
-std::map<base::WorkerName, Room> RoomOf(const std::vector<Unit*>& units) {
-  std::map<base::WorkerName, Room> out;
-  for (const auto* unit : units) {
-    const auto needs = CountedNeeds(*unit->step->step);
-    for (const auto& it : unit->members) {
-      if (it.state != MemberState::kOver) out[it.worker] += needs;
-    }
-  }
-  return out;
+/// Core-seconds since a unit's last checkpoint.
+double LostBy(const Unit& unit, base::TimePoint now) {
+  const auto saved = std::max(unit.started, unit.checkpointed);
+  return SecondsOf(now - saved) * CoresOf(*unit.step->step) *
+         unit.step->TasksPerUnit();
 }
 
 }  // namespace
@@ -65,6 +63,7 @@
 std::vector<Unit*> TaskPlanner::Decide(base::TimePoint now) {
   std::vector<Unit*> out;
   urgent_needs_ = UrgentNeeds();
+  UpdateKept(now);
   StartClaimed(now, out);
   std::vector<StepRun*> ready(book_.ready().begin(), book_.ready().end());
   // Work that can be in time goes before work that cannot, urgent work before
@@ -80,14 +79,50 @@
                       job.job->priority, outlook, latest, job.job->name,
                       it->occurrence, it->number);
   };
-  std::sort(ready.begin(), ready.end(),
-            [&key](const StepRun* a, const StepRun* b) {
-              return key(a) < key(b);
-            });
+  std::sort(
+      ready.begin(), ready.end(),
+      [&key](const StepRun* a, const StepRun* b) { return key(a) < key(b); });
   for (auto* it : ready) StartReady(*it, now, out);
   return out;
 }
 
+/// Takes stock of the accelerators that are free and that are kept for urgent
+/// work, which comes in bursts: without it each burst stops the quiet work that
+/// has just begun in the room of the last one.
+void TaskPlanner::UpdateKept(base::TimePoint now) {
+  std::int64_t urgent = 0;
+  for (const auto* it : book_.active()) {
+    if (it->step->job->job->priority != kUrgentPriority) continue;
+    urgent += it->step->step->needs.accelerators * it->step->TasksPerUnit();
+  }
+  const auto passed = std::max(now - peak_at_, base::Duration(0));
+  const double faded =
+      urgent_peak_ *
+      std::exp(-SecondsOf(passed) / SecondsOf(options_.peak_fades));
+  urgent_peak_ = std::max(faded, static_cast<double>(urgent));
+  peak_at_ = now;
+  std::int64_t all = 0;
+  free_ = 0;
+  for (const auto& [name, worker] : fleet_.workers()) {
+    if (!worker.is_open) continue;
+    all += worker.capacity.accelerators;
+    free_ += worker.Free().accelerators;
+  }
+  const auto most = options_.most_kept * static_cast<double>(all);
+  const auto wanted = urgent_peak_ - static_cast<double>(urgent);
+  kept_ = static_cast<std::int64_t>(std::min(most, wanted));
+}
+
+/// Whether one more unit of a step would take room that is kept.
+bool TaskPlanner::MustLeaveRoom(const StepRun& run, base::TimePoint now) const {
+  const auto& job = *run.job;
+  if (job.job->priority == kUrgentPriority) return false;
+  const auto latest = job.accepted + job.objective - run.tail;
+  if (now + options_.keep_slack > latest) return false;
+  const auto takes = run.step->needs.accelerators * run.TasksPerUnit();
+  return takes > 0 && free_ - takes < kept_;
+}
+
 Outlook TaskPlanner::OutlookOf(const StepRun& run, base::TimePoint now) const {
   const auto& job = *run.job;
   const auto left = base::Duration(static_cast<std::int64_t>(
@@ -161,6 +196,7 @@
   const bool is_late = OutlookOf(run, now) != Outlook::kInTime;
   for (auto& unit : run.units) {
     if (unit.phase != UnitPhase::kWaiting || !unit.claim.empty()) continue;
+    if (MustLeaveRoom(run, now)) return;
     const auto waited = now - unit.waiting_since;
     const auto patience = base::Duration(static_cast<std::int64_t>(
         options_.slow_place_after *
@@ -177,6 +213,7 @@
     }
     if (places) {
       book_.Plan(unit, *places, now);
+      free_ -= run.step->needs.accelerators * run.TasksPerUnit();
       out.push_back(&unit);
       continue;
     }
@@ -186,33 +223,24 @@
   }
 }
 
-/// What stopping a unit costs, for each accelerator that it frees: the work
-/// since its last checkpoint, and more where its job would then be late or it
-/// was started again before.
+/// What stopping a unit costs: the work since its last checkpoint, and more
+/// where its job would then be late or it was started again before.
 double TaskPlanner::CostOf(const Unit& victim, base::TimePoint now) const {
   const auto& run = *victim.step;
-  const auto saved = std::max(victim.started, victim.checkpointed);
-  auto lost = SecondsOf(now - saved) * CoresOf(*run.step) *
-              run.TasksPerUnit();
+  auto out = LostBy(victim, now);
   const auto latest = run.job->accepted + run.job->objective - run.tail;
-  if (now > latest) lost += WorkOf(run);
-  lost += 0.25 * WorkOf(run) * (victim.last_run - 1);
-  const auto freed = static_cast<double>(run.step->needs.accelerators) *
-                         run.TasksPerUnit() +
-                     1;
-  return lost / freed;
+  if (now > latest) out += WorkOf(run);
+  constexpr double kAgain = 0.25;
+  return out + kAgain * WorkOf(run) * (victim.last_run - 1);
 }
 
-/// Units that may be stopped for `unit`, the cheapest first, those that are
-/// being stopped anyway before all: what is not urgent, and for a unit that is
+/// Units that may be stopped for `unit`, the cheapest first; those that are
+/// being stopped anyway cost nothing: what is not urgent, and for a unit that is
 /// owed its place, everything that no guarantee protects.
-std::vector<Unit*> TaskPlanner::VictimsFor(const Unit& unit, bool is_owed,
-                                           base::TimePoint now) const {
-  struct Priced {
-    double cost = 0;
-    Unit* unit = nullptr;
-  };
-  std::vector<Priced> priced;
+std::vector<Victim> TaskPlanner::VictimsFor(const Unit& unit, bool is_owed,
+                                            base::TimePoint now) const {
+  std::vector<Victim> out;
+  out.reserve(book_.active().size());
   for (auto* it : book_.active()) {
     const auto& job = *it->step->job;
     if (&job == unit.step->job || it->phase == UnitPhase::kDone) continue;
@@ -220,86 +248,49 @@
     if (is_urgent && (!is_owed || IsOwed(job))) continue;
     // Urgent work is stopped for other urgent work only when nothing else does.
     constexpr double kUrgentCost = 1e6;
-    const auto cost = it->is_stopping ? -1
-                      : is_urgent     ? kUrgentCost + CostOf(*it, now)
-                                      : CostOf(*it, now);
-    priced.push_back({cost, it});
+    const double extra = is_urgent ? kUrgentCost : 0;
+    out.push_back({it, it->is_stopping ? 0 : extra + CostOf(*it, now)});
   }
-  std::sort(priced.begin(), priced.end(), [](const Priced& a, const Priced& b) {
-    const auto key = [](const Priced& it) {
+  std::sort(out.begin(), out.end(), [](const Victim& a, const Victim& b) {
+    const auto key = [](const Victim& it) {
       return std::tuple(it.cost, it.unit->step->job->job->name,
                         it.unit->step->number, it.unit->first_index);
     };
     return key(a) < key(b);
   });
-  std::vector<Unit*> out;
-  for (const auto& it : priced) out.push_back(it.unit);
   return out;
 }
 
-/// Finds a place for `unit` by stopping the cheapest units that give one.
+/// Finds the places for `unit` that cost least, on one rack if it wants one,
+/// stops what is in the way and claims them.
 bool TaskPlanner::TryReclaim(Unit& unit, bool is_owed, base::TimePoint now) {
-  const auto victims = VictimsFor(unit, is_owed, now);
-  auto request = RequestFor(*unit.step, false);
-  request.accepts_slow =
+  const auto& step = *unit.step->step;
+  const bool accepts_slow =
       (is_owed && now - unit.waiting_since >= options_.owed_slow_after) ||
-      !CouldEverFit(fleet_, request);
-  // The fewest victims, in order of cost, that make room.
-  std::size_t least = 0;
-  std::size_t most = victims.size();
-  std::optional<Places> places;
-  const auto try_with = [&](std::size_t n) {
-    const auto room = RoomOf({victims.begin(), victims.begin() + static_cast<std::ptrdiff_t>(n)});
-    auto with_room = request;
-    with_room.could_free = &room;
-    return FindPlaces(fleet_, with_room);
-  };
-  places = try_with(most);
-  if (!places) return false;
-  while (least < most) {
-    const auto middle = (least + most) / 2;
-    if (auto found = try_with(middle)) {
-      places = std::move(found);
-      most = middle;
-    } else {
-      least = middle + 1;
+      !CouldEverFit(fleet_, RequestFor(*unit.step, false));
+  const auto victims = VictimsFor(unit, is_owed, now);
+  std::optional<ReclaimPlan> best;
+  if (!step.preferred_rack.empty()) {
+    best = FindReclaim(fleet_, *unit.step, victims, step.preferred_rack);
+  } else if (step.is_gang && step.wants_one_rack) {
+    for (const auto& rack : RacksOf(fleet_)) {
+      auto plan = FindReclaim(fleet_, *unit.step, victims, rack);
+      if (plan && (!best || plan->cost < best->cost)) best = std::move(plan);
     }
+  } else {
+    best = FindReclaim(fleet_, *unit.step, victims, std::nullopt);
   }
-  std::map<base::WorkerName, Room> wanted;
-  const auto needs = CountedNeeds(*unit.step->step);
-  for (const auto& it : *places) wanted[it] += needs;
-  std::map<base::WorkerName, Room> freed;
-  std::vector<Unit*> chosen;
-  double waste = 0;
-  for (std::size_t i = 0; i < most; ++i) {
-    auto* victim = victims[i];
-    const bool is_needed = std::any_of(
-        victim->members.begin(), victim->members.end(), [&](const Member& it) {
-          const auto want = wanted.find(it.worker);
-          if (want == wanted.end() || it.state == MemberState::kOver) {
-            return false;
-          }
-          auto room = fleet_.Find(it.worker)->Free();
-          room += freed[it.worker];
-          return !room.Holds(want->second);
-        });
-    if (!is_needed) continue;
-    for (const auto& it : victim->members) {
-      if (it.state != MemberState::kOver) {
-        freed[it.worker] += CountedNeeds(*victim->step->step);
-      }
-    }
-    if (victim->is_stopping) continue;
-    const auto saved = std::max(victim->started, victim->checkpointed);
-    waste += SecondsOf(now - saved) * CoresOf(*victim->step->step) *
-             victim->step->TasksPerUnit();
-    chosen.push_back(victim);
+  if (!best && accepts_slow) {
+    best = FindReclaim(fleet_, *unit.step, victims, std::nullopt);
   }
+  if (!best) return false;
+  double waste = 0;
+  for (const auto* it : best->victims) waste += LostBy(*it, now);
   if (!is_owed && waste > options_.most_waste * WorkOf(*unit.step)) {
     return false;
   }
-  for (auto* it : chosen) book_.Stop(*it);
-  book_.SetClaim(unit, *places);
+  for (auto* it : best->victims) book_.Stop(*it);
+  book_.SetClaim(unit, best->places);
   return true;
 }
 
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -50,8 +50,7 @@
   bool HasLapsed() const {
     const auto passed = static_cast<double>((loop_.Now() - clock_at_).count());
     const auto at_least =
-        clock_ +
-        static_cast<WorkerClock>(passed * (1 - options_.clock_drift));
+        clock_ + static_cast<WorkerClock>(passed * (1 - options_.clock_drift));
     return at_least > latest_expiry_ + options_.clock_slack.count();
   }
 
@@ -99,9 +98,8 @@
     is_reached_ = true;
     clock_ = news.clock;
     clock_at_ = loop_.Now();
-    std::erase_if(news.ended, [this](const EndedTask& it) {
-      return it.number <= told_;
-    });
+    std::erase_if(news.ended,
+                  [this](const EndedTask& it) { return it.number <= told_; });
     if (!news.ended.empty()) told_ = news.ended.back().number;
     is_waiting_for_record_ = told_ > recorded_;
     const auto turn = turn_;
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -98,16 +98,14 @@
   return out;
 }
 
-/// Positional, since a row has one for each task that has begun and holds 64 KB:
-/// occurrence, step, index, phase, last run, failures, checkpoint, workers. What
-/// a done unit no longer needs is left out.
+/// Positional, since a row has one for each task that has begun and holds 64
+/// KB: occurrence, step, index, phase, last run, failures, last failed run,
+/// checkpoint, workers. What a done unit no longer needs is left out.
 json::array EncodeUnit(const UnitRecord& unit) {
-  json::array out{unit.occurrence,
-                  unit.step,
-                  unit.index,
-                  static_cast<int>(unit.phase),
-                  unit.last_run,
-                  unit.failures};
+  json::array out{unit.occurrence, unit.step,
+                  unit.index,      static_cast<int>(unit.phase),
+                  unit.last_run,   unit.failures,
+                  unit.failed_run};
   if (unit.phase == UnitPhase::kDone) return out;
   out.emplace_back(unit.checkpoint);
   json::array workers;
@@ -124,9 +122,11 @@
   out.phase = static_cast<UnitPhase>(fields.at(3).to_number<int>());
   out.last_run = fields.at(4).to_number<int>();
   out.failures = fields.at(5).to_number<int>();
-  if (fields.size() < 8) return out;
-  out.checkpoint = Text(fields.at(6).as_string());
-  for (const auto& it : fields.at(7).as_array()) {
+  out.failed_run = fields.at(6).to_number<int>();
+  constexpr std::size_t kWithWorkers = 9;
+  if (fields.size() < kWithWorkers) return out;
+  out.checkpoint = Text(fields.at(7).as_string());
+  for (const auto& it : fields.at(8).as_array()) {
     out.workers.emplace_back(Text(it.as_string()));
   }
   return out;
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -12,8 +12,8 @@
 
 namespace lapishatch::jobs {
 
-/// Tables. A job's rows lie together in one of the parts of its service, so that
-/// one part's transactions, which the store does one after another (150 a
+/// Tables. A job's rows lie together in one of the parts of its service, so
+/// that one part's transactions, which the store does one after another (150 a
 /// second, and 2 a second when it is slow), carry an eighth of the jobs. The
 /// counts lie in the part that is named like the service.
 ///
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -32,27 +32,30 @@
   const auto part = PartOf(job.service, job.name);
   const std::string table(kRequestTable);
   const auto key = job.name.str();
-  store_.Commit(
-      {part, {{table, key, store::kAbsent}}, {{table, key, EncodeJob(job)}}, {}},
-      [this, part, key,
-       done = std::move(done)](RowsResult result) {
-        if (auto* not_done = std::get_if<NotDone>(&result)) {
-          return done(JobNotAccepted{std::move(not_done->detail)});
-        }
-        auto* unknown = std::get_if<UnknownOutcome>(&result);
-        // A conflict means that an earlier request of this name stands there.
-        if (unknown == nullptr) return done(JobAccepted{});
-        store_.Read(OneRow(kRequestTable, part, key),
-                    [done, detail = std::move(unknown->detail)](
-                        const RowsReadResult& read) {
-                      const auto* rows = std::get_if<RowsRead>(&read);
-                      if (rows != nullptr && !rows->rows.empty()) {
-                        return done(JobAccepted{});
-                      }
-                      // Not there yet: the write may still take effect.
-                      done(JobUnknown{detail});
-                    });
-      });
+  store_.Commit({part,
+                 {{table, key, store::kAbsent}},
+                 {{table, key, EncodeJob(job)}},
+                 {}},
+                [this, part, key, done = std::move(done)](RowsResult result) {
+                  if (auto* not_done = std::get_if<NotDone>(&result)) {
+                    return done(JobNotAccepted{std::move(not_done->detail)});
+                  }
+                  auto* unknown = std::get_if<UnknownOutcome>(&result);
+                  // A conflict means that an earlier request of this name
+                  // stands there.
+                  if (unknown == nullptr) return done(JobAccepted{});
+                  store_.Read(OneRow(kRequestTable, part, key),
+                              [done, detail = std::move(unknown->detail)](
+                                  const RowsReadResult& read) {
+                                const auto* rows = std::get_if<RowsRead>(&read);
+                                if (rows != nullptr && !rows->rows.empty()) {
+                                  return done(JobAccepted{});
+                                }
+                                // Not there yet: the write may still take
+                                // effect.
+                                done(JobUnknown{detail});
+                              });
+                });
 }
 
 void JobService::State(const base::ServiceName& service,
@@ -71,18 +74,18 @@
                   done(JobState::kQueued);
                 });
   };
-  store_.Read(
-      OneRow(kProgressTable, part, name.str()),
-      [done, read_request](const RowsReadResult& result) {
-        if (const auto* failed = std::get_if<ReadFailed>(&result)) {
-          return done(JobUnavailable{failed->detail});
-        }
-        const auto& rows = std::get<RowsRead>(result).rows;
-        if (rows.empty()) return read_request();
-        const auto progress = DecodeProgress(rows.front().value);
-        if (!progress) return done(JobUnavailable{"unreadable progress"});
-        done(progress->state);
-      });
+  store_.Read(OneRow(kProgressTable, part, name.str()),
+              [done, read_request](const RowsReadResult& result) {
+                if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+                  return done(JobUnavailable{failed->detail});
+                }
+                const auto& rows = std::get<RowsRead>(result).rows;
+                if (rows.empty()) return read_request();
+                const auto progress = DecodeProgress(rows.front().value);
+                if (!progress)
+                  return done(JobUnavailable{"unreadable progress"});
+                done(progress->state);
+              });
 }
 
 void JobService::Cancel(const base::ServiceName& service,
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -29,6 +29,9 @@
   UnitPhase phase = UnitPhase::kWaiting;
   /// Runs that failed.
   int failures = 0;
+  /// The last run that counts among them, 0 for none: the end of a run may be
+  /// listed again to the next owner, and counts once.
+  int failed_run = 0;
   /// The number of its last run, 0 for none; the next has a higher one.
   int last_run = 0;
   /// Of an earlier run; empty for none.
@@ -52,8 +55,8 @@
 namespace lapishatch::base {
 template <>
 struct EnumNames<jobs::UnitPhase> {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "waiting", "started", "done"};
+  static constexpr std::array<std::string_view, 3> kNames = {"waiting",
+                                                             "started", "done"};
 };
 }  // namespace lapishatch::base
 
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -140,8 +140,7 @@
 };
 
 FeedFollower::FeedFollower(base::EventLoop& loop, RowStore& store,
-                           std::string table,
-                           std::vector<std::string> parts,
+                           std::string table, std::vector<std::string> parts,
                            FollowerOptions options, FollowerEvents events)
     : impl_(std::make_shared<Impl>(loop, store, std::move(table),
                                    std::move(parts), options,
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -65,15 +65,13 @@
   void StartOwner(const std::string& name) {
     const auto life = name + '#' + std::to_string(++lives_);
     auto owner = std::make_unique<ServiceOwner>(
-        ServiceOwnerPorts{time_, store_.For(name), workers_.For(name),
-                          [] { return base::Duration(0); },
-                          [this] {
-                            return time_.Now().time_since_epoch().count();
-                          },
-                          nullptr,
-                          [this, name](bool is_owner) {
-                            if (is_owner) TellWorkers(name);
-                          }},
+        ServiceOwnerPorts{
+            time_, store_.For(name), workers_.For(name),
+            [] { return base::Duration(0); },
+            [this] { return time_.Now().time_since_epoch().count(); }, nullptr,
+            [this, name](bool is_owner) {
+              if (is_owner) TellWorkers(name);
+            }},
         base::ServiceName(kService), life, ServiceOwnerOptions{});
     owner->SetGuarantees(guarantees_);
     owner->Start();
--- a/test/store/feed_follower_test.cc
+++ b/test/store/feed_follower_test.cc
@@ -57,8 +57,8 @@
   world.store.Put("t", "other", "c", "3");
   world.store.Put("u", "p", "d", "4");
   world.RunFor(100);
-  CHECK(world.copy == std::map<std::string, std::string>{{"a", "1"},
-                                                         {"b", "2"}});
+  CHECK(world.copy ==
+        std::map<std::string, std::string>{{"a", "1"}, {"b", "2"}});
   CHECK(world.reads == 1);
 }
 
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -55,22 +55,19 @@
         break;
     }
     After(store_.delay + store_.commit_time,
-          [this, transaction = std::move(transaction),
-           done = std::move(done)] {
+          [this, transaction = std::move(transaction), done = std::move(done)] {
             auto result = store_.Apply(transaction);
-            After(store_.delay, [done, result = std::move(result)] {
-              done(result);
-            });
+            After(store_.delay,
+                  [done, result = std::move(result)] { done(result); });
           });
   }
 
   void Read(store::RowRange range,
             std::function<void(RowsReadResult)> done) override {
     if (Fault() != StoreFault::kNone) {
-      return After(Fault() == StoreFault::kBusy ? store_.delay : kReadTimeout,
-                   [done = std::move(done)] {
-                     done(store::ReadFailed{"no answer"});
-                   });
+      return After(
+          Fault() == StoreFault::kBusy ? store_.delay : kReadTimeout,
+          [done = std::move(done)] { done(store::ReadFailed{"no answer"}); });
     }
     After(store_.delay,
           [this, range = std::move(range), done = std::move(done)] {
@@ -81,17 +78,17 @@
 
   void Parts(std::string table,
              std::function<void(store::PartsResult)> done) override {
-    After(store_.delay, [this, table = std::move(table),
-                         done = std::move(done)] {
-      store::PartsRead out;
-      for (const auto& [address, row] : store_.rows_) {
-        if (address.table != table) continue;
-        if (out.parts.empty() || out.parts.back() != address.part) {
-          out.parts.push_back(address.part);
-        }
-      }
-      done(out);
-    });
+    After(store_.delay,
+          [this, table = std::move(table), done = std::move(done)] {
+            store::PartsRead out;
+            for (const auto& [address, row] : store_.rows_) {
+              if (address.table != table) continue;
+              if (out.parts.empty() || out.parts.back() != address.part) {
+                out.parts.push_back(address.part);
+              }
+            }
+            done(out);
+          });
   }
 
   void Feed(std::string table, RowVersion after, base::Duration wait,
@@ -109,9 +106,8 @@
     // What is under way when a fault begins has no answer either.
     feed->done = [this, wait, done = std::move(done)](RowsFeedResult result) {
       if (Fault() != StoreFault::kNone) {
-        return After(wait + kFeedSlack, [done] {
-          done(store::ReadFailed{"no answer"});
-        });
+        return After(wait + kFeedSlack,
+                     [done] { done(store::ReadFailed{"no answer"}); });
       }
       After(store_.delay, [done, result = std::move(result)] { done(result); });
     };
@@ -166,9 +162,8 @@
 
 std::size_t FakeRowStore::rows_in(const std::string& table) const {
   return static_cast<std::size_t>(
-      std::count_if(rows_.begin(), rows_.end(), [&](const auto& it) {
-        return it.first.table == table;
-      }));
+      std::count_if(rows_.begin(), rows_.end(),
+                    [&](const auto& it) { return it.first.table == table; }));
 }
 
 RowsResult FakeRowStore::Apply(const store::RowTransaction& transaction) {
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -68,8 +68,7 @@
       : workers_(workers), owner_(std::move(owner)) {}
 
   void Start(const dispatch::WorkerAddress& address, StartOrder order,
-             Duration timeout,
-             std::function<void(StartResult)> done) override {
+             Duration timeout, std::function<void(StartResult)> done) override {
     auto* worker = workers_.Find(address.name);
     if (worker != nullptr && worker->next_start_late) {
       const auto late = *std::exchange(worker->next_start_late, std::nullopt);
@@ -77,9 +76,8 @@
         auto* it = workers_.Find(name);
         if (it != nullptr && it->is_alive) workers_.Start(*it, order);
       });
-      workers_.time_.After(timeout, [done = std::move(done)] {
-        done(NoAnswer{"late"});
-      });
+      workers_.time_.After(
+          timeout, [done = std::move(done)] { done(NoAnswer{"late"}); });
       return;
     }
     Carry<StartResult>(address.name, timeout, std::move(done),
@@ -120,10 +118,8 @@
       if (workers_.IsCut(owner_, name)) return;
       act(*worker, [this, name, finish](Result result) {
         if (workers_.IsCut(owner_, name)) return;
-        workers_.time_.After(kDelay,
-                             [finish, result = std::move(result)] {
-                               finish(result);
-                             });
+        workers_.time_.After(
+            kDelay, [finish, result = std::move(result)] { finish(result); });
       });
     });
   }
@@ -227,9 +223,9 @@
   if (size > 1) {
     time_.After(kGangWait, [this, name, run] {
       auto* it = Find(name);
-      const bool waits = std::any_of(
-          it->running.begin(), it->running.end(),
-          [&](const Run& other) { return other.id == run.id; });
+      const bool waits =
+          std::any_of(it->running.begin(), it->running.end(),
+                      [&](const Run& other) { return other.id == run.id; });
       if (!waits || !it->is_alive) return;
       int present = 0;
       for (const auto& [unused, any] : workers_) {
@@ -247,16 +243,14 @@
   const auto length = run_time ? run_time(run.task) : kRunTime;
   time_.After(length, [this, name, run] {
     auto* it = Find(name);
-    const auto kind =
-        outcome ? outcome(run.task, run.run) : EndKind::kDone;
+    const auto kind = outcome ? outcome(run.task, run.run) : EndKind::kDone;
     if (it->is_alive) EndRun(*it, run.id, kind);
   });
 }
 
 void FakeTaskWorkers::EndRun(Worker& worker, std::uint64_t id, EndKind kind) {
-  const auto it =
-      std::find_if(worker.running.begin(), worker.running.end(),
-                   [id](const Run& run) { return run.id == id; });
+  const auto it = std::find_if(worker.running.begin(), worker.running.end(),
+                               [id](const Run& run) { return run.id == id; });
   if (it == worker.running.end()) return;
   const auto run = *it;
   worker.running.erase(it);
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -73,7 +73,8 @@
 
   Worker* Find(const base::WorkerName& name);
   bool IsCut(const std::string& owner, const base::WorkerName& name) const;
-  dispatch::StartResult Start(Worker& worker, const dispatch::StartOrder& order);
+  dispatch::StartResult Start(Worker& worker,
+                              const dispatch::StartOrder& order);
   dispatch::StopResult Stop(Worker& worker, const dispatch::StopOrder& order);
   void Hold(Worker& worker, const dispatch::HoldOrder& order,
             std::function<void(dispatch::HoldResult)> answer);
