--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -41,8 +41,7 @@
  public:
   OwnedService(const ServiceOwnerPorts& ports, base::ServiceName service,
                Epoch epoch, bool former_is_gone,
-               const ServiceOwnerOptions& options,
-               OwnerRights rights);
+               const ServiceOwnerOptions& options, OwnerRights rights);
 
   void Start();
 
@@ -81,7 +80,7 @@
 
   // Orders.
   void Pump();
-  void FlushAll(std::function<void()> done);
+  void FlushAll(const std::function<void()>& done);
   void SendStarts(const std::vector<Unit*>& units);
   void SendStart(const jobs::TaskName& task, int run);
   void OnStarted(const jobs::TaskName& task, int run, StartResult result);
--- a/src/dispatch/internal/reclaim.h
+++ b/src/dispatch/internal/reclaim.h
@@ -30,8 +30,8 @@
 
 /// The cheapest places for one unit of `run`, on `rack` or anywhere: task by
 /// task where the least has to be stopped, the cheapest of `victims` (sorted by
-/// cost) on a worker first. Nothing where it does not fit even so. Costs one pass
-/// over the workers a task and one over the victims.
+/// cost) on a worker first. Nothing where it does not fit even so. Costs one
+/// pass over the workers a task and one over the victims.
 std::optional<ReclaimPlan> FindReclaim(const Fleet& fleet, const StepRun& run,
                                        const std::vector<Victim>& victims,
                                        std::optional<base::RackName> rack);
--- a/src/dispatch/internal/service_loader.h
+++ b/src/dispatch/internal/service_loader.h
@@ -27,7 +27,7 @@
 class ServiceLoader {
  public:
   ServiceLoader(base::EventLoop& loop, store::RowStore& store,
-                base::ServiceName service, Epoch epoch,
+                const base::ServiceName& service, Epoch epoch,
                 std::function<void(LoadedService)> on_loaded,
                 std::function<void(const std::string&)> on_lost);
   ~ServiceLoader();
--- /dev/null
+++ b/src/dispatch/owned_orders.cc
@@ -0,0 +1,219 @@
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/internal/owned_service.h"
+#include "dispatch/internal/task_text.h"
+
+namespace lapishatch::dispatch::internal {
+
+/// Decides, records and sends, once for everything that happened before it
+/// runs.
+void OwnedService::Pump() {
+  if (is_pump_posted_ || !is_loaded_) return;
+  is_pump_posted_ = true;
+  ports_.loop.Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->is_pump_posted_ = false;
+    self->UpdateOpen();
+    std::vector<Unit*> units;
+    if (self->rights_.may_start()) {
+      units = self->planner_.Decide(self->ports_.loop.Now());
+    }
+    self->SendStops();
+    if (!units.empty()) self->SendStarts(units);
+    self->LogEnds();
+    for (const auto& it : self->recorders_) it->Flush(nullptr);
+  });
+}
+
+/// Calls `done` once everything that is dirty now stands in the store.
+void OwnedService::FlushAll(const std::function<void()>& done) {
+  auto left = std::make_shared<std::size_t>(recorders_.size());
+  for (const auto& it : recorders_) {
+    it->Flush([left, done] {
+      if (--*left == 0) done();
+    });
+  }
+}
+
+/// Sends the starts of `units` once they are recorded, each part's by itself.
+void OwnedService::SendStarts(const std::vector<Unit*>& units) {
+  struct Planned {
+    jobs::TaskName task;
+    int run = 0;
+  };
+  std::map<int, std::vector<Planned>> by_part;
+  for (const auto* unit : units) {
+    const auto& job = *unit->step->job;
+    base::Log(base::events::kUnitStarted,
+              {{"request", job.job->name},
+               {"task", TextOf(JobBook::NameOf(*unit, 0))},
+               {"run", unit->last_run},
+               {"tasks", unit->members.size()},
+               {"worker", unit->members.front().worker},
+               {"waited_ms", (unit->started - unit->waiting_since).count()},
+               {"age_ms", (unit->started - job.accepted).count()}});
+    for (std::size_t i = 0; i < unit->members.size(); ++i) {
+      by_part[job.part].push_back({JobBook::NameOf(*unit, i), unit->last_run});
+    }
+  }
+  for (auto& [part, planned] : by_part) {
+    recorders_[static_cast<std::size_t>(part)]->Flush(
+        [weak = weak_from_this(), planned = std::move(planned)] {
+          const auto self = weak.lock();
+          if (!self) return;
+          for (const auto& it : planned) self->SendStart(it.task, it.run);
+          self->Pump();
+        });
+  }
+}
+
+void OwnedService::SendStart(const jobs::TaskName& task, int run) {
+  auto* unit = FindRun(task, run);
+  if (unit == nullptr) return;
+  auto& member = JobBook::MemberOf(*unit, task.index);
+  if (member.state == MemberState::kRunning) return;
+  auto* worker = FindWorker(member.worker);
+  const bool may_send = worker != nullptr && worker->session->is_heard() &&
+                        !unit->is_stopping && rights_.may_start();
+  if (!may_send) {
+    if (member.state == MemberState::kPlanned) {
+      book_.OnRefused(*unit, task.index, ports_.loop.Now());
+      Pump();
+    }
+    return;
+  }
+  auto& session = *worker->session;
+  StartOrder order{task,
+                   run,
+                   unit->step->job->job->spec,
+                   session.Clock() + options_.start_window.count(),
+                   epoch_,
+                   unit->checkpoint};
+  session.NoteExpiry(order.expires);
+  member.state = MemberState::kUnsure;
+  member.expires = std::max(member.expires, order.expires);
+  ports_.workers.Start(
+      session.address(), std::move(order), options_.start_timeout,
+      [weak = weak_from_this(), task, run](StartResult result) {
+        const auto self = weak.lock();
+        if (self) self->OnStarted(task, run, std::move(result));
+      });
+}
+
+void OwnedService::OnStarted(const jobs::TaskName& task, int run,
+                             StartResult result) {
+  auto* unit = FindRun(task, run);
+  if (unit == nullptr) return;
+  auto& member = JobBook::MemberOf(*unit, task.index);
+  auto* worker = FindWorker(member.worker);
+  const auto now = ports_.loop.Now();
+  if (std::holds_alternative<Started>(result)) {
+    member.state = MemberState::kRunning;
+    member.confirmed = now;
+    return;
+  }
+  if (member.state == MemberState::kRunning) return;
+  if (const auto* refused = std::get_if<Refused>(&result)) {
+    base::Log(base::events::kStartRefused,
+              {{"request", task.job},
+               {"task", TextOf(task)},
+               {"run", run},
+               {"worker", member.worker},
+               {"reason", base::NameOf(refused->reason)}});
+    if (refused->reason == Refusal::kEpoch) {
+      return Lose("a worker has seen a higher epoch");
+    }
+    // Only the first try can be refused for good: a later one may be refused
+    // since an earlier one has run and ended, which the worker then lists.
+    if (member.unanswered > 0) return;
+    if (worker != nullptr) worker->closed_until = now + options_.refused_pause;
+    book_.OnRefused(*unit, task.index, now);
+    return Pump();
+  }
+  if (std::holds_alternative<NotSent>(result) && member.unanswered == 0) {
+    if (worker != nullptr) worker->session->Doubt();
+    book_.OnRefused(*unit, task.index, now);
+    return Pump();
+  }
+  ++member.unanswered;
+  base::Log(base::events::kStartUnanswered, {{"request", task.job},
+                                             {"task", TextOf(task)},
+                                             {"run", run},
+                                             {"worker", member.worker},
+                                             {"tries", member.unanswered}});
+  if (worker != nullptr) worker->session->Doubt();
+  if (member.unanswered < options_.start_tries) return SendStart(task, run);
+  book_.Stop(*unit);
+  Pump();
+}
+
+void OwnedService::SendStops() {
+  for (auto* unit : book_.to_stop()) {
+    for (std::size_t i = 0; i < unit->members.size(); ++i) {
+      auto& member = unit->members[i];
+      const bool can_stop = member.state == MemberState::kUnsure ||
+                            member.state == MemberState::kRunning;
+      if (!can_stop || member.is_stop_under_way) continue;
+      member.is_stop_under_way = true;
+      SendStop(JobBook::NameOf(*unit, i), unit->last_run, member.worker);
+    }
+  }
+}
+
+void OwnedService::SendStop(const jobs::TaskName& task, int run,
+                            const base::WorkerName& name) {
+  auto* worker = FindWorker(name);
+  if (worker == nullptr || !rights_.may_renew()) return;
+  ports_.workers.Stop(
+      worker->session->address(), {task, run, epoch_}, options_.stop_timeout,
+      [weak = weak_from_this(), task, run, name](const StopResult& result) {
+        const auto self = weak.lock();
+        if (self) self->OnStopped(task, run, name, result);
+      });
+}
+
+void OwnedService::OnStopped(const jobs::TaskName& task, int run,
+                             const base::WorkerName& name,
+                             const StopResult& result) {
+  const auto* refused = std::get_if<Refused>(&result);
+  if (refused != nullptr && refused->reason == Refusal::kEpoch) {
+    return Lose("a worker has seen a higher epoch");
+  }
+  auto* unit = FindRun(task, run);
+  if (unit == nullptr) return;
+  auto& member = JobBook::MemberOf(*unit, task.index);
+  if (member.worker != name) return;
+  if (std::holds_alternative<Stopped>(result)) {
+    member.is_stop_confirmed = true;
+    member.confirmed = ports_.loop.Now();
+  }
+  // Its end is listed soon; a stop whose order was lost is sent again.
+  ports_.loop.After(options_.stop_again, [weak = weak_from_this(), task, run] {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (auto* it = self->FindRun(task, run)) {
+      JobBook::MemberOf(*it, task.index).is_stop_under_way = false;
+      self->Pump();
+    }
+  });
+}
+
+void OwnedService::LogEnds() {
+  for (int i = 0; i < jobs::kParts; ++i) {
+    for (const auto* job : book_.dirty(i)) LogEnd(*job);
+  }
+}
+
+void OwnedService::LogEnd(const JobEntry& job) {
+  if (!IsFinal(job.state) || ended_at_.contains(job.job->name)) return;
+  const auto now = ports_.loop.Now();
+  ended_at_.emplace(job.job->name, now);
+  base::Log(base::events::kJobEnded,
+            {{"request", job.job->name},
+             {"state", base::NameOf(job.state)},
+             {"after_ms", (now - job.accepted).count()}});
+}
+
+}  // namespace lapishatch::dispatch::internal
--- /dev/null
+++ b/src/dispatch/owned_workers.cc
@@ -0,0 +1,251 @@
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/internal/owned_service.h"
+#include "dispatch/internal/task_text.h"
+
+namespace lapishatch::dispatch::internal {
+
+using base::TimePoint;
+
+OwnedService::Worker* OwnedService::FindWorker(const base::WorkerName& name) {
+  const auto it = workers_.find(name);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+void OwnedService::PutWorker(const WorkerEntry& entry) {
+  if (entry.service != service_) return;
+  fleet_.Put(entry);
+  auto& worker = workers_[entry.name];
+  worker.is_listed = true;
+  if (!worker.session) return OpenSession(entry);
+  worker.session->SetEntry(entry);
+  Pump();
+}
+
+void OwnedService::OpenSession(const WorkerEntry& entry) {
+  const auto weak = weak_from_this();
+  const auto name = entry.name;
+  WorkerSession::Events events;
+  events.on_news = [weak, name](const WorkerNews& news, TimePoint sent) {
+    if (const auto self = weak.lock()) self->OnNews(name, news, sent);
+  };
+  events.on_superseded = [weak] {
+    if (const auto self = weak.lock()) {
+      self->Lose("a worker has seen a higher epoch");
+    }
+  };
+  events.on_other_life = [weak, name] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->EndAllOn(name, "another life is at its address");
+    self->fleet_.Remove(name);
+    self->ports_.loop.Post([weak, name] {
+      if (const auto held = weak.lock()) held->workers_.erase(name);
+    });
+  };
+  events.may_renew = rights_.may_renew;
+  auto& worker = workers_[name];
+  worker.session = std::make_unique<WorkerSession>(
+      ports_.loop, ports_.workers, entry, epoch_, SessionOptions{}, events);
+  if (is_loaded_) worker.session->Start();
+}
+
+void OwnedService::RemoveWorker(const base::WorkerName& name) {
+  if (auto* worker = FindWorker(name)) worker->is_listed = false;
+  UpdateOpen();
+}
+
+/// Whether each worker may get new tasks: it is registered, does not leave, has
+/// answered lately and refused nothing.
+void OwnedService::UpdateOpen() {
+  const auto now = ports_.loop.Now();
+  for (const auto& [name, worker] : workers_) {
+    auto* place = fleet_.Find(name);
+    if (place == nullptr) continue;
+    place->is_open = worker.is_listed && worker.session->is_heard() &&
+                     worker.session->IsReached() &&
+                     !worker.session->entry().is_draining &&
+                     worker.closed_until <= now;
+  }
+}
+
+std::vector<std::pair<Unit*, int>> OwnedService::MembersOn(
+    const base::WorkerName& name) {
+  std::vector<std::pair<Unit*, int>> out;
+  for (auto* unit : book_.active()) {
+    for (std::size_t i = 0; i < unit->members.size(); ++i) {
+      const auto& it = unit->members[i];
+      if (it.worker != name || it.state == MemberState::kOver) continue;
+      out.emplace_back(unit, unit->first_index + static_cast<int>(i));
+    }
+  }
+  return out;
+}
+
+void OwnedService::OnNews(const base::WorkerName& name, const WorkerNews& news,
+                          TimePoint sent) {
+  auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  jobs::Room strays;
+  for (const auto& it : news.running) {
+    auto* unit = FindRun(it.task, it.run);
+    if (unit != nullptr) {
+      OnRunning(name, it, sent);
+      continue;
+    }
+    if (auto* former = book_.FindUnit(it.task)) {
+      strays += CountedNeeds(*former->step->step);
+    }
+    SendStop(it.task, it.run, name);
+  }
+  if (auto* place = fleet_.Find(name)) place->strays = strays;
+  for (const auto& it : news.ended) OnEnded(name, it);
+  ResolveUnlisted(name, news, sent);
+  const auto told = worker->session->ends_told();
+  if (!news.ended.empty()) {
+    FlushAll([weak = weak_from_this(), name, told] {
+      const auto self = weak.lock();
+      if (!self) return;
+      if (auto* it = self->FindWorker(name)) it->session->EndsRecorded(told);
+    });
+  }
+  Pump();
+}
+
+Unit* OwnedService::FindRun(const jobs::TaskName& task, int run) {
+  auto* unit = book_.FindUnit(task);
+  if (unit == nullptr || unit->members.empty() || unit->last_run != run) {
+    return nullptr;
+  }
+  const auto& member = JobBook::MemberOf(*unit, task.index);
+  return member.state == MemberState::kOver ? nullptr : unit;
+}
+
+void OwnedService::OnRunning(const base::WorkerName& name,
+                             const RunningTask& task, TimePoint sent) {
+  auto* unit = FindRun(task.task, task.run);
+  auto& member = JobBook::MemberOf(*unit, task.task.index);
+  if (member.worker != name) return;
+  JobBook::OnCheckpoint(*unit, task.checkpoint, sent);
+  if (member.state == MemberState::kRunning) return;
+  member.state = MemberState::kRunning;
+  member.confirmed = sent;
+}
+
+void OwnedService::OnEnded(const base::WorkerName& name, const EndedTask& end) {
+  auto* unit = FindRun(end.task, end.run);
+  const bool is_present =
+      unit != nullptr &&
+      JobBook::MemberOf(*unit, end.task.index).worker == name;
+  if (!is_present) {
+    auto* former = book_.FindUnit(end.task);
+    if (former == nullptr || end.kind != EndKind::kDone) return;
+    book_.OnEarlierDone(*former, end.run, ports_.loop.Now());
+    return;
+  }
+  if (end.kind != EndKind::kDone) {
+    base::Log(base::events::kTaskEnded, {{"request", end.task.job},
+                                         {"task", TextOf(end.task)},
+                                         {"run", end.run},
+                                         {"worker", name},
+                                         {"how", base::NameOf(end.kind)}});
+  }
+  book_.OnEnded(*unit, end.task.index, end.kind, end.checkpoint,
+                ports_.loop.Now());
+}
+
+/// Members that the worker neither runs nor has listed as ended are over, when
+/// nothing that was sent can begin them any more.
+void OwnedService::ResolveUnlisted(const base::WorkerName& name,
+                                   const WorkerNews& news, TimePoint sent) {
+  for (const auto& it : MembersOn(name)) {
+    auto* unit = it.first;
+    const int index = it.second;
+    auto& member = JobBook::MemberOf(*unit, index);
+    const jobs::TaskName task{unit->step->job->job->name,
+                              unit->step->occurrence, unit->step->number,
+                              index};
+    const bool is_listed =
+        std::any_of(news.running.begin(), news.running.end(),
+                    [&task, run = unit->last_run](const RunningTask& running) {
+                      return running.task == task && running.run == run;
+                    });
+    if (is_listed || member.state == MemberState::kPlanned) continue;
+    const bool was_confirmed =
+        member.confirmed != TimePoint{} && member.confirmed < sent &&
+        (member.state == MemberState::kRunning || member.is_stop_confirmed);
+    // A start of a former owner has no known expiry here (0): this owner's
+    // epoch has ended it.
+    const bool is_too_late =
+        member.state == MemberState::kUnsure && news.clock > member.expires;
+    if (!was_confirmed && !is_too_late) continue;
+    base::Log(base::events::kTaskVanished, {{"request", task.job},
+                                            {"task", TextOf(task)},
+                                            {"run", unit->last_run},
+                                            {"worker", name}});
+    book_.OnLost(*unit, index, ports_.loop.Now());
+  }
+}
+
+void OwnedService::EndAllOn(const base::WorkerName& name,
+                            const std::string& why) {
+  const auto members = MembersOn(name);
+  base::Log(base::events::kWorkerGone, {{"service", service_.str()},
+                                        {"worker", name},
+                                        {"tasks", members.size()},
+                                        {"reason", why}});
+  for (const auto& [unit, index] : members) {
+    book_.OnLost(*unit, index, ports_.loop.Now());
+  }
+  Pump();
+}
+
+/// Ends what was on workers whose leases have certainly run out, and forgets
+/// those that are not registered any more.
+void OwnedService::CheckLapsed() {
+  const auto now = ports_.loop.Now();
+  // A former owner that is cut off may have renewed until `orphan_limit` after
+  // its last renewal of the row, which was at least the lease's length before
+  // the row was taken.
+  const SessionOptions session;
+  const auto renewed_for = former_is_gone_
+                               ? base::Duration(0)
+                               : options_.orphan_limit - options_.lease.length;
+  const auto unheard =
+      renewed_for + session.lease + session.lease / 20 + session.clock_slack;
+  std::vector<base::WorkerName> gone;
+  for (auto& [name, worker] : workers_) {
+    const auto& it = *worker.session;
+    const bool has_lapsed =
+        it.is_heard() ? it.HasLapsed() : now - taken_at_ > unheard;
+    if (!has_lapsed) continue;
+    if (!MembersOn(name).empty()) EndAllOn(name, "its lease has run out");
+    if (!worker.is_listed) gone.push_back(name);
+  }
+  for (const auto& it : gone) {
+    workers_.erase(it);
+    fleet_.Remove(it);
+  }
+  if (now - taken_at_ <= unheard) return;
+  // Recorded starts at workers that were never seen under this epoch.
+  std::vector<std::pair<Unit*, int>> lost;
+  for (auto* unit : book_.active()) {
+    for (std::size_t i = 0; i < unit->members.size(); ++i) {
+      const auto& it = unit->members[i];
+      if (it.state == MemberState::kOver || workers_.contains(it.worker)) {
+        continue;
+      }
+      lost.emplace_back(unit, unit->first_index + static_cast<int>(i));
+    }
+  }
+  for (const auto& [unit, index] : lost) book_.OnLost(*unit, index, now);
+}
+
+void OwnedService::SetGuarantees(
+    std::map<base::OrganisationName, std::int64_t> guarantees) {
+  planner_.SetGuarantees(std::move(guarantees));
+  Pump();
+}
+
+}  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -39,7 +39,8 @@
 
   void Start() {
     const auto weak = weak_from_this();
-    const auto on_rows = [weak](const std::vector<StoredRow>& rows, RowVersion) {
+    const auto on_rows = [weak](const std::vector<StoredRow>& rows,
+                                RowVersion) {
       if (const auto self = weak.lock()) self->OnRows(rows);
     };
     const auto on_all = [weak, on_rows](const std::vector<StoredRow>& rows,
@@ -120,8 +121,7 @@
     if (has_changed || !is_aging_) {
       is_aging_ = true;
       ++watch_;
-      const auto wait =
-          IsFormerGone() ? base::Duration(0) : options_.length;
+      const auto wait = IsFormerGone() ? base::Duration(0) : options_.length;
       ArmTake(wait + Spread());
     }
   }
@@ -156,20 +156,19 @@
     const auto sent = loop_.Now();
     const auto suspended = suspended_();
     const auto lease_version = row_ ? row_->version : store::kAbsent;
-    store_.Commit(
-        {service_.str(),
-         {Condition(kEpochKey, epoch_row_),
-          Condition(kLeaseKey, lease_version)},
-         {Put(kEpochKey, holder_), Put(kLeaseKey, holder_)},
-         {}},
-        [weak = weak_from_this(), sent, suspended,
-         is_gone = IsFormerGone()](const RowsResult& result) {
-          const auto self = weak.lock();
-          if (!self) return;
-          const auto* committed = std::get_if<RowsCommitted>(&result);
-          if (committed == nullptr) return self->OnTakeFailed();
-          self->OnTaken(committed->version, is_gone, sent, suspended);
-        });
+    store_.Commit({service_.str(),
+                   {Condition(kEpochKey, epoch_row_),
+                    Condition(kLeaseKey, lease_version)},
+                   {Put(kEpochKey, holder_), Put(kLeaseKey, holder_)},
+                   {}},
+                  [weak = weak_from_this(), sent, suspended,
+                   is_gone = IsFormerGone()](const RowsResult& result) {
+                    const auto self = weak.lock();
+                    if (!self) return;
+                    const auto* committed = std::get_if<RowsCommitted>(&result);
+                    if (committed == nullptr) return self->OnTakeFailed();
+                    self->OnTaken(committed->version, is_gone, sent, suspended);
+                  });
   }
 
   /// Whatever the reason, the feed shows how things stand. When the row was
@@ -282,9 +281,9 @@
                        base::ServiceName service, const std::string& vm,
                        std::function<base::Duration()> suspended,
                        OwnerLeaseOptions options, OwnerLeaseEvents events)
-    : impl_(std::make_shared<Impl>(loop, store, std::move(service),
-                                   vm, std::move(suspended),
-                                   options, std::move(events))) {}
+    : impl_(std::make_shared<Impl>(loop, store, std::move(service), vm,
+                                   std::move(suspended), options,
+                                   std::move(events))) {}
 
 OwnerLease::~OwnerLease() = default;
 
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -50,9 +50,10 @@
 /// renewal that succeeded. So the two never overlap, without comparing clocks.
 class OwnerLease {
  public:
-  /// `vm` is the name of this VM, on which one process at a time is a candidate,
-  /// so that a row held by another life on it is free. `suspended` gives for how
-  /// long this VM has been suspended in all; the steady clock does not show it.
+  /// `vm` is the name of this VM, on which one process at a time is a
+  /// candidate, so that a row held by another life on it is free. `suspended`
+  /// gives for how long this VM has been suspended in all; the steady clock
+  /// does not show it.
   OwnerLease(base::EventLoop& loop, store::RowStore& store,
              base::ServiceName service, const std::string& vm,
              std::function<base::Duration()> suspended,
--- a/src/dispatch/reclaim.cc
+++ b/src/dispatch/reclaim.cc
@@ -24,8 +24,7 @@
 };
 
 std::map<base::WorkerName, Site> SitesOf(
-    const Fleet& fleet, const StepRun& run,
-    const std::vector<Victim>& victims,
+    const Fleet& fleet, const StepRun& run, const std::vector<Victim>& victims,
     const std::optional<base::RackName>& rack) {
   std::map<base::WorkerName, Site> out;
   const auto& step = *run.step;
--- a/src/dispatch/service_loader.cc
+++ b/src/dispatch/service_loader.cc
@@ -13,7 +13,6 @@
 using store::RowsReadResult;
 using store::RowsResult;
 using store::RowVersion;
-using store::StoredRow;
 
 constexpr base::Duration kAgain{100};
 constexpr std::size_t kPageRows = 500;
@@ -22,8 +21,9 @@
 
 class ServiceLoader::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(base::EventLoop& loop, store::RowStore& store, base::ServiceName service,
-       Epoch epoch, std::function<void(LoadedService)> on_loaded,
+  Impl(base::EventLoop& loop, store::RowStore& store,
+       const base::ServiceName& service, Epoch epoch,
+       std::function<void(LoadedService)> on_loaded,
        std::function<void(const std::string&)> on_lost)
       : loop_(loop),
         store_(store),
@@ -43,14 +43,15 @@
   void Fence(std::size_t part, RowVersion present) {
     const std::string table(kOwnerTable);
     const std::string key(kFenceKey);
-    store_.Commit({parts_[part],
-                   {{table, key, present}},
-                   {{table, key, std::to_string(epoch_)}},
-                   {}},
-                  [weak = weak_from_this(), part, present](RowsResult result) {
-                    const auto self = weak.lock();
-                    if (self) self->OnFenced(part, present, result);
-                  });
+    store_.Commit(
+        {parts_[part],
+         {{table, key, present}},
+         {{table, key, std::to_string(epoch_)}},
+         {}},
+        [weak = weak_from_this(), part, present](const RowsResult& result) {
+          const auto self = weak.lock();
+          if (self) self->OnFenced(part, present, result);
+        });
   }
 
   void OnFenced(std::size_t part, RowVersion present,
@@ -115,10 +116,10 @@
 };
 
 ServiceLoader::ServiceLoader(base::EventLoop& loop, store::RowStore& store,
-                             base::ServiceName service, Epoch epoch,
+                             const base::ServiceName& service, Epoch epoch,
                              std::function<void(LoadedService)> on_loaded,
                              std::function<void(const std::string&)> on_lost)
-    : impl_(std::make_shared<Impl>(loop, store, std::move(service), epoch,
+    : impl_(std::make_shared<Impl>(loop, store, service, epoch,
                                    std::move(on_loaded), std::move(on_lost))) {}
 
 ServiceLoader::~ServiceLoader() = default;
--- a/src/dispatch/service_owner.cc
+++ b/src/dispatch/service_owner.cc
@@ -8,13 +8,13 @@
 
 class ServiceOwner::Impl {
  public:
-  Impl(ServiceOwnerPorts ports, base::ServiceName service, const std::string& vm,
-       ServiceOwnerOptions options)
+  Impl(ServiceOwnerPorts ports, base::ServiceName service,
+       const std::string& vm, ServiceOwnerOptions options)
       : ports_(std::move(ports)),
         service_(std::move(service)),
         options_(options),
-        lease_(ports_.loop, ports_.store, service_, vm,
-               ports_.suspended, options.lease,
+        lease_(ports_.loop, ports_.store, service_, vm, ports_.suspended,
+               options.lease,
                {[this](Epoch epoch, bool former_is_gone) {
                   OnTaken(epoch, former_is_gone);
                 },
@@ -59,9 +59,8 @@
                  lease_.SinceRenewal() < options_.orphan_limit;
         },
         [this](const std::string& reason) { lease_.Drop(reason); }};
-    owned_ = std::make_shared<internal::OwnedService>(ports_, service_, epoch,
-                                                      former_is_gone, options_,
-                                                      rights);
+    owned_ = std::make_shared<internal::OwnedService>(
+        ports_, service_, epoch, former_is_gone, options_, rights);
     owned_->SetGuarantees(guarantees_);
     for (const auto& [name, entry] : workers_) owned_->PutWorker(entry);
     owned_->Start();
@@ -92,8 +91,8 @@
 
 ServiceOwner::ServiceOwner(ServiceOwnerPorts ports, base::ServiceName service,
                            const std::string& vm, ServiceOwnerOptions options)
-    : impl_(std::make_unique<Impl>(std::move(ports), std::move(service),
-                                   vm, options)) {}
+    : impl_(std::make_unique<Impl>(std::move(ports), std::move(service), vm,
+                                   options)) {}
 
 ServiceOwner::~ServiceOwner() = default;
 
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -96,9 +96,8 @@
     urgent += it->step->step->needs.accelerators * it->step->TasksPerUnit();
   }
   const auto passed = std::max(now - peak_at_, base::Duration(0));
-  const double faded =
-      urgent_peak_ *
-      std::exp(-SecondsOf(passed) / SecondsOf(options_.peak_fades));
+  const double faded = urgent_peak_ * std::exp(-SecondsOf(passed) /
+                                               SecondsOf(options_.peak_fades));
   urgent_peak_ = std::max(faded, static_cast<double>(urgent));
   peak_at_ = now;
   std::int64_t all = 0;
@@ -235,8 +234,8 @@
 }
 
 /// Units that may be stopped for `unit`, the cheapest first; those that are
-/// being stopped anyway cost nothing: what is not urgent, and for a unit that is
-/// owed its place, everything that no guarantee protects.
+/// being stopped anyway cost nothing: what is not urgent, and for a unit that
+/// is owed its place, everything that no guarantee protects.
 std::vector<Victim> TaskPlanner::VictimsFor(const Unit& unit, bool is_owed,
                                             base::TimePoint now) const {
   std::vector<Victim> out;
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -157,6 +157,7 @@
 
 std::vector<std::string> PartsOf(const base::ServiceName& service) {
   std::vector<std::string> out;
+  out.reserve(kParts);
   for (int i = 0; i < kParts; ++i) {
     out.push_back(service.str() + '.' + std::to_string(i));
   }
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -60,7 +60,7 @@
 
 void JobService::State(const base::ServiceName& service,
                        const base::JobName& name,
-                       std::function<void(StateResult)> done) {
+                       const std::function<void(StateResult)>& done) {
   const auto part = PartOf(service, name);
   const auto read_request = [this, part, name, done] {
     store_.Read(OneRow(kRequestTable, part, name.str()),
@@ -82,9 +82,8 @@
                 const auto& rows = std::get<RowsRead>(result).rows;
                 if (rows.empty()) return read_request();
                 const auto progress = DecodeProgress(rows.front().value);
-                if (!progress)
-                  return done(JobUnavailable{"unreadable progress"});
-                done(progress->state);
+                if (progress) return done(progress->state);
+                done(JobUnavailable{"unreadable progress"});
               });
 }
 
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -51,7 +51,7 @@
 
   /// The state of job `name` of `service`.
   void State(const base::ServiceName& service, const base::JobName& name,
-             std::function<void(StateResult)> done);
+             const std::function<void(StateResult)>& done);
 
   void Cancel(const base::ServiceName& service, const base::JobName& name,
               std::function<void(CancelResult)> done);
--- a/test/dispatch/owner_history_test.cc
+++ b/test/dispatch/owner_history_test.cc
@@ -160,7 +160,7 @@
     History history(seed);
     history.Play();
     INFO("seed " << seed << '\n' << history.trace());
-    CHECK(history.world().workers().violations() == std::vector<std::string>{});
+    CHECK(history.world().workers().violations().empty());
     for (const auto& [name, job] : history.world().jobs()) {
       const auto state = history.world().StateOf(name.str());
       INFO(name);
--- /dev/null
+++ b/test/site/codec_test.cc
@@ -0,0 +1,191 @@
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "platform/http_row_store.h"
+#include "platform/http_worker_port.h"
+#include "platform/job_body.h"
+#include "platform/queue_rows.h"
+#include "platform/site_settings.h"
+#include "platform/worker_entries.h"
+
+namespace lapishatch::platform {
+namespace {
+
+constexpr const char* kSettings = R"(
+node = "vm-7"
+zone = "north"
+new-field = [1, 2]
+port-range = [7000, 7015]
+[listen-addrs]
+front = "10.0.0.7:8521"
+ready = "10.0.0.7:8523"
+[limits]
+max-fds = 4100
+[bounds]
+grace-s = 6
+[platform]
+address = "10.9.0.1:8524"
+)";
+
+TEST_CASE("the platform's settings become ours") {
+  const auto read = ParseSiteSettings(kSettings, "x.toml");
+  const auto& settings = std::get<SiteSettings>(read);
+  CHECK(settings.vm == "vm-7");
+  CHECK(settings.failure_domain.str() == "north");
+  CHECK(settings.front == http::Endpoint{"10.0.0.7", 8521});
+  CHECK(settings.store == http::Endpoint{"10.9.0.1", 8524});
+  CHECK(settings.max_descriptors == 3'900);
+  CHECK(settings.stop_grace == base::Duration(6'000));
+}
+
+TEST_CASE("a wrong settings file is refused with what is wrong") {
+  const auto problem = [](const std::string& text) {
+    const auto read = ParseSiteSettings(text, "x.toml");
+    return std::get<SettingsProblem>(read).detail;
+  };
+  CHECK(problem("node = \"a\"\n[").starts_with("x.toml:2"));
+  CHECK(problem("zone = \"a\"") == "x.toml: node is missing or no text");
+  std::string text(kSettings);
+  text.replace(text.find("10.0.0.7:8521"), 13, "10.0.0.7:port");
+  CHECK(problem(text) == "x.toml: listen-addrs.front must be address:port");
+}
+
+TEST_CASE("a transaction is encoded with base64 values in one part") {
+  const auto text = EncodeTransaction(
+      {"p7", {{"t", "k", 3}}, {{"t", "k", "node-1"}}, {{"u", "gone"}}});
+  const auto body = boost::json::parse(text);
+  const auto expected = boost::json::parse(R"({
+    "expected-rev": [{"table":"t","part":"p7","key":"k","row-version":3}],
+    "put": [{"table":"t","part":"p7","key":"k","value":"bm9kZS0x"}],
+    "remove": [{"table":"u","part":"p7","key":"gone"}]})");
+  CHECK(body == expected);
+}
+
+TEST_CASE("tasks' names are read back, and nothing else is") {
+  const jobs::TaskName task{base::JobName("00ff"), 2, 1, 17};
+  CHECK(TaskText(task) == "00ff.2.1.17");
+  CHECK(ParseTask("00ff.2.1.17") == task);
+  for (const auto* text : {"", "a", "a.1.2", "a.1.2.3.4", "a.x.2.3"}) {
+    CHECK_FALSE(ParseTask(text));
+  }
+}
+
+TEST_CASE("a worker's news are read") {
+  const auto news = DecodeNews(R"({"clock-ms":482113,
+    "running":[["aa.0.1.17",2,"c1",41,120]],
+    "ended":[[58,"aa.0.1.9",1,"done",""],[59,"aa.0.1.8",3,"broken","c2"]]})");
+  const auto& read = std::get<dispatch::WorkerNews>(news);
+  CHECK(read.clock == 482'113);
+  REQUIRE(read.running.size() == 1);
+  CHECK(read.running[0].run == 2);
+  CHECK(read.running[0].checkpoint == "c1");
+  CHECK(read.running[0].percent == 41);
+  REQUIRE(read.ended.size() == 2);
+  CHECK(read.ended[0].number == 58);
+  CHECK(read.ended[1].kind == dispatch::EndKind::kBroken);
+}
+
+TEST_CASE("news that make no sense are refused whole") {
+  for (const auto* text :
+       {"", "{}", R"({"clock-ms":1,"running":[],"ended":[[1,"a.0.0.0",1]]})",
+        R"({"clock-ms":1,"running":[["x",1,"",0]],"ended":[]})",
+        R"({"clock-ms":1,"running":[],"ended":[[1,"a.0.0.0",1,"gone",""]]})"}) {
+    CHECK(std::holds_alternative<NewsProblem>(DecodeNews(text)));
+  }
+}
+
+store::StoredRow RunnerRow(const std::string& value) {
+  store::StoredRow out;
+  out.address = {"servers", "", "i-1"};
+  out.value = value;
+  return out;
+}
+
+TEST_CASE("a runner's entry becomes a worker") {
+  const auto entry = DecodeWorkerEntry(RunnerRow(
+      R"({"service":"s","address":"10.1.0.9:8080","zone":"north",
+      "state":"draining","remaining-ms":1500,"labels":["a","r1-3"],
+      "capacity":{"cpu":16000,"mem-mb":32768,"gpu":4},"seq":9})"));
+  REQUIRE(entry);
+  CHECK(entry->name.str() == "i-1");
+  CHECK(entry->endpoint == http::Endpoint{"10.1.0.9", 8080});
+  CHECK(entry->rack.str() == "r1-3");
+  CHECK(entry->capacity == jobs::Room{16'000, 32'768, 4});
+  CHECK(entry->is_draining);
+  CHECK(entry->stays == base::Duration(1'500));
+}
+
+TEST_CASE("an entry without room or sense is no worker") {
+  CHECK_FALSE(DecodeWorkerEntry(RunnerRow(R"({"service":"s"})")));
+  CHECK_FALSE(DecodeWorkerEntry(RunnerRow("{")));
+  CHECK_FALSE(DecodeWorkerEntry(
+      RunnerRow(R"({"capacity":{"cpu":1},"service":"s","address":"x"})")));
+}
+
+TEST_CASE("routes become queues and tenants organisations") {
+  const auto read = DecodeQueues(R"({"version":7,"routes":[{"name":"r-1",
+    "host":"h.example","prefix":"/a/","priority":2,"service":"s",
+    "max-attempts":3,"slack-factor":1.5,"target-latency-ms":250}],
+    "tenants":[{"name":"t","api-keys":["k"],"guaranteed":{"gpu":72}},
+    {"name":"u","api-keys":[]}]})");
+  REQUIRE(read);
+  CHECK(read->version == 7);
+  REQUIRE(read->queues.size() == 1);
+  CHECK(read->queues[0].service.str() == "s");
+  CHECK(read->queues[0].slack_factor == 1.5);
+  CHECK_FALSE(read->queues[0].is_public);
+  REQUIRE(read->organisations.size() == 2);
+  CHECK(read->organisations[0].guaranteed_accelerators == 72);
+  CHECK_FALSE(DecodeQueues(R"({"routes":[]})"));
+  CHECK_FALSE(DecodeQueues("no"));
+}
+
+TEST_CASE("a job's body is read") {
+  const auto read = DecodeJobBody(R"({"spec":"s","steps":[
+    {"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},
+    {"count":2,"gpu":8,"after":[0],"gang":true,"same-rack":true,
+     "checkpointing":true,"max-per-server":1,"required-label":"a"}]})");
+  const auto& body = std::get<JobBody>(read);
+  REQUIRE(body.steps.size() == 2);
+  CHECK(body.steps[0].preferred_rack.str() == "r1-3");
+  CHECK(body.steps[1].is_gang);
+  CHECK(body.steps[1].wants_one_rack);
+  CHECK(body.steps[1].after == std::vector<int>{0});
+  CHECK(body.steps[1].most_per_worker == 1);
+}
+
+TEST_CASE("bad bodies are refused with what is wrong") {
+  const auto problem = [](const std::string& text) {
+    const auto read = DecodeJobBody(text);
+    const auto* it = std::get_if<BodyProblem>(&read);
+    return it == nullptr ? std::string("none") : it->detail;
+  };
+  CHECK(problem("{") == "the body is no JSON");
+  CHECK(problem("[]") == "the body must be an object");
+  CHECK(problem("{}") == "steps must list 1 to 200 steps");
+  CHECK(problem(R"({"steps":[1]})") == "steps must hold objects");
+  CHECK(problem(R"({"steps":[{"count":0}]})") == "count must be 1 or more");
+  CHECK(problem(R"({"steps":[{"count":-1}]})") ==
+        "count must be a whole number from 0 on");
+  CHECK(problem(R"({"steps":[{"count":1,"after":[0]}]})") ==
+        "after must list earlier steps");
+  CHECK(problem(R"({"steps":[{"count":1,"gang":1}]})") ==
+        "gang must be true or false");
+  CHECK(problem(R"({"steps":[{"count":1501}]})") ==
+        "steps must have at most 1500 tasks in all");
+  CHECK(problem(R"({"steps":[{"count":1,"cpu":1e300}]})") != "none");
+  CHECK(problem("{\"spec\":\"" + std::string(4'001, 'x') +
+                "\",\"steps\":[{\"count\":1}]}") ==
+        "spec must have at most 4000 bytes");
+  CHECK(problem(std::string(100'000, '[')) == "the body is no JSON");
+}
+
+TEST_CASE("a job's name has 16 hexadecimal digits") {
+  CHECK(IsJobName("5c0e7a21d94b36f8"));
+  CHECK_FALSE(IsJobName("5c0e7a21d94b36f"));
+  CHECK_FALSE(IsJobName("5c0e7a21d94b36g8"));
+  CHECK_FALSE(IsJobName(""));
+}
+
+}  // namespace
+}  // namespace lapishatch::platform
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -12,7 +12,6 @@
 using store::RowsReadResult;
 using store::RowsResult;
 using store::RowVersion;
-using store::StoredRow;
 
 namespace {
 
@@ -125,8 +124,8 @@
     return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
   }
 
-  void After(base::Duration delay, std::function<void()> task) {
-    store_.time_.After(delay, std::move(task));
+  void After(base::Duration wait, std::function<void()> task) {
+    store_.time_.After(wait, std::move(task));
   }
 
   FakeRowStore& store_;
