Put out workers that fail what they start; move tasks that stand still

Cause: a worker that fails everything always has room, took one task after another and used up their attempts; a failed task could go back to it. A task on a worker that stands still waited for it.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -14,6 +14,7 @@
 #include "dispatch/internal/service_loader.h"
 #include "dispatch/internal/task_planner.h"
 #include "dispatch/internal/waiting_counter.h"
+#include "dispatch/internal/worker_conduct.h"
 #include "dispatch/internal/worker_session.h"
 #include "dispatch/service_owner.h"
 #include "store/feed_follower.h"
@@ -76,6 +77,7 @@
   void EndAllOn(const base::WorkerName& name, const std::string& why);
   void UpdateOpen();
   void CheckLapsed();
+  void CheckStalled();
   std::vector<std::pair<Unit*, int>> MembersOn(const base::WorkerName& name);
 
   // Orders.
@@ -116,6 +118,7 @@
   /// By part; none before the service is loaded.
   std::vector<std::unique_ptr<Recorder>> recorders_;
   std::map<base::WorkerName, Worker> workers_;
+  WorkerConduct conduct_{{}};
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> requests_;
   bool is_loaded_ = false;
--- a/src/dispatch/internal/reclaim.h
+++ b/src/dispatch/internal/reclaim.h
@@ -34,7 +34,7 @@
 /// pass over the workers a task and one over the victims.
 std::optional<ReclaimPlan> FindReclaim(const Fleet& fleet, const StepRun& run,
                                        const std::vector<Victim>& victims,
-                                       std::optional<base::RackName> rack);
+                                       const std::optional<base::RackName>& rack);
 
 }  // namespace lapishatch::dispatch::internal
 
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   /// When the worker last confirmed it, or a stop of it.
   base::TimePoint confirmed{};
   bool is_stop_confirmed = false;
+  /// How far it was when it was last seen to get on, and when that was.
+  int percent = 0;
+  base::TimePoint moved{};
   /// Starts sent without an answer.
   int unanswered = 0;
   bool is_stop_under_way = false;
@@ -62,6 +66,8 @@
   std::vector<Member> members;
   /// The present run is being stopped.
   bool is_stopping = false;
+  /// Where its last failed run failed: better places are looked for first.
+  std::set<base::WorkerName> failed_on;
   /// Places that others are being stopped for; empty for none.
   std::vector<base::WorkerName> claim;
   base::TimePoint waiting_since{};
--- /dev/null
+++ b/src/dispatch/internal/worker_conduct.h
@@ -0,0 +1,67 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
+
+#include <map>
+#include <set>
+
+#include "base/base.h"
+#include "dispatch/worker_port.h"
+#include "placement/worker_quarantine.h"
+
+namespace lapishatch::dispatch::internal {
+
+struct WorkerConductOptions {
+  /// Failures in a row, with no task ending well in between, that put a worker
+  /// out. Tasks fail by their own fault up to one time in twenty, so three in a
+  /// row are chance one time in 8,000.
+  int failures = 3;
+  /// Of so many jobs at least: a job that can never be done fails anywhere.
+  std::size_t jobs = 2;
+  /// A worker that fails all it starts does so for some 6 s; then it gets work
+  /// on trial.
+  placement::WorkerQuarantine::Options quarantine{
+      0.2, base::Duration(4'000), base::Duration(60'000),
+      base::Duration(60'000), 1};
+};
+
+/// Finds workers that fail what they start. Such a worker always has room, so it
+/// would take one task after another and use up their attempts. Pure.
+class WorkerConduct {
+ public:
+  explicit WorkerConduct(WorkerConductOptions options)
+      : options_(options), quarantine_(options.quarantine) {}
+
+  /// A task ended on a worker of a fleet of `fleet_size`. True when the worker
+  /// is put out by it.
+  bool OnEnded(const base::WorkerName& worker, const base::JobName& job,
+               EndKind kind, std::size_t fleet_size, base::TimePoint now);
+
+  /// Puts a worker out for another reason. False when it is out, or too many are.
+  bool PutOut(const base::WorkerName& worker, std::size_t fleet_size,
+              base::TimePoint now) {
+    return quarantine_.Add(worker, fleet_size, now);
+  }
+
+  /// Lets in again whose time is over.
+  void Release(base::TimePoint now) { quarantine_.Release(now); }
+
+  void Forget(const base::WorkerName& worker);
+
+  bool IsOut(const base::WorkerName& worker) const {
+    return quarantine_.Contains(worker);
+  }
+
+ private:
+  struct Record {
+    int failures = 0;
+    std::set<base::JobName> jobs;
+  };
+
+  const WorkerConductOptions options_;
+  placement::WorkerQuarantine quarantine_;
+  std::map<base::WorkerName, Record> records_;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -176,6 +176,7 @@
   const bool counts = unit.failed_run < unit.last_run && !is_service;
   if (kind == EndKind::kFailed && counts) {
     unit.failed_run = unit.last_run;
+    unit.failed_on = {member.worker};
     ++unit.failures;
     MarkDirty(*unit.step->job);
   }
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -6,7 +6,6 @@
 namespace lapishatch::dispatch::internal {
 
 using base::TimePoint;
-using store::RowsRead;
 using store::StoredRow;
 
 namespace {
@@ -149,6 +148,8 @@
   if (is_loaded_) {
     book_.BeginDue(ports_.unix_ms(), ports_.loop.Now());
     CheckLapsed();
+    CheckStalled();
+    conduct_.Release(ports_.loop.Now());
     RemoveOld();
     Pump();
   }
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -66,7 +66,7 @@
     place->is_open = worker.is_listed && worker.session->is_heard() &&
                      worker.session->IsReached() &&
                      !worker.session->entry().is_draining &&
-                     worker.closed_until <= now;
+                     worker.closed_until <= now && !conduct_.IsOut(name);
   }
 }
 
@@ -128,6 +128,12 @@
   auto& member = JobBook::MemberOf(*unit, task.task.index);
   if (member.worker != name) return;
   JobBook::OnCheckpoint(*unit, task.checkpoint, sent);
+  const bool has_moved = task.percent != member.percent ||
+                         member.state != MemberState::kRunning;
+  if (has_moved) {
+    member.percent = task.percent;
+    member.moved = ports_.loop.Now();
+  }
   if (member.state == MemberState::kRunning) return;
   member.state = MemberState::kRunning;
   member.confirmed = sent;
@@ -151,8 +157,12 @@
                                          {"worker", name},
                                          {"how", base::NameOf(end.kind)}});
   }
-  book_.OnEnded(*unit, end.task.index, end.kind, end.checkpoint,
-                ports_.loop.Now());
+  const auto now = ports_.loop.Now();
+  if (conduct_.OnEnded(name, end.task.job, end.kind, workers_.size(), now)) {
+    base::Log(base::events::kWorkerPutOut,
+              {{"service", service_.str()}, {"worker", name}});
+  }
+  book_.OnEnded(*unit, end.task.index, end.kind, end.checkpoint, now);
 }
 
 /// Members that the worker neither runs nor has listed as ended are over, when
@@ -188,6 +198,46 @@
   }
 }
 
+/// Stops runs that do not get on, to be started elsewhere: their worker stands
+/// still, though it renews its lease and answers.
+void OwnedService::CheckStalled() {
+  const auto now = ports_.loop.Now();
+  std::vector<Unit*> stalled;
+  for (auto* unit : book_.active()) {
+    const auto& step = *unit->step->step;
+    if (unit->is_stopping || unit->phase == jobs::UnitPhase::kDone) continue;
+    if (step.is_service) continue;
+    const auto share = base::Duration(static_cast<std::int64_t>(
+        options_.stalled_share * static_cast<double>(step.estimate.count())));
+    const auto patience = std::max(options_.stalled_after, share);
+    std::set<base::WorkerName> still;
+    for (const auto& it : unit->members) {
+      const bool is_still = it.state == MemberState::kRunning &&
+                            it.moved != TimePoint{} &&
+                            now - it.moved > patience;
+      if (is_still) still.insert(it.worker);
+    }
+    if (still.empty()) continue;
+    // A whole gang stands still when one of its tasks does: which worker it is
+    // shows by what else is there.
+    if (unit->members.size() == 1) {
+      conduct_.PutOut(*still.begin(), workers_.size(), now);
+    }
+    std::erase_if(still, [this](const auto& it) { return !conduct_.IsOut(it); });
+    if (still.empty()) continue;
+    unit->failed_on = std::move(still);
+    stalled.push_back(unit);
+  }
+  for (auto* unit : stalled) {
+    const auto task = JobBook::NameOf(*unit, 0);
+    base::Log(base::events::kTaskStalled, {{"request", task.job},
+                                           {"task", TextOf(task)},
+                                           {"run", unit->last_run},
+                                           {"worker", *unit->failed_on.begin()}});
+    book_.Stop(*unit);
+  }
+}
+
 void OwnedService::EndAllOn(const base::WorkerName& name,
                             const std::string& why) {
   const auto members = MembersOn(name);
@@ -225,6 +275,7 @@
   }
   for (const auto& it : gone) {
     workers_.erase(it);
+    conduct_.Forget(it);
     fleet_.Remove(it);
   }
   if (now - taken_at_ <= unheard) return;
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/base.h"
@@ -20,6 +21,8 @@
   /// Room beyond what is free, per worker: what stopping others would give.
   /// Null counts only what is free.
   const std::map<base::WorkerName, jobs::Room>* could_free = nullptr;
+  /// Workers that are not to be taken; null for none.
+  const std::set<base::WorkerName>* avoid = nullptr;
   /// Whether a rack other than the wanted one will do.
   bool accepts_slow = false;
 };
--- a/src/dispatch/reclaim.cc
+++ b/src/dispatch/reclaim.cc
@@ -88,7 +88,7 @@
 
 std::optional<ReclaimPlan> FindReclaim(const Fleet& fleet, const StepRun& run,
                                        const std::vector<Victim>& victims,
-                                       std::optional<base::RackName> rack) {
+                                       const std::optional<base::RackName>& rack) {
   auto sites = SitesOf(fleet, run, victims, rack);
   const auto needs = CountedNeeds(*run.step);
   ReclaimPlan out;
--- /dev/null
+++ b/src/dispatch/worker_conduct.cc
@@ -0,0 +1,28 @@
+#include "dispatch/internal/worker_conduct.h"
+
+namespace lapishatch::dispatch::internal {
+
+bool WorkerConduct::OnEnded(const base::WorkerName& worker,
+                            const base::JobName& job, EndKind kind,
+                            std::size_t fleet_size, base::TimePoint now) {
+  if (kind == EndKind::kDone) {
+    records_.erase(worker);
+    return false;
+  }
+  if (kind != EndKind::kFailed) return false;
+  auto& record = records_[worker];
+  ++record.failures;
+  record.jobs.insert(job);
+  const bool is_bad = record.failures >= options_.failures &&
+                      record.jobs.size() >= options_.jobs;
+  if (!is_bad) return false;
+  records_.erase(worker);
+  return quarantine_.Add(worker, fleet_size, now);
+}
+
+void WorkerConduct::Forget(const base::WorkerName& worker) {
+  records_.erase(worker);
+  quarantine_.Remove(worker);
+}
+
+}  // namespace lapishatch::dispatch::internal
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -339,6 +339,31 @@
   CHECK(world.StateOf("late") == JobState::kCompleted);
 }
 
+TEST_CASE("a worker that stands still for good does not keep its tasks") {
+  OwnerWorld world(1, 2);
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 1, 1));
+  world.RunFor(500);
+  world.workers().Hang(world.workers().WhereRuns(TaskOf("plan", 0)), true);
+  world.RunFor(12'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().starts(TaskOf("plan", 0)) == 2);
+}
+
+TEST_CASE("a worker that fails all it starts does not use up the attempts") {
+  OwnerWorld world(1, 4);
+  world.RunFor(1'000);
+  world.workers().FailAll(OwnerWorld::WorkerCalled(0), true);
+  for (int i = 0; i < 20; ++i) {
+    world.Submit(OwnerWorld::MakeJob("job" + std::to_string(i), 2, 2));
+    world.RunFor(300);
+  }
+  world.RunFor(20'000);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(world.StateOf("job" + std::to_string(i)) == JobState::kCompleted);
+  }
+}
+
 TEST_CASE("a feed whose history is gone misses no job") {
   OwnerWorld world(1, 2);
   world.RunFor(1'000);
--- /dev/null
+++ b/test/dispatch/worker_conduct_test.cc
@@ -0,0 +1,52 @@
+#include "dispatch/internal/worker_conduct.h"
+
+#include <catch2/catch.hpp>
+
+namespace lapishatch::dispatch::internal {
+namespace {
+
+constexpr std::size_t kFleet = 10;
+constexpr base::TimePoint kNow{base::Duration(1'000)};
+const base::WorkerName kWorker("w0");
+
+bool Fail(WorkerConduct& conduct, const std::string& job) {
+  return conduct.OnEnded(kWorker, base::JobName(job), EndKind::kFailed, kFleet,
+                         kNow);
+}
+
+TEST_CASE("failures of several jobs in a row put a worker out for a time") {
+  WorkerConduct conduct({});
+  CHECK_FALSE(Fail(conduct, "a"));
+  CHECK_FALSE(Fail(conduct, "b"));
+  CHECK(Fail(conduct, "a"));
+  CHECK(conduct.IsOut(kWorker));
+  conduct.Release(kNow + base::Duration(4'100));
+  CHECK_FALSE(conduct.IsOut(kWorker));
+}
+
+TEST_CASE("one job that always fails puts no worker out") {
+  WorkerConduct conduct({});
+  for (int i = 0; i < 10; ++i) CHECK_FALSE(Fail(conduct, "poison"));
+}
+
+TEST_CASE("a task that ends well clears a worker's failures") {
+  WorkerConduct conduct({});
+  Fail(conduct, "a");
+  Fail(conduct, "b");
+  conduct.OnEnded(kWorker, base::JobName("c"), EndKind::kDone, kFleet, kNow);
+  CHECK_FALSE(Fail(conduct, "d"));
+  CHECK_FALSE(conduct.IsOut(kWorker));
+}
+
+TEST_CASE("no more than a fifth of the workers are out at once") {
+  WorkerConduct conduct({});
+  int out = 0;
+  for (int i = 0; i < static_cast<int>(kFleet); ++i) {
+    const base::WorkerName name("w" + std::to_string(i));
+    if (conduct.PutOut(name, kFleet, kNow)) ++out;
+  }
+  CHECK(out == 2);
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch::internal
--- a/test/jobs/jobs_test.cc
+++ b/test/jobs/jobs_test.cc
@@ -1,6 +1,7 @@
 #include "jobs/jobs.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "fakes/fake_row_store.h"
 #include "fakes/virtual_time.h"
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -53,6 +53,8 @@
   /// Highest run that ended or was stopped.
   std::map<TaskName, int> over;
   std::optional<Duration> next_start_late;
+  bool hangs = false;
+  bool fails = false;
   struct Waiting {
     std::uint64_t after = 0;
     std::function<void(HoldResult)> answer;
@@ -165,6 +167,14 @@
   Find(name)->next_start_late = delay;
 }
 
+void FakeTaskWorkers::Hang(const WorkerName& name, bool hangs) {
+  Find(name)->hangs = hangs;
+}
+
+void FakeTaskWorkers::FailAll(const WorkerName& name, bool fails) {
+  Find(name)->fails = fails;
+}
+
 dispatch::WorkerPort& FakeTaskWorkers::For(const std::string& owner) {
   auto& port = ports_[owner];
   if (!port) port = std::make_unique<Port>(*this, owner);
@@ -194,7 +204,7 @@
   }
   if (order.expires < ClockOf(worker)) return Refused{Refusal::kLate};
   Extend(worker, order.expires);
-  const Run run{order.task, order.run, ++last_id_};
+  const Run run{order.task, order.run, ++last_id_, 0};
   NoteStart(worker, run);
   worker.running.push_back(run);
   BeginWork(worker, run);
@@ -241,10 +251,27 @@
     });
   }
   const auto length = run_time ? run_time(run.task) : kRunTime;
-  time_.After(length, [this, name, run] {
+  constexpr Duration kFailTime{50};
+  Work(name, run, worker.fails ? kFailTime : length);
+}
+
+/// Does the rest of a run's work, a part at a time; a worker that hangs does
+/// none.
+void FakeTaskWorkers::Work(const WorkerName& name, const Run& run,
+                           Duration left) {
+  constexpr Duration kPart{50};
+  const auto part = std::min(left, kPart);
+  time_.After(part, [this, name, run, left, part] {
     auto* it = Find(name);
+    const auto present =
+        std::find_if(it->running.begin(), it->running.end(),
+                     [&run](const Run& other) { return other.id == run.id; });
+    if (!it->is_alive || present == it->running.end()) return;
+    if (it->hangs) return Work(name, run, left);
+    ++present->parts_done;
+    if (left > part) return Work(name, run, left - part);
     const auto kind = outcome ? outcome(run.task, run.run) : EndKind::kDone;
-    if (it->is_alive) EndRun(*it, run.id, kind);
+    EndRun(*it, run.id, it->fails ? EndKind::kFailed : kind);
   });
 }
 
@@ -306,7 +333,8 @@
   WorkerNews out;
   out.clock = ClockOf(worker);
   for (const auto& it : worker.running) {
-    out.running.push_back({it.task, it.run, "", 0});
+    // Only whether it moves is looked at.
+    out.running.push_back({it.task, it.run, "", it.parts_done % 100});
   }
   for (const auto& it : worker.ended) {
     if (it.number > after) out.ended.push_back(it);
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -46,6 +46,13 @@
   /// `delay`.
   void MakeNextStartLate(const base::WorkerName& name, base::Duration delay);
 
+  /// What runs at the worker, or starts there, gets no further until the other
+  /// call; the worker answers as before.
+  void Hang(const base::WorkerName& name, bool hangs);
+
+  /// What starts at the worker fails at once.
+  void FailAll(const base::WorkerName& name, bool fails);
+
   /// The port of one owner; it outlives this object's use of it.
   dispatch::WorkerPort& For(const std::string& owner);
 
@@ -66,6 +73,7 @@
     jobs::TaskName task;
     int run = 0;
     std::uint64_t id = 0;
+    int parts_done = 0;
   };
   struct Worker;
   class Port;
@@ -83,6 +91,7 @@
   void CheckLease(Worker& worker);
   void EndRun(Worker& worker, std::uint64_t id, dispatch::EndKind kind);
   void BeginWork(Worker& worker, const Run& run);
+  void Work(const base::WorkerName& name, const Run& run, base::Duration left);
   void NoteStart(Worker& worker, const Run& run);
   dispatch::WorkerClock ClockOf(const Worker& worker) const;
   void Violate(std::string what) { violations_.push_back(std::move(what)); }
