Log to standard output without ever waiting for its reader

Cause: the platform's engineers have the logs of standard output alone, and a reader that stands still must not stop a scheduler.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,6 +1,9 @@
 #include "base/log.h"
 
+#include <unistd.h>
+
 #include <atomic>
+#include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
@@ -13,8 +16,10 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <iostream>
+#include <memory>
 
 #include "base/internal/event_ring.h"
+#include "base/internal/line_writer.h"
 
 namespace lapishatch::base {
 namespace {
@@ -23,6 +28,10 @@
 
 std::atomic<int> least_severity{kNothingIsLogged};
 
+/// Set once, before the first event.
+std::string bounded_program;
+std::unique_ptr<internal::LineWriter> bounded_writer;
+
 std::string_view SeverityName(Severity severity) {
   switch (severity) {
     case Severity::kDebug:
@@ -82,6 +91,12 @@
   least_severity = static_cast<int>(least);
 }
 
+void StartBoundedLog(std::string_view program, Severity least) {
+  bounded_program = program;
+  bounded_writer = std::make_unique<internal::LineWriter>(STDOUT_FILENO);
+  least_severity = static_cast<int>(least);
+}
+
 void Log(const Event& event, std::initializer_list<LogField> fields) {
   const bool is_printed = static_cast<int>(event.severity) >=
                           least_severity.load(std::memory_order_relaxed);
@@ -94,6 +109,14 @@
                        text.empty() ? text : text.substr(kSpaceBeforeFirst));
   }
   if (!is_printed) return;
+  if (bounded_writer) {
+    const auto time = boost::posix_time::to_iso_extended_string(
+        boost::posix_time::microsec_clock::universal_time());
+    bounded_writer->Write(
+        event.number, time + ' ' + bounded_program + ' ' + LineOf(event, text),
+        SteadyClock().Now());
+    return;
+  }
   boost::log::sources::logger_mt logger;
   BOOST_LOG(logger) << LineOf(event, text);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -42,6 +42,11 @@
 /// the first event; without it nothing is printed.
 void StartLog(std::string_view program, Severity least);
 
+/// The same, on standard output, without ever waiting for its reader: lines
+/// that it does not take, or of which there are too many in a second, are left
+/// out and counted in the next one.
+void StartBoundedLog(std::string_view program, Severity least);
+
 /// Writes one event, and keeps a warning or error for RecentEvents. Costs
 /// almost nothing when the event is neither printed nor kept. Safe from several
 /// threads.
