--- a/src/base/internal/line_writer.h
+++ b/src/base/internal/line_writer.h
@@ -16,8 +16,9 @@
 /// many were left out. Safe from several threads.
 class LineWriter {
  public:
-  /// Lines of one kind in a second. The busiest standard day has 60 a second of
-  /// its most frequent kind, with 350 workers 250.
+  /// Lines of one kind in a second. A standard day with 48 workers had at most
+  /// 125 of its most frequent kind; with 350 workers bursts reach the bound and
+  /// lines are left out.
   static constexpr int kLinesPerSecond = 300;
 
   /// A pipe that can be written to takes so much at once.
