Log which task is stopped for which, and what that loses

The planner now gives its displacements beside its starts, and the owner logs each as E647 with the work lost.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -45,6 +45,25 @@
   double most_waste = 3.0;
 };
 
+/// A unit that is stopped so that another one gets its place.
+struct Displaced {
+  Unit* unit = nullptr;
+  /// Which gets the place.
+  const Unit* by = nullptr;
+  /// A guarantee owes it the place, rather than its worth.
+  bool is_owed = false;
+  /// Work lost since the last checkpoint, in core-seconds.
+  double lost = 0;
+};
+
+/// What one call of the planner decides.
+struct PlannerDecisions {
+  /// Units whose starts are to be recorded and sent.
+  std::vector<Unit*> starts;
+  /// Units that are now to be stopped.
+  std::vector<Displaced> displaced;
+};
+
 /// Decides which units start where and which are stopped for whom. Changes the
 /// book (Plan, Stop, SetClaim) and sends nothing. Deterministic: the same book,
 /// fleet and time give the same decisions.
@@ -56,14 +75,14 @@
   /// How many accelerators each organisation is guaranteed.
   void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
 
-  /// Plans what can start now. Returns the units whose starts are to be
-  /// recorded and sent.
-  std::vector<Unit*> Decide(base::TimePoint now);
+  /// Plans what can start now.
+  PlannerDecisions Decide(base::TimePoint now);
 
  private:
-  void StartClaimed(base::TimePoint now, std::vector<Unit*>& out);
-  void StartReady(StepRun& run, base::TimePoint now, std::vector<Unit*>& out);
-  bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now);
+  void StartClaimed(base::TimePoint now, PlannerDecisions& out);
+  void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
+  bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
+                  PlannerDecisions& out);
   bool IsOwed(const JobEntry& job) const;
   std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
   std::vector<Victim> VictimsFor(const Unit& unit, bool is_owed,
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -7,6 +7,22 @@
 
 namespace lapishatch::dispatch::internal {
 
+namespace {
+
+void LogDisplaced(const Displaced& it) {
+  const auto& job = *it.unit->step->job;
+  base::Log(base::events::kUnitDisplaced,
+            {{"request", job.job->name},
+             {"task", TextOf(JobBook::NameOf(*it.unit, 0))},
+             {"run", it.unit->last_run},
+             {"tasks", it.unit->members.size()},
+             {"by", TextOf(JobBook::NameOf(*it.by, 0))},
+             {"owed", it.is_owed},
+             {"lost_core_s", static_cast<std::int64_t>(it.lost)}});
+}
+
+}  // namespace
+
 /// Decides, records and sends, once for everything that happened before it
 /// runs.
 void OwnedService::Pump() {
@@ -17,12 +33,13 @@
     if (!self) return;
     self->is_pump_posted_ = false;
     self->UpdateOpen();
-    std::vector<Unit*> units;
+    PlannerDecisions decisions;
     if (self->rights_.may_start()) {
-      units = self->planner_.Decide(self->ports_.loop.Now());
+      decisions = self->planner_.Decide(self->ports_.loop.Now());
     }
+    for (const auto& it : decisions.displaced) LogDisplaced(it);
     self->SendStops();
-    if (!units.empty()) self->SendStarts(units);
+    if (!decisions.starts.empty()) self->SendStarts(decisions.starts);
     self->LogEnds();
     for (const auto& it : self->recorders_) it->Flush(nullptr);
   });
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -60,8 +60,8 @@
   guarantees_ = std::move(guarantees);
 }
 
-std::vector<Unit*> TaskPlanner::Decide(base::TimePoint now) {
-  std::vector<Unit*> out;
+PlannerDecisions TaskPlanner::Decide(base::TimePoint now) {
+  PlannerDecisions out;
   urgent_needs_ = UrgentNeeds();
   UpdateKept(now);
   StartClaimed(now, out);
@@ -160,7 +160,7 @@
 }
 
 /// Starts units whose claimed places have become free.
-void TaskPlanner::StartClaimed(base::TimePoint now, std::vector<Unit*>& out) {
+void TaskPlanner::StartClaimed(base::TimePoint now, PlannerDecisions& out) {
   const std::vector<StepRun*> ready(book_.ready().begin(), book_.ready().end());
   for (auto* run : ready) {
     const auto needs = CountedNeeds(*run->step);
@@ -183,13 +183,13 @@
         continue;
       }
       book_.Plan(unit, claim, now);
-      out.push_back(&unit);
+      out.starts.push_back(&unit);
     }
   }
 }
 
 void TaskPlanner::StartReady(StepRun& run, base::TimePoint now,
-                             std::vector<Unit*>& out) {
+                             PlannerDecisions& out) {
   const bool is_owed = IsOwed(*run.job);
   const bool is_urgent = run.job->job->priority == kUrgentPriority;
   const bool is_late = OutlookOf(run, now) != Outlook::kInTime;
@@ -218,12 +218,12 @@
     if (places) {
       book_.Plan(unit, *places, now);
       free_ -= run.step->needs.accelerators * run.TasksPerUnit();
-      out.push_back(&unit);
+      out.starts.push_back(&unit);
       continue;
     }
     // What one task of the step does not get, its others do not get either.
     const bool may_reclaim = is_owed || (is_urgent && !is_late);
-    if (!may_reclaim || !TryReclaim(unit, is_owed, now)) return;
+    if (!may_reclaim || !TryReclaim(unit, is_owed, now, out)) return;
   }
 }
 
@@ -267,7 +267,8 @@
 
 /// Finds the places for `unit` that cost least, on one rack if it wants one,
 /// stops what is in the way and claims them.
-bool TaskPlanner::TryReclaim(Unit& unit, bool is_owed, base::TimePoint now) {
+bool TaskPlanner::TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
+                             PlannerDecisions& out) {
   const auto& step = *unit.step->step;
   const bool accepts_slow =
       (is_owed && now - unit.waiting_since >= options_.owed_slow_after) ||
@@ -293,7 +294,11 @@
   if (!is_owed && waste > options_.most_waste * WorkOf(*unit.step)) {
     return false;
   }
-  for (auto* it : best->victims) book_.Stop(*it);
+  for (auto* it : best->victims) {
+    if (it->is_stopping) continue;
+    out.displaced.push_back({it, &unit, is_owed, LostBy(*it, now)});
+    book_.Stop(*it);
+  }
   book_.SetClaim(unit, best->places);
   return true;
 }
