Stop in time what cannot end before its worker leaves

Cause: workers that leave say how long they stay (2 to 2.5 s where they are taken away at short notice), and what ran there was left to die: no end is listed, so it began again only after the worker's lease, 5.9 s later.

Change: each worker's departure is kept from what it says; a unit of which a member cannot end before it, by its progress or its estimate, is stopped, listed as ended and started elsewhere (pure code, dispatch/evacuation). Two events tell of it (E648, E649). The fake workers now tell true percents.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -9,6 +9,7 @@
 
 #include "base/base.h"
 #include "dispatch/fleet.h"
+#include "dispatch/internal/evacuation.h"
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
@@ -67,6 +68,8 @@
 
   // Workers.
   void OpenSession(const WorkerEntry& entry);
+  void NoteDeparture(const WorkerEntry& entry);
+  void Evacuate();
   void OnNews(const base::WorkerName& name, const WorkerNews& news,
               base::TimePoint sent);
   void OnRunning(const base::WorkerName& name, const RunningTask& task,
@@ -119,6 +122,7 @@
   std::vector<std::unique_ptr<Recorder>> recorders_;
   std::map<base::WorkerName, Worker> workers_;
   WorkerConduct conduct_{{}};
+  Departures departures_;
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> requests_;
   bool is_loaded_ = false;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -44,6 +44,9 @@
   /// How far it was when it was last seen to get on, and when that was.
   int percent = 0;
   base::TimePoint moved{};
+  /// The same of when it was seen first; a resumed run begins above 0.
+  int first_percent = 0;
+  base::TimePoint first_seen{};
   /// Starts sent without an answer.
   int unanswered = 0;
   bool is_stop_under_way = false;
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -149,6 +149,7 @@
     book_.BeginDue(ports_.unix_ms(), ports_.loop.Now());
     CheckLapsed();
     CheckStalled();
+    Evacuate();
     conduct_.Release(ports_.loop.Now());
     RemoveOld();
     Pump();
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -18,11 +18,46 @@
   fleet_.Put(entry);
   auto& worker = workers_[entry.name];
   worker.is_listed = true;
-  if (!worker.session) return OpenSession(entry);
+  if (!worker.session) {
+    OpenSession(entry);
+    return NoteDeparture(entry);
+  }
   worker.session->SetEntry(entry);
+  NoteDeparture(entry);
   Pump();
 }
 
+/// A worker that leaves says how long it stays at least. Its entry may be as
+/// old as the feed's spacing, so the earliest time that was told counts.
+void OwnedService::NoteDeparture(const WorkerEntry& entry) {
+  if (!entry.is_draining || !entry.stays) return;
+  const auto at = ports_.loop.Now() + *entry.stays;
+  const auto [it, is_new] = departures_.try_emplace(entry.name, at);
+  it->second = std::min(it->second, at);
+  if (!is_new) return;
+  base::Log(base::events::kWorkerLeaving,
+            {{"service", service_.str()},
+             {"worker", entry.name},
+             {"tasks", MembersOn(entry.name).size()},
+             {"stays_ms", entry.stays->count()}});
+}
+
+/// Stops what would be lost with a worker that leaves.
+void OwnedService::Evacuate() {
+  const auto now = ports_.loop.Now();
+  for (auto* unit : FindLeaving(book_, departures_, {}, now)) {
+    const auto task = JobBook::NameOf(*unit, 0);
+    base::Log(base::events::kUnitEvacuated,
+              {{"request", task.job},
+               {"task", TextOf(task)},
+               {"run", unit->last_run},
+               {"tasks", unit->members.size()},
+               {"left_ms", WorkLeft(*unit, unit->members.front(), now).count()},
+               {"saved", !unit->checkpoint.empty()}});
+    book_.Stop(*unit);
+  }
+}
+
 void OwnedService::OpenSession(const WorkerEntry& entry) {
   const auto weak = weak_from_this();
   const auto name = entry.name;
@@ -40,6 +75,7 @@
     if (!self) return;
     self->EndAllOn(name, "another life is at its address");
     self->fleet_.Remove(name);
+    self->departures_.erase(name);
     self->ports_.loop.Post([weak, name] {
       if (const auto held = weak.lock()) held->workers_.erase(name);
     });
@@ -134,6 +170,10 @@
     member.percent = task.percent;
     member.moved = ports_.loop.Now();
   }
+  if (member.first_seen == TimePoint{}) {
+    member.first_percent = task.percent;
+    member.first_seen = ports_.loop.Now();
+  }
   if (member.state == MemberState::kRunning) return;
   member.state = MemberState::kRunning;
   member.confirmed = sent;
@@ -281,6 +321,7 @@
   }
   for (const auto& it : gone) {
     workers_.erase(it);
+    departures_.erase(it);
     conduct_.Forget(it);
     fleet_.Remove(it);
   }
--- /dev/null
+++ b/test/dispatch/evacuation_test.cc
@@ -0,0 +1,59 @@
+#include "dispatch/internal/evacuation.h"
+
+#include <catch2/catch.hpp>
+
+namespace lapishatch::dispatch::internal {
+namespace {
+
+using base::Duration;
+
+const base::TimePoint kStart{Duration(10'000)};
+
+/// One unit with one member of a step whose estimate is 4 s.
+struct OneTask {
+  jobs::Step step;
+  StepRun run;
+  Unit unit;
+
+  OneTask() {
+    step.estimate = Duration(4'000);
+    run.step = &step;
+    unit.step = &run;
+    unit.started = kStart;
+    unit.members.push_back({base::WorkerName("w")});
+  }
+
+  Member& member() { return unit.members.front(); }
+
+  Duration LeftAfter(int ms) {
+    return WorkLeft(unit, member(), kStart + Duration(ms));
+  }
+};
+
+TEST_CASE("without progress the estimate tells how much work is left") {
+  OneTask it;
+  CHECK(it.LeftAfter(1'000) == Duration(3'000));
+  CHECK(it.LeftAfter(9'000) == Duration(0));
+}
+
+TEST_CASE("progress tells more of the work that is left than the estimate") {
+  OneTask it;
+  it.member().first_percent = 50;
+  it.member().first_seen = kStart + Duration(500);
+  it.member().percent = 60;
+  it.member().moved = kStart + Duration(1'500);
+  // A tenth a second: 40 more take 4 s, half a second of which has passed.
+  CHECK(it.LeftAfter(2'000) == Duration(3'500));
+}
+
+TEST_CASE("a first look takes its share of the estimate") {
+  OneTask it;
+  it.member().first_percent = 25;
+  it.member().first_seen = kStart + Duration(800);
+  it.member().percent = 25;
+  it.member().moved = it.member().first_seen;
+  CHECK(it.LeftAfter(800) == Duration(3'000));
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch::internal
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -221,6 +221,42 @@
   CHECK(world.workers().violations().empty());
 }
 
+TEST_CASE("what cannot end before its worker leaves moves at once") {
+  OwnerWorld world(1, 2);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(4'000);
+  };
+  world.RunFor(1'000);
+  auto gang = OwnerWorld::MakeJob("gang", 2, 4);
+  gang.steps[0].is_gang = true;
+  gang.steps[0].estimate = base::Duration(4'000);
+  world.Submit(gang);
+  world.RunFor(500);
+  const auto leaving = world.workers().WhereRuns(TaskOf("gang", 0));
+  world.Drain(leaving, base::Duration(2'000));
+  world.RunFor(2'000);
+  CHECK(world.workers().WhereRuns(TaskOf("gang", 0)) != leaving);
+  world.workers().Crash(leaving);
+  world.Unlist(leaving);
+  // Lost with its worker, it would begin again 5.9 s later.
+  world.RunFor(4'000);
+  CHECK(world.StateOf("gang") == JobState::kCompleted);
+  CHECK(world.workers().starts(TaskOf("gang", 0)) == 2);
+  CHECK(world.workers().violations().empty());
+}
+
+TEST_CASE("what ends before its worker leaves stays there") {
+  OwnerWorld world(1, 2);
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("plan", 1, 1));
+  world.RunFor(500);
+  const auto leaving = world.workers().WhereRuns(TaskOf("plan", 0));
+  world.Drain(leaving, base::Duration(1'600));
+  world.RunFor(3'000);
+  CHECK(world.StateOf("plan") == JobState::kCompleted);
+  CHECK(world.workers().starts(TaskOf("plan", 0)) == 1);
+}
+
 TEST_CASE("a worker that is not registered yet counts what is recorded there") {
   // All processes restart while a worker is missing from the list; when it is
   // back, its size must not seem to have grown by what ran there.
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -56,6 +56,14 @@
     for (const auto& [name, owner] : owners_) owner->PutWorker(entry);
   }
 
+  /// The worker says that it leaves, after `stays` at the earliest.
+  void Drain(const base::WorkerName& name, base::Duration stays) {
+    auto& entry = entries_.at(name);
+    entry.is_draining = true;
+    entry.stays = stays;
+    for (const auto& [unused, owner] : owners_) owner->PutWorker(entry);
+  }
+
   /// The worker's registration goes; whether it runs on is another matter.
   void Unlist(const base::WorkerName& name) {
     entries_.erase(name);
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -204,7 +204,7 @@
   }
   if (order.expires < ClockOf(worker)) return Refused{Refusal::kLate};
   Extend(worker, order.expires);
-  const Run run{order.task, order.run, ++last_id_, 0};
+  const Run run{order.task, order.run, ++last_id_, Duration(0)};
   NoteStart(worker, run);
   worker.running.push_back(run);
   BeginWork(worker, run);
@@ -268,7 +268,7 @@
                      [&run](const Run& other) { return other.id == run.id; });
     if (!it->is_alive || present == it->running.end()) return;
     if (it->hangs) return Work(name, run, left);
-    ++present->parts_done;
+    present->done += part;
     if (left > part) return Work(name, run, left - part);
     const auto kind = outcome ? outcome(run.task, run.run) : EndKind::kDone;
     EndRun(*it, run.id, it->fails ? EndKind::kFailed : kind);
@@ -333,8 +333,10 @@
   WorkerNews out;
   out.clock = ClockOf(worker);
   for (const auto& it : worker.running) {
-    // Only whether it moves is looked at.
-    out.running.push_back({it.task, it.run, "", it.parts_done % 100});
+    const auto length = run_time ? run_time(it.task) : kRunTime;
+    constexpr int kWhole = 100;
+    const auto percent = kWhole * it.done.count() / length.count();
+    out.running.push_back({it.task, it.run, "", static_cast<int>(percent)});
   }
   for (const auto& it : worker.ended) {
     if (it.number > after) out.ended.push_back(it);
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -73,7 +73,8 @@
     jobs::TaskName task;
     int run = 0;
     std::uint64_t id = 0;
-    int parts_done = 0;
+    /// Of its work.
+    base::Duration done{0};
   };
   struct Worker;
   class Port;
