Hand over amid a renewal, and find one's own take in a slow store

A release was made on condition of the lease row's version. With a renewal under way, as nearly always in a slow store, it conflicted and was dropped. 2. The process ended with its last answer, whether the release was answered or not, and did not try it again. 3. At 89 times its usual time a transaction takes 1.07 s and calls are given up after 1.0 s: each take was done and its taker took it for failed, took again and so kept every other candidate waiting. Ruled out: the feed (the released row was seen), several candidates at once.

--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -89,12 +89,7 @@
     if (!epoch_) return done();
     const auto epoch = *epoch_;
     epoch_.reset();
-    store_.Commit(
-        {service_.str(),
-         {Condition(kEpochKey, epoch), Condition(kLeaseKey, lease_row_)},
-         {Put(kLeaseKey, kNobody)},
-         {}},
-        [done = std::move(done)](const RowsResult&) { done(); });
+    WriteRelease(epoch, std::move(done));
   }
 
   void Drop(const std::string& reason) {
@@ -105,6 +100,32 @@
   }
 
  private:
+  /// Only the epoch is a condition: a renewal may be under way (nearly always
+  /// when the store is slow), and then the lease row's version is not known.
+  /// Tried again until the store has said that it is done or another process
+  /// has taken the service.
+  void WriteRelease(Epoch epoch, std::function<void()> done) {
+    store_.Commit({service_.str(),
+                   {Condition(kEpochKey, epoch)},
+                   {Put(kLeaseKey, kNobody)},
+                   {}},
+                  [weak = weak_from_this(), epoch,
+                   done = std::move(done)](const RowsResult& result) {
+                    const bool is_over =
+                        std::holds_alternative<RowsCommitted>(result) ||
+                        std::holds_alternative<RowsConflict>(result);
+                    if (is_over) return done();
+                    if (const auto self = weak.lock())
+                      self->ReleaseAgain(epoch, done);
+                  });
+  }
+
+  void ReleaseAgain(Epoch epoch, const std::function<void()>& done) {
+    loop_.After(options_.retry_every, [weak = weak_from_this(), epoch, done] {
+      if (const auto self = weak.lock()) self->WriteRelease(epoch, done);
+    });
+  }
+
   static store::RowCondition Condition(std::string_view key,
                                        RowVersion version) {
     return {std::string(kOwnerTable), std::string(key), version};
@@ -114,6 +135,13 @@
     return {std::string(kOwnerTable), std::string(key), std::string(value)};
   }
 
+  /// A try to take the service, with what was known when it was sent.
+  struct OpenTake {
+    base::TimePoint sent;
+    base::Duration suspended;
+    bool is_former_gone = false;
+  };
+
   // As a candidate.
 
   void OnRows(const std::vector<StoredRow>& rows) {
@@ -129,6 +157,7 @@
       if (it.is_deleted) row_.reset();
     }
     if (epoch_ || is_leaving_) return CheckStillOwner();
+    if (IsOwnTake()) return OnTaken(epoch_row_, *open_take_);
     if (has_changed || !is_aging_) {
       is_aging_ = true;
       ++watch_;
@@ -137,6 +166,13 @@
     }
   }
 
+  /// Whether a take of this process that had no answer was done after all. The
+  /// holder's text is of this life, and a take writes both rows at once.
+  bool IsOwnTake() const {
+    return open_take_ && row_ && row_->value == holder_ &&
+           row_->version == epoch_row_;
+  }
+
   /// Whether nobody acts as the owner: it was given up, or its holder was an
   /// earlier life of this VM.
   bool IsFormerGone() const {
@@ -164,27 +200,30 @@
 
   void Take() {
     if (epoch_ || is_leaving_) return;
-    const auto sent = loop_.Now();
-    const auto suspended = suspended_();
+    const OpenTake take{loop_.Now(), suspended_(), IsFormerGone()};
+    // An earlier try may still be carried out: then the lease counts from it.
+    if (!open_take_) open_take_ = take;
+    open_take_->is_former_gone =
+        open_take_->is_former_gone && take.is_former_gone;
     const auto lease_version = row_ ? row_->version : store::kAbsent;
     store_.Commit({service_.str(),
                    {Condition(kEpochKey, epoch_row_),
                     Condition(kLeaseKey, lease_version)},
                    {Put(kEpochKey, holder_), Put(kLeaseKey, holder_)},
                    {}},
-                  [weak = weak_from_this(), sent, suspended,
-                   is_gone = IsFormerGone()](const RowsResult& result) {
+                  [weak = weak_from_this(), take](const RowsResult& result) {
                     const auto self = weak.lock();
                     if (!self) return;
                     const auto* committed = std::get_if<RowsCommitted>(&result);
                     if (committed == nullptr) return self->OnTakeFailed();
-                    self->OnTaken(committed->version, is_gone, sent, suspended);
+                    self->OnTaken(committed->version, take);
                   });
   }
 
-  /// Whatever the reason, the feed shows how things stand. When the row was
-  /// taken after all without an answer, nobody renews it and it lapses.
+  /// Whatever the reason, the feed shows how things stand: also when the row
+  /// was taken after all without an answer, as happens in a slow store.
   void OnTakeFailed() {
+    if (epoch_) return;
     is_aging_ = false;
     ++watch_;
     loop_.After(options_.retry_every, [weak = weak_from_this()] {
@@ -193,17 +232,17 @@
     });
   }
 
-  void OnTaken(RowVersion version, bool former_is_gone, base::TimePoint sent,
-               base::Duration suspended) {
-    if (is_leaving_) return;
+  void OnTaken(RowVersion version, const OpenTake& take) {
+    if (is_leaving_ || epoch_) return;
     epoch_ = version;
     epoch_row_ = std::max(epoch_row_, version);
     lease_row_ = version;
-    renewed_at_ = sent;
-    suspended_at_renewal_ = suspended;
+    renewed_at_ = take.sent;
+    suspended_at_renewal_ = take.suspended;
+    open_take_.reset();
     ++watch_;
-    ArmRenewal(options_.renew_every);
-    events_.on_taken(version, former_is_gone);
+    ArmNextRenewal();
+    events_.on_taken(version, take.is_former_gone);
   }
 
   // As the holder.
@@ -215,6 +254,12 @@
     });
   }
 
+  /// At once when the last one took as long as the pause between two.
+  void ArmNextRenewal() {
+    const auto next = renewed_at_ + options_.renew_every - loop_.Now();
+    ArmRenewal(std::max(next, base::Duration(0)));
+  }
+
   void Renew() {
     const auto sent = loop_.Now();
     const auto suspended = suspended_();
@@ -237,8 +282,7 @@
       lease_row_ = committed->version;
       renewed_at_ = sent;
       suspended_at_renewal_ = suspended;
-      const auto next = sent + options_.renew_every - loop_.Now();
-      return ArmRenewal(std::max(next, base::Duration(0)));
+      return ArmNextRenewal();
     }
     const auto* conflict = std::get_if<RowsConflict>(&result);
     if (conflict != nullptr && !IsStillMine(conflict->present)) {
@@ -280,6 +324,9 @@
   /// Numbers what is watched; timers of an earlier one do nothing.
   int watch_ = 0;
 
+  /// The first try to take the service whose outcome is open.
+  std::optional<OpenTake> open_take_;
+
   /// Set while this process holds the service.
   std::optional<Epoch> epoch_;
   RowVersion lease_row_ = store::kAbsent;
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -82,7 +82,8 @@
   bool is_holder() const;
 
   /// Gives up the service, if it is held, so that another takes it at once, and
-  /// takes it no more. `done` is called when the store has said so, or cannot.
+  /// takes it no more. `done` is called when the store has said so; that may be
+  /// never while the store is out.
   void Release(std::function<void()> done);
 
   /// The holder has seen that another process owns the service.
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -86,8 +86,8 @@
   /// Accelerators that each organisation is guaranteed for urgent jobs.
   void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
 
-  /// Hands the service over; `done` is called when that is written, or cannot
-  /// be.
+  /// Hands the service over; `done` is called when that is written, which may
+  /// be never while the store is out.
   void Stop(std::function<void()> done);
 
   bool is_owner() const;
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -123,6 +123,54 @@
   CHECK_FALSE(world.OwnerName().empty());
 }
 
+TEST_CASE("an owner that stops amid a renewal hands its service over") {
+  // When the store is slow, a renewal is nearly always under way.
+  constexpr base::Duration kSlow{700};
+  for (const int moment : {0, 100, 200, 300, 400, 500, 600, 700, 800}) {
+    OwnerWorld world(3, 2);
+    world.RunFor(1'000);
+    world.store().commit_time = kSlow;
+    world.RunFor(1'000 + moment);
+    const auto former = world.OwnerName();
+    bool is_told = false;
+    world.owner(former).Stop([&is_told] { is_told = true; });
+    world.RunFor(900);
+    CHECK(is_told);
+    world.KillOwner(former);
+    // The next one's own write takes as long.
+    world.RunFor(900);
+    CHECK_FALSE(world.OwnerName().empty());
+  }
+}
+
+TEST_CASE("an owner that stops goes on trying until the store has said so") {
+  OwnerWorld world(2, 2);
+  world.RunFor(1'000);
+  const auto former = world.OwnerName();
+  world.store().SetFaultForAll(StoreFault::kBusy);
+  bool is_told = false;
+  world.owner(former).Stop([&is_told] { is_told = true; });
+  world.RunFor(700);
+  CHECK_FALSE(is_told);
+  world.store().SetFaultForAll(StoreFault::kNone);
+  world.RunFor(600);
+  CHECK(is_told);
+  // A feed that was under way is given up after 1.7 s, then read again.
+  world.RunFor(1'500);
+  CHECK(world.OwnerName() != former);
+  CHECK_FALSE(world.OwnerName().empty());
+}
+
+TEST_CASE("a store too slow to answer in time still gets an owner") {
+  // Each transaction is done and its answer comes too late, as with answers
+  // that take ninety times as long as usual.
+  OwnerWorld world(0, 2);
+  world.store().SetFaultForTransactions(StoreFault::kAnswersLost);
+  for (const auto* name : {"vm0", "vm1", "vm2"}) world.StartOwner(name);
+  world.RunFor(6'000);
+  CHECK_FALSE(world.OwnerName().empty());
+}
+
 TEST_CASE("a strong VM owns the service before weak ones") {
   OwnerWorld world(0, 4);
   constexpr double kWeak = 0.12;
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -31,7 +31,8 @@
 
   void Commit(store::RowTransaction transaction,
               std::function<void(RowsResult)> done) override {
-    switch (Fault()) {
+    const auto present = TransactionFault();
+    switch (present) {
       case StoreFault::kSilent:
         return After(kCommitTimeout, [done = std::move(done)] {
           done(store::UnknownOutcome{"silent"});
@@ -42,7 +43,7 @@
         });
       case StoreFault::kAnswersLost:
       case StoreFault::kLate: {
-        const auto when = Fault() == StoreFault::kLate
+        const auto when = present == StoreFault::kLate
                               ? kLateBy
                               : store_.delay + store_.commit_time;
         After(when, [this, transaction] { store_.Apply(transaction); });
@@ -124,6 +125,11 @@
     return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
   }
 
+  StoreFault TransactionFault() const {
+    const auto of_all = store_.fault_for_transactions_;
+    return of_all != StoreFault::kNone ? of_all : Fault();
+  }
+
   void After(base::Duration wait, std::function<void()> task) {
     store_.time_.After(wait, std::move(task));
   }
@@ -147,6 +153,10 @@
 
 void FakeRowStore::SetFaultForAll(StoreFault fault) { fault_for_all_ = fault; }
 
+void FakeRowStore::SetFaultForTransactions(StoreFault fault) {
+  fault_for_transactions_ = fault;
+}
+
 void FakeRowStore::Put(const std::string& table, const std::string& part,
                        const std::string& key, const std::string& value) {
   Apply({part, {}, {{table, key, value}}, {}});
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -41,6 +41,8 @@
 
   void SetFault(const std::string& caller, StoreFault fault);
   void SetFaultForAll(StoreFault fault);
+  /// For all callers' transactions; reads and feeds work.
+  void SetFaultForTransactions(StoreFault fault);
 
   /// Feeds from before now have no history.
   void DropHistory() { oldest_ = version_; }
@@ -84,6 +86,7 @@
   store::RowVersion version_ = 1;
   store::RowVersion oldest_ = 0;
   int transactions_ = 0;
+  StoreFault fault_for_transactions_ = StoreFault::kNone;
   StoreFault fault_for_all_ = StoreFault::kNone;
   std::map<std::string, std::unique_ptr<Caller>> callers_;
   std::list<std::shared_ptr<WaitingFeed>> feeds_;
