--- /dev/null
+++ b/test/site/standin_codec_test.cc
@@ -0,0 +1,98 @@
+#include "platform/standin/standin_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/http_row_store.h"
+#include "platform/http_worker_port.h"
+#include "platform/job_body.h"
+#include "platform/queue_rows.h"
+#include "platform/worker_entries.h"
+
+namespace lapishatch::platform::standin {
+namespace {
+
+// The stand-in reads what the adapter writes and the other way round, so that
+// a run against it goes through the adapter's own bytes.
+
+TEST_CASE("the stand-in reads the adapter's transactions") {
+  const store::RowTransaction sent{
+      "p7", {{"t", "k", 3}}, {{"t", "k", "v"}}, {{"u", "gone"}}};
+  const auto read = DecodeTransaction(EncodeTransaction(sent));
+  CHECK(read.part == "p7");
+  REQUIRE(read.conditions.size() == 1);
+  CHECK(read.conditions[0].version == 3);
+  REQUIRE(read.puts.size() == 1);
+  CHECK(read.puts[0].value == "v");
+  REQUIRE(read.removals.size() == 1);
+  CHECK(read.removals[0].key == "gone");
+}
+
+TEST_CASE("the adapter reads the stand-in's news of a worker") {
+  dispatch::WorkerNews news;
+  news.clock = 482'113;
+  const jobs::TaskName task{base::JobName("00ff"), 0, 1, 17};
+  news.running.push_back({task, 2, "c1", 41});
+  news.ended.push_back({58, task, 1, dispatch::EndKind::kLapsed, "c0"});
+  const auto answer = AnswerOf(dispatch::HoldResult{news});
+  CHECK(answer.status == 200);
+  const auto read = DecodeNews(answer.body);
+  const auto& got = std::get<dispatch::WorkerNews>(read);
+  CHECK(got.clock == news.clock);
+  REQUIRE(got.running.size() == 1);
+  CHECK(got.running[0].task == task);
+  CHECK(got.running[0].percent == 41);
+  REQUIRE(got.ended.size() == 1);
+  CHECK(got.ended[0].kind == dispatch::EndKind::kLapsed);
+  CHECK(got.ended[0].number == 58);
+}
+
+TEST_CASE("the adapter reads the stand-in's rows of workers and queues") {
+  dispatch::WorkerEntry entry;
+  entry.name = base::WorkerName("w1");
+  entry.service = base::ServiceName("survey");
+  entry.endpoint = {"127.0.0.1", 4000};
+  entry.rack = base::RackName("r2");
+  entry.labels = {"a", "r2"};
+  entry.capacity = {64'000, 1'000, 8};
+  entry.is_draining = true;
+  entry.stays = base::Duration(2'000);
+  store::StoredRow row;
+  row.address.key = "w1";
+  row.value = EncodeWorkerEntry(entry);
+  CHECK(DecodeWorkerEntry(row) == entry);
+
+  jobs::QueueConfiguration configuration;
+  configuration.version = 7;
+  jobs::Queue queue;
+  queue.name = jobs::QueueName("q");
+  queue.host = "h";
+  queue.prefix = "/p/";
+  queue.max_attempts = 3;
+  queue.is_public = true;
+  configuration.queues.push_back(queue);
+  const auto read = DecodeQueues(EncodeConfiguration(configuration));
+  REQUIRE(read);
+  CHECK(read->version == 7);
+  REQUIRE(read->queues.size() == 1);
+  CHECK(read->queues[0].max_attempts == 3);
+  CHECK(read->queues[0].is_public);
+}
+
+TEST_CASE("the adapter reads the stand-in's jobs") {
+  jobs::Job job;
+  job.spec = "s";
+  jobs::Step step;
+  step.tasks = 4;
+  step.is_gang = true;
+  step.needs = {500, 256, 2};
+  step.estimate = base::Duration(900);
+  job.steps = {step, step};
+  job.steps[1].after = {0};
+  const auto read = DecodeJobBody(EncodeJobBody(job));
+  const auto& body = std::get<JobBody>(read);
+  CHECK(body.spec == "s");
+  CHECK(body.steps == job.steps);
+}
+
+}  // namespace
+}  // namespace lapishatch::platform::standin
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -137,7 +137,7 @@
   FakeRowStore& store_;
 };
 
-FakeRowStore::FakeRowStore(VirtualTime& time) : time_(time) {}
+FakeRowStore::FakeRowStore(base::EventLoop& time) : time_(time) {}
 
 FakeRowStore::~FakeRowStore() = default;
 
@@ -162,6 +162,11 @@
   Apply({part, {}, {{table, key, value}}, {}});
 }
 
+void FakeRowStore::Remove(const std::string& table, const std::string& part,
+                          const std::string& key) {
+  Apply({part, {}, {}, {{table, key}}});
+}
+
 std::string FakeRowStore::ValueOf(const std::string& table,
                                   const std::string& part,
                                   const std::string& key) const {
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "fakes/virtual_time.h"
+#include "base/base.h"
 #include "store/row_store.h"
 
 namespace lapishatch::fakes {
@@ -31,7 +31,7 @@
 /// for each caller by itself.
 class FakeRowStore {
  public:
-  explicit FakeRowStore(VirtualTime& time);
+  explicit FakeRowStore(base::EventLoop& time);
   ~FakeRowStore();
   FakeRowStore(const FakeRowStore&) = delete;
   FakeRowStore& operator=(const FakeRowStore&) = delete;
@@ -51,6 +51,9 @@
   void Put(const std::string& table, const std::string& part,
            const std::string& key, const std::string& value);
 
+  void Remove(const std::string& table, const std::string& part,
+              const std::string& key);
+
   /// The value of a row, or an empty text.
   std::string ValueOf(const std::string& table, const std::string& part,
                       const std::string& key) const;
@@ -80,7 +83,7 @@
                                   store::RowVersion after) const;
   void Wake(const std::string& table);
 
-  VirtualTime& time_;
+  base::EventLoop& time_;
   std::map<store::RowAddress, store::StoredRow> rows_;
   std::vector<store::StoredRow> history_;
   store::RowVersion version_ = 1;
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -130,7 +130,7 @@
   const std::string owner_;
 };
 
-FakeTaskWorkers::FakeTaskWorkers(VirtualTime& time) : time_(time) {}
+FakeTaskWorkers::FakeTaskWorkers(base::EventLoop& time) : time_(time) {}
 
 FakeTaskWorkers::~FakeTaskWorkers() = default;
 
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "base/base.h"
 #include "dispatch/worker_port.h"
-#include "fakes/virtual_time.h"
 
 namespace lapishatch::fakes {
 
@@ -19,7 +19,7 @@
 /// gangs that wait for each other. They note whatever must never happen.
 class FakeTaskWorkers {
  public:
-  explicit FakeTaskWorkers(VirtualTime& time);
+  explicit FakeTaskWorkers(base::EventLoop& time);
   ~FakeTaskWorkers();
   FakeTaskWorkers(const FakeTaskWorkers&) = delete;
   FakeTaskWorkers& operator=(const FakeTaskWorkers&) = delete;
@@ -97,7 +97,7 @@
   dispatch::WorkerClock ClockOf(const Worker& worker) const;
   void Violate(std::string what) { violations_.push_back(std::move(what)); }
 
-  VirtualTime& time_;
+  base::EventLoop& time_;
   std::map<base::WorkerName, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::unique_ptr<Port>> ports_;
   std::set<std::pair<std::string, base::WorkerName>> cuts_;
