--- a/testing/soak/site_process.h
+++ b/testing/soak/site_process.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_TESTING_SOAK_SITE_PROCESS_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/base.h"
@@ -37,6 +38,11 @@
     if (now >= down_until_) Keep();
   }
 
+  /// Its exit code once it has ended.
+  std::optional<int> Ended() {
+    return process_ ? process_->Ended() : std::nullopt;
+  }
+
   const http::Endpoint& front() const { return settings_.front; }
   const std::string& name() const { return settings_.name; }
 
