Doubt workers after one failure; spare them last attempts

A worker is put out only at its third failure. Ruled out: putting out sooner (a job that always fails would put out sound workers), a longer Retry-After (callers' tries do not follow it). Change: a worker that failed a task and ended none well since is doubted for 8 s: others go first, no last attempt goes there while a sound one is open, nothing is stopped for a place there.

--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -27,6 +27,9 @@
   jobs::Room claimed;
   /// Whether anything new may start there.
   bool is_open = false;
+  /// Whether it has lately failed a task and ended none well since: what has
+  /// another place, or no failure to spare, does not go there.
+  bool is_doubted = false;
   /// Whether its size is known; room is counted on others too, since tasks may
   /// be recorded on a worker before it is heard of.
   bool is_known = false;
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -2,12 +2,14 @@
 #define LAPISHATCH_DISPATCH_INTERNAL_TASK_PLANNER_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/base.h"
 #include "dispatch/fleet.h"
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/reclaim.h"
+#include "dispatch/placer.h"
 #include "jobs/queue_table.h"
 
 namespace lapishatch::dispatch::internal {
@@ -86,6 +88,8 @@
  private:
   void StartClaimed(base::TimePoint now, PlannerDecisions& out);
   void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
+  std::optional<Places> FindSoundPlaces(const Unit& unit,
+                                        PlaceRequest request) const;
   bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
                   PlannerDecisions& out);
   bool CouldFit(StepRun& run, base::TimePoint now) const;
@@ -108,6 +112,8 @@
   /// Of the present call.
   std::int64_t kept_ = 0;
   std::int64_t free_ = 0;
+  bool has_doubted_ = false;
+  bool has_sound_ = false;
   std::map<base::OrganisationName, std::int64_t> urgent_needs_;
 };
 
--- a/src/dispatch/internal/worker_conduct.h
+++ b/src/dispatch/internal/worker_conduct.h
@@ -17,6 +17,12 @@
   int failures = 3;
   /// Of so many jobs at least: a job that can never be done fails anywhere.
   std::size_t jobs = 2;
+  /// For so long after a failure, unless a task ends well there in between, a
+  /// worker is doubted. A worker that fails all it starts does so for some
+  /// 6 s, within 0.1 s of each start, so one failure is enough to send what
+  /// has other places elsewhere: jobs whose two attempts fell on two such
+  /// workers were most of those never served on days with such workers.
+  base::Duration doubted_for{8'000};
   /// A worker that fails all it starts does so for some 6 s; then it gets work
   /// on trial.
   placement::WorkerQuarantine::Options quarantine{0.2, base::Duration(4'000),
@@ -36,6 +42,9 @@
   bool OnEnded(const base::WorkerName& worker, const base::JobName& job,
                EndKind kind, std::size_t fleet_size, base::TimePoint now);
 
+  /// Whether the worker has lately failed a task and ended none well since.
+  bool IsDoubted(const base::WorkerName& worker, base::TimePoint now) const;
+
   /// Puts a worker out for another reason. False when it is out, or too many
   /// are.
   bool PutOut(const base::WorkerName& worker, std::size_t fleet_size,
@@ -61,6 +70,8 @@
   const WorkerConductOptions options_;
   placement::WorkerQuarantine quarantine_;
   std::map<base::WorkerName, Record> records_;
+  /// When each worker last failed a task, until one ends well there.
+  std::map<base::WorkerName, base::TimePoint> failed_at_;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -103,6 +103,7 @@
                      worker.session->IsReached() &&
                      !worker.session->entry().is_draining &&
                      worker.closed_until <= now && !conduct_.IsOut(name);
+    place->is_doubted = conduct_.IsDoubted(name, now);
   }
 }
 
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -46,6 +46,7 @@
   for (const auto& [name, worker] : fleet.workers()) {
     if (!worker.is_open || !IsAllowed(worker, *request.step)) continue;
     if (request.avoid != nullptr && request.avoid->contains(name)) continue;
+    if (request.avoids_doubted && worker.is_doubted) continue;
     const auto room = RoomOf(worker, request);
     const int left = TasksLeft(worker, request);
     if (left <= 0 || !room.Holds(needs)) continue;
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -23,6 +23,8 @@
   const std::map<base::WorkerName, jobs::Room>* could_free = nullptr;
   /// Workers that are not to be taken; null for none.
   const std::set<base::WorkerName>* avoid = nullptr;
+  /// Whether workers that lately failed a task are left out.
+  bool avoids_doubted = false;
   /// Whether a rack other than the wanted one will do.
   bool accepts_slow = false;
 };
--- a/src/dispatch/reclaim.cc
+++ b/src/dispatch/reclaim.cc
@@ -30,6 +30,8 @@
   const auto& step = *run.step;
   for (const auto& [name, worker] : fleet.workers()) {
     if (!worker.is_open || (rack && worker.rack != *rack)) continue;
+    // Nothing is stopped for a place where the unit may well fail.
+    if (worker.is_doubted) continue;
     const auto& label = step.required_label;
     if (!label.empty() && !worker.HasLabel(label)) continue;
     int left = run.TasksPerUnit();
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -40,6 +40,13 @@
   return std::chrono::duration<double>(time).count();
 }
 
+/// Whether one more failure of the unit is the end of its job.
+bool IsLastAttempt(const Unit& unit) {
+  const auto& run = *unit.step;
+  return !run.step->is_service &&
+         unit.failures + 1 >= run.job->job->max_attempts;
+}
+
 /// Core-seconds that a unit takes by its estimate.
 double WorkOf(const StepRun& run) {
   return CoresOf(*run.step) * run.TasksPerUnit() *
@@ -102,8 +109,12 @@
   peak_at_ = now;
   std::int64_t all = 0;
   free_ = 0;
+  has_doubted_ = false;
+  has_sound_ = false;
   for (const auto& [name, worker] : fleet_.workers()) {
     if (!worker.is_open) continue;
+    has_doubted_ = has_doubted_ || worker.is_doubted;
+    has_sound_ = has_sound_ || !worker.is_doubted;
     all += worker.capacity.accelerators;
     free_ += worker.Free().accelerators;
   }
@@ -214,15 +225,10 @@
     if (is_owed && waited >= options_.owed_slow_after) {
       request.accepts_slow = true;
     }
-    request.avoid = &unit.failed_on;
-    auto places = FindPlaces(fleet_, request);
-    request.avoid = nullptr;
-    if (!places && !unit.failed_on.empty()) {
-      places = FindPlaces(fleet_, request);
-    }
+    auto places = FindSoundPlaces(unit, request);
     if (!places && !request.accepts_slow && !CouldFit(run, now)) {
       request.accepts_slow = true;
-      places = FindPlaces(fleet_, request);
+      places = FindSoundPlaces(unit, request);
     }
     if (places) {
       book_.Plan(unit, *places, now);
@@ -230,10 +236,30 @@
       out.starts.push_back(&unit);
       continue;
     }
-    // What one task of the step does not get, its others do not get either.
     const bool may_reclaim = is_owed || (is_urgent && !is_late);
-    if (!may_reclaim || !TryReclaim(unit, is_owed, now, out)) return;
+    if (may_reclaim && TryReclaim(unit, is_owed, now, out)) continue;
+    // What one task of the step does not get, its others do not get either,
+    // unless it asks for more than they do.
+    if (!IsLastAttempt(unit)) return;
+  }
+}
+
+/// Places where the unit is not known to fail: not where it has failed, and not
+/// on doubted workers, unless it has attempts to spare and finds no others.
+std::optional<Places> TaskPlanner::FindSoundPlaces(const Unit& unit,
+                                                   PlaceRequest request) const {
+  request.avoid = &unit.failed_on;
+  request.avoids_doubted = true;
+  auto places = FindPlaces(fleet_, request);
+  if (places) return places;
+  // Where all are doubted, the job may be the cause as well as the worker.
+  if (has_doubted_ && (!IsLastAttempt(unit) || !has_sound_)) {
+    request.avoids_doubted = false;
+    places = FindPlaces(fleet_, request);
   }
+  if (places || unit.failed_on.empty()) return places;
+  request.avoid = nullptr;
+  return FindPlaces(fleet_, request);
 }
 
 /// What stopping a unit costs: the work since its last checkpoint, and more
--- a/src/dispatch/worker_conduct.cc
+++ b/src/dispatch/worker_conduct.cc
@@ -7,9 +7,11 @@
                             std::size_t fleet_size, base::TimePoint now) {
   if (kind == EndKind::kDone) {
     records_.erase(worker);
+    failed_at_.erase(worker);
     return false;
   }
   if (kind != EndKind::kFailed) return false;
+  failed_at_[worker] = now;
   auto& record = records_[worker];
   ++record.failures;
   record.jobs.insert(job);
@@ -20,8 +22,15 @@
   return quarantine_.Add(worker, fleet_size, now);
 }
 
+bool WorkerConduct::IsDoubted(const base::WorkerName& worker,
+                              base::TimePoint now) const {
+  const auto it = failed_at_.find(worker);
+  return it != failed_at_.end() && now - it->second < options_.doubted_for;
+}
+
 void WorkerConduct::Forget(const base::WorkerName& worker) {
   records_.erase(worker);
+  failed_at_.erase(worker);
   quarantine_.Remove(worker);
 }
 
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -1,6 +1,8 @@
 #include "dispatch/internal/task_planner.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 namespace lapishatch::dispatch::internal {
 namespace {
@@ -75,6 +77,90 @@
   CHECK(place.planner.Decide(place.now).starts.size() == 1);
 }
 
+/// Adds a job of `tasks` single tasks, each of a whole worker, that may run
+/// `attempts` times.
+JobEntry& AddTasks(Place& place, const char* name, int tasks, int attempts) {
+  jobs::Job job;
+  job.name = base::JobName(name);
+  job.priority = 2;
+  job.max_attempts = attempts;
+  jobs::Step step;
+  step.tasks = tasks;
+  step.needs = {1'000, 1'000, 8};
+  step.estimate = Duration(4'000);
+  job.steps.push_back(step);
+  return *place.book.Add(std::make_shared<const jobs::Job>(job), nullptr,
+                         store::kAbsent, Duration(0), place.now);
+}
+
+/// Workers on which the units of a decision are started.
+std::set<std::string> WorkersOf(const PlannerDecisions& decisions) {
+  std::set<std::string> out;
+  for (const auto* it : decisions.starts) {
+    out.insert(it->members.front().worker.str());
+  }
+  return out;
+}
+
+TEST_CASE("doubted workers are taken last, and never for a last attempt") {
+  Place place;
+  place.OpenAll();
+  place.fleet.Find(base::WorkerName("a0"))->is_doubted = true;
+  place.fleet.Find(base::WorkerName("a1"))->is_doubted = true;
+  AddTasks(place, "first", 1, 2);
+  CHECK(WorkersOf(place.planner.Decide(place.now)) ==
+        std::set<std::string>{"b0"});
+  // Only one of two tasks without a failure to spare finds a sound worker.
+  auto& last = AddTasks(place, "last", 2, 1);
+  CHECK(WorkersOf(place.planner.Decide(place.now)) ==
+        std::set<std::string>{"b1"});
+  AddTasks(place, "other", 1, 2);
+  CHECK(WorkersOf(place.planner.Decide(place.now)) ==
+        std::set<std::string>{"a0"});
+  place.fleet.Find(base::WorkerName("a1"))->is_doubted = false;
+  CHECK(WorkersOf(place.planner.Decide(place.now)) ==
+        std::set<std::string>{"a1"});
+  CHECK(last.runs.front().front().units.back().last_run == 1);
+}
+
+TEST_CASE("a failed task with one attempt left spares no doubted worker") {
+  Place place;
+  place.OpenAll();
+  auto& job = AddTasks(place, "job", 1, 2);
+  auto& unit = job.runs.front().front().units.front();
+  REQUIRE(place.planner.Decide(place.now).starts.size() == 1);
+  const auto first = unit.members.front().worker;
+  place.book.OnEnded(unit, 0, EndKind::kFailed, "", place.now);
+  // It failed on one worker; all others but one have failed another task.
+  for (auto& [name, worker] : place.fleet.workers()) {
+    worker.is_doubted = name.str() != "b1";
+  }
+  CHECK(WorkersOf(place.planner.Decide(place.now)) ==
+        std::set<std::string>{"b1"});
+  CHECK(unit.members.front().worker != first);
+}
+
+TEST_CASE("nothing is stopped for a place on a doubted worker") {
+  Place place;
+  place.OpenAll();
+  AddTasks(place, "quiet", 4, 2);
+  REQUIRE(place.planner.Decide(place.now).starts.size() == 4);
+  for (auto& [name, worker] : place.fleet.workers()) worker.is_doubted = true;
+  jobs::Job urgent;
+  urgent.name = base::JobName("urgent");
+  urgent.slack_factor = 3;
+  urgent.max_attempts = 3;
+  jobs::Step step;
+  step.needs = {1'000, 1'000, 8};
+  step.estimate = Duration(4'000);
+  urgent.steps.push_back(step);
+  place.book.Add(std::make_shared<const jobs::Job>(urgent), nullptr,
+                 store::kAbsent, Duration(0), place.now);
+  CHECK(place.planner.Decide(place.now).displaced.empty());
+  place.fleet.Find(base::WorkerName("b0"))->is_doubted = false;
+  CHECK(place.planner.Decide(place.now).displaced.size() == 1);
+}
+
 TEST_CASE("what it costs to make room is told with each displaced unit") {
   Place place;
   place.OpenAll();
--- a/test/dispatch/worker_conduct_test.cc
+++ b/test/dispatch/worker_conduct_test.cc
@@ -38,6 +38,20 @@
   CHECK_FALSE(conduct.IsOut(kWorker));
 }
 
+TEST_CASE(
+    "one failure makes a worker doubted for a time, or until a good end") {
+  WorkerConduct conduct({});
+  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow));
+  Fail(conduct, "a");
+  CHECK(conduct.IsDoubted(kWorker, kNow));
+  CHECK(conduct.IsDoubted(kWorker, kNow + base::Duration(7'900)));
+  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow + base::Duration(8'000)));
+  conduct.OnEnded(kWorker, base::JobName("b"), EndKind::kStopped, kFleet, kNow);
+  CHECK(conduct.IsDoubted(kWorker, kNow));
+  conduct.OnEnded(kWorker, base::JobName("c"), EndKind::kDone, kFleet, kNow);
+  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow));
+}
+
 TEST_CASE("no more than a fifth of the workers are out at once") {
   WorkerConduct conduct({});
   int out = 0;
