Start what only its rack keeps out while most of the room is free

Change: waiting counts from acceptance, or from an occurrence's time, over all owners; with over half of the accelerators free, a unit that would fit off its rack displaces quiet work on it after 1.5 s and is spread after 2.5 s.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -30,6 +30,12 @@
   /// The same for urgent work that is owed its place, which must begin within
   /// 2.9 s of its acceptance.
   base::Duration owed_slow_after{900};
+  /// While over half of the accelerators are free, a unit that waits so long
+  /// for its rack takes it from what is not urgent there, or is started
+  /// elsewhere: callers count a job as lost that has nothing running for 3 s
+  /// with room for it twice over. A gang of nine whole workers had waited 43 s,
+  /// since the workers of every rack were scattered with small tasks.
+  base::Duration kept_out_after{1'500};
   /// Estimates are up to half off: a job counts as late only when this share of
   /// what is left of its chain does not fit before its objective.
   double sure_share = 0.7;
@@ -88,8 +94,10 @@
  private:
   void StartClaimed(base::TimePoint now, PlannerDecisions& out);
   void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
-  std::optional<Places> FindSoundPlaces(const Unit& unit,
-                                        PlaceRequest request) const;
+  std::optional<Places> FindSoundPlaces(const Unit& unit, PlaceRequest request,
+                                        bool is_kept_out) const;
+  bool FitsOffRack(const Unit& unit, PlaceRequest request,
+                   bool is_kept_out) const;
   bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
                   PlannerDecisions& out);
   bool CouldFit(StepRun& run, base::TimePoint now) const;
@@ -112,6 +120,7 @@
   /// Of the present call.
   std::int64_t kept_ = 0;
   std::int64_t free_ = 0;
+  bool is_half_free_ = false;
   bool has_doubted_ = false;
   bool has_sound_ = false;
   std::map<base::OrganisationName, std::int64_t> urgent_needs_;
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -65,7 +65,8 @@
         auto& unit = run.units.emplace_back();
         unit.step = &run;
         unit.first_index = n;
-        unit.waiting_since = now;
+        // Of a new owner too: what waited under the last one has waited.
+        unit.waiting_since = job.accepted;
       }
       if (job.job->schedule.times > 0) {
         run.due_ms =
@@ -308,8 +309,8 @@
     auto& run = *not_due_.begin()->second;
     not_due_.erase(not_due_.begin());
     run.is_due = true;
-    run.ready_since = now;
-    for (auto& it : run.units) it.waiting_since = now;
+    run.ready_since = now - base::Duration(unix_ms - run.due_ms);
+    for (auto& it : run.units) it.waiting_since = run.ready_since;
     UpdateReady(run);
   }
 }
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -27,6 +27,10 @@
   return out;
 }
 
+/// A displaced unit's place is free within so long: the users' workers stop a
+/// task within 0.4 s and list its end at the next renewal.
+constexpr base::Duration kDisplacedWithin{1'000};
+
 /// An accelerator weighs as much as so many cores, as the users reckon work.
 constexpr double kCoresPerAccelerator = 8;
 
@@ -121,6 +125,7 @@
   const auto most = options_.most_kept * static_cast<double>(all);
   const auto wanted = urgent_peak_ - static_cast<double>(urgent);
   kept_ = static_cast<std::int64_t>(std::min(most, wanted));
+  is_half_free_ = 2 * free_ > all;
 }
 
 /// Whether one more unit of a step would take room that is kept.
@@ -215,8 +220,9 @@
   const bool is_late = OutlookOf(run, now) != Outlook::kInTime;
   for (auto& unit : run.units) {
     if (unit.phase != UnitPhase::kWaiting || !unit.claim.empty()) continue;
-    if (MustLeaveRoom(run, now)) return;
     const auto waited = now - unit.waiting_since;
+    const bool is_kept_out = is_half_free_ && waited >= options_.kept_out_after;
+    if (!is_kept_out && MustLeaveRoom(run, now)) return;
     const auto patience = base::Duration(static_cast<std::int64_t>(
         options_.slow_place_after *
         static_cast<double>(run.step->estimate.count())));
@@ -225,10 +231,13 @@
     if (is_owed && waited >= options_.owed_slow_after) {
       request.accepts_slow = true;
     }
-    auto places = FindSoundPlaces(unit, request);
+    const bool was_kept_out =
+        is_half_free_ && waited >= options_.kept_out_after + kDisplacedWithin;
+    if (was_kept_out) request.accepts_slow = true;
+    auto places = FindSoundPlaces(unit, request, is_kept_out);
     if (!places && !request.accepts_slow && !CouldFit(run, now)) {
       request.accepts_slow = true;
-      places = FindSoundPlaces(unit, request);
+      places = FindSoundPlaces(unit, request, is_kept_out);
     }
     if (places) {
       book_.Plan(unit, *places, now);
@@ -236,7 +245,11 @@
       out.starts.push_back(&unit);
       continue;
     }
-    const bool may_reclaim = is_owed || (is_urgent && !is_late);
+    // With so much room, whatever is stopped for its rack finds another place.
+    const bool is_off_rack_only =
+        is_kept_out && FitsOffRack(unit, request, is_kept_out);
+    const bool may_reclaim =
+        is_owed || (is_urgent && !is_late) || is_off_rack_only;
     if (may_reclaim && TryReclaim(unit, is_owed, now, out)) continue;
     // What one task of the step does not get, its others do not get either,
     // unless it asks for more than they do.
@@ -245,15 +258,18 @@
 }
 
 /// Places where the unit is not known to fail: not where it has failed, and not
-/// on doubted workers, unless it has attempts to spare and finds no others.
+/// on doubted workers, unless it has attempts to spare or has waited long
+/// (`is_kept_out`), and finds no others.
 std::optional<Places> TaskPlanner::FindSoundPlaces(const Unit& unit,
-                                                   PlaceRequest request) const {
+                                                   PlaceRequest request,
+                                                   bool is_kept_out) const {
   request.avoid = &unit.failed_on;
   request.avoids_doubted = true;
   auto places = FindPlaces(fleet_, request);
   if (places) return places;
   // Where all are doubted, the job may be the cause as well as the worker.
-  if (has_doubted_ && (!IsLastAttempt(unit) || !has_sound_)) {
+  const bool may_risk = !IsLastAttempt(unit) || !has_sound_ || is_kept_out;
+  if (has_doubted_ && may_risk) {
     request.avoids_doubted = false;
     places = FindPlaces(fleet_, request);
   }
@@ -262,6 +278,14 @@
   return FindPlaces(fleet_, request);
 }
 
+/// Whether only its wish for a rack keeps the unit from starting.
+bool TaskPlanner::FitsOffRack(const Unit& unit, PlaceRequest request,
+                              bool is_kept_out) const {
+  if (request.accepts_slow) return false;
+  request.accepts_slow = true;
+  return FindSoundPlaces(unit, request, is_kept_out).has_value();
+}
+
 /// What stopping a unit costs: the work since its last checkpoint, and more
 /// where its job would then be late or it was started again before.
 double TaskPlanner::CostOf(const Unit& victim, base::TimePoint now) const {
