--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,6 +5,7 @@
 /// VM list behind narrow interfaces, their HTTP implementations, and what makes
 /// the table cheap and safe to use: group commit and reading back.
 
+#include "store/commit_patience.h"
 #include "store/feed_follower.h"
 #include "store/group_commit.h"
 #include "store/http_platform.h"
--- a/src/store/store_health.cc
+++ b/src/store/store_health.cc
@@ -13,7 +13,10 @@
 class MonitoredStore::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(base::EventLoop& loop, RowStore& store, StoreHealthOptions options)
-      : loop_(loop), store_(store), options_(options) {}
+      : loop_(loop),
+        store_(store),
+        options_(options),
+        patience_(options.patience) {}
 
   void Start() {
     answered_at_ = loop_.Now();
@@ -43,9 +46,72 @@
     };
   }
 
+  void Commit(RowTransaction transaction,
+              std::function<void(RowsResult)> done) {
+    auto call = std::make_shared<OpenCommit>();
+    call->sent = loop_.Now();
+    call->done = std::move(done);
+    store_.Commit(std::move(transaction),
+                  [weak = weak_from_this(), call](RowsResult result) {
+                    const auto self = weak.lock();
+                    if (self) self->OnCommitted(result, call->sent);
+                    call->Answer(std::move(result));
+                  });
+    WaitFor(call, patience_.Timeout());
+  }
+
+  void Read(RowRange range, std::function<void(RowsReadResult)> done) {
+    store_.Read(std::move(range),
+                [weak = weak_from_this(), sent = loop_.Now(),
+                 done = std::move(done)](RowsReadResult result) {
+                  const auto self = weak.lock();
+                  if (self) self->OnRead(result, sent);
+                  done(std::move(result));
+                });
+  }
+
   RowStore& store() { return store_; }
 
  private:
+  /// A transaction whose caller has no answer yet.
+  struct OpenCommit {
+    base::TimePoint sent;
+    std::function<void(RowsResult)> done;
+
+    void Answer(RowsResult result) {
+      if (done) std::exchange(done, nullptr)(std::move(result));
+    }
+  };
+
+  void WaitFor(const std::shared_ptr<OpenCommit>& call, base::Duration wait) {
+    loop_.After(wait, [weak = weak_from_this(), call] {
+      if (const auto self = weak.lock()) self->CheckOpen(call);
+    });
+  }
+
+  /// The store may have been seen to be slow since the call was sent.
+  void CheckOpen(const std::shared_ptr<OpenCommit>& call) {
+    if (!call->done) return;
+    const auto left = call->sent + patience_.Timeout() - loop_.Now();
+    if (left > base::Duration(0)) return WaitFor(call, left);
+    call->Answer(UnknownOutcome{"no answer in time"});
+  }
+
+  void OnCommitted(const RowsResult& result, base::TimePoint sent) {
+    if (std::holds_alternative<RowsCommitted>(result) ||
+        std::holds_alternative<RowsConflict>(result)) {
+      patience_.OnCommit(loop_.Now() - sent);
+    }
+    Note(result, sent);
+  }
+
+  void OnRead(const RowsReadResult& result, base::TimePoint sent) {
+    if (std::holds_alternative<RowsRead>(result)) {
+      patience_.OnRead(loop_.Now() - sent);
+    }
+    Note(result, sent);
+  }
+
   void Watch() {
     const bool is_out = IsOut();
     if (is_out != was_out_) {
@@ -54,8 +120,7 @@
                 {{"silent_ms", (loop_.Now() - answered_at_).count()}});
     }
     if (loop_.Now() - answered_at_ < options_.probe_after) return;
-    store_.Read({kProbeTable, "", "", "", 1},
-                Noting<RowsReadResult>([](const RowsReadResult&) {}));
+    Read({kProbeTable, "", "", "", 1}, [](const RowsReadResult&) {});
   }
 
   void Note(const RowsResult& result, base::TimePoint sent) {
@@ -86,6 +151,7 @@
   base::EventLoop& loop_;
   RowStore& store_;
   const StoreHealthOptions options_;
+  CommitPatience patience_;
   base::TimePoint answered_at_{};
   bool is_refused_ = false;
   bool was_out_ = false;
@@ -103,14 +169,12 @@
 
 void MonitoredStore::Commit(RowTransaction transaction,
                             std::function<void(RowsResult)> done) {
-  impl_->store().Commit(std::move(transaction),
-                        impl_->Noting<RowsResult>(std::move(done)));
+  impl_->Commit(std::move(transaction), std::move(done));
 }
 
 void MonitoredStore::Read(RowRange range,
                           std::function<void(RowsReadResult)> done) {
-  impl_->store().Read(std::move(range),
-                      impl_->Noting<RowsReadResult>(std::move(done)));
+  impl_->Read(std::move(range), std::move(done));
 }
 
 void MonitoredStore::Parts(std::string table,
--- a/src/store/store_health.h
+++ b/src/store/store_health.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "store/commit_patience.h"
 #include "store/row_store.h"
 
 namespace lapishatch::store {
@@ -19,11 +20,14 @@
   base::Duration out_after{1'200};
   /// The same when calls are refused or broken off rather than unanswered.
   base::Duration refused_after{300};
+  CommitPatienceOptions patience;
 };
 
-/// A store that keeps count of whether it answers. While nothing else is asked
-/// of it, it is probed by a read of one row, so that who must refuse without it
-/// knows so before a caller waits.
+/// A store that keeps count of whether it answers, and how fast. While nothing
+/// else is asked of it, it is probed by a read of one row, so that who must
+/// refuse without it knows so before a caller waits. A transaction without an
+/// answer is given up, as of unknown outcome, when it takes longer than the
+/// store's present pace explains; the store below must wait at least so long.
 class MonitoredStore final : public RowStore {
  public:
   MonitoredStore(base::EventLoop& loop, RowStore& store,
