--- a/src/dispatch/service_owner.cc
+++ b/src/dispatch/service_owner.cc
@@ -23,7 +23,10 @@
   void Start() { lease_.Start(); }
 
   void PutWorker(const WorkerEntry& entry) {
-    if (entry.service != service_) return;
+    if (entry.service != service_) {
+      if (workers_.contains(entry.name)) RemoveWorker(entry.name);
+      return;
+    }
     workers_[entry.name] = entry;
     if (owned_) owned_->PutWorker(entry);
   }
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -76,7 +76,7 @@
   void Start();
 
   /// A worker has registered or changed; workers of other services are passed
-  /// over.
+  /// over, and one that has become such is removed.
   void PutWorker(const WorkerEntry& entry);
 
   /// A worker's registration is gone. What runs there is over only when its
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -305,6 +305,18 @@
   CHECK(world.workers().starts(TaskOf("plan", 0)) == 1);
 }
 
+TEST_CASE("a worker whose entry names another service gets nothing more") {
+  OwnerWorld world(1, 1);
+  world.RunFor(1'000);
+  WorkerEntry entry;
+  entry.name = OwnerWorld::WorkerCalled(0);
+  entry.service = base::ServiceName("another");
+  world.owner("vm0").PutWorker(entry);
+  world.Submit(OwnerWorld::MakeJob("plan", 1, 1));
+  world.RunFor(3'000);
+  CHECK(world.workers().starts(TaskOf("plan", 0)) == 0);
+}
+
 TEST_CASE("a worker that is not registered yet counts what is recorded there") {
   // All processes restart while a worker is missing from the list; when it is
   // back, its size must not seem to have grown by what ran there.
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -125,6 +125,51 @@
       RunnerRow(R"({"capacity":{"cpu":1},"service":"s","address":"x"})")));
 }
 
+TEST_CASE("an entry with one field of another kind is no worker") {
+  const std::string good =
+      R"({"service":"s","address":"10.1.0.9:8080","zone":"north",)"
+      R"("state":"ready","labels":["a","r1-3"],)"
+      R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":4}})";
+  REQUIRE(DecodeWorkerEntry(RunnerRow(good)));
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("ready")", R"("resting")"},
+      {R"("ready")", "7"},
+      {R"("service":"s")", R"("service":{})"},
+      {R"("zone":"north",)", ""},
+      {"10.1.0.9:8080", "10.1.0.9:73616"},
+      {"10.1.0.9:8080", "10.1.0.9:0"},
+      {"10.1.0.9:8080", "10.1.0:8080"},
+      {"10.1.0.9:8080", "somewhere:8080"},
+      {R"("a","r1-3")", R"("a",3)"},
+      {"16000", R"("16000")"},
+      {"16000", "-1"},
+      {"32768", "1e40"},
+      {R"(,"gpu":4)", ""},
+      {R"("ready")", R"("ready","remaining-ms":"soon")"},
+      {R"("ready")", "\"re\xff\xfe\""},
+  };
+  for (const auto& [from, to] : changes) {
+    auto text = good;
+    text.replace(text.find(from), from.size(), to);
+    INFO(text);
+    CHECK_FALSE(DecodeWorkerEntry(RunnerRow(text)));
+  }
+}
+
+TEST_CASE("a row that cannot be read hides no other") {
+  const auto rows = DecodeRows(R"({"rows":[
+    {"table":"servers","key":"a","row-version":3,"value":"%%%"},
+    {"table":"servers","key":7,"row-version":4,"value":"e30="},
+    {"table":"servers","key":"c","row-version":5,"value":17},
+    {"table":"servers","key":"d","row-version":6,"value":"e30="}]})");
+  REQUIRE(rows.size() == 3);
+  CHECK(rows[0].address.key == "a");
+  CHECK(rows[0].value.empty());
+  CHECK(rows[1].value.empty());
+  CHECK(rows[2].address.key == "d");
+  CHECK(rows[2].value == "{}");
+}
+
 TEST_CASE("routes become queues and tenants organisations") {
   const auto read = DecodeQueues(R"({"version":7,"routes":[{"name":"r-1",
     "host":"h.example","prefix":"/a/","priority":2,"service":"s",
