Note the store's answers in one place; build planner tests' jobs in one place

MonitoredStore had a second path for transactions and reads beside Noting: the pace is now noted where an answer is.

--- a/src/store/store_health.cc
+++ b/src/store/store_health.cc
@@ -52,24 +52,12 @@
     call->sent = loop_.Now();
     call->done = std::move(done);
     store_.Commit(std::move(transaction),
-                  [weak = weak_from_this(), call](RowsResult result) {
-                    const auto self = weak.lock();
-                    if (self) self->OnCommitted(result, call->sent);
+                  Noting<RowsResult>([call](RowsResult result) {
                     call->Answer(std::move(result));
-                  });
+                  }));
     WaitFor(call, patience_.Timeout());
   }
 
-  void Read(RowRange range, std::function<void(RowsReadResult)> done) {
-    store_.Read(std::move(range),
-                [weak = weak_from_this(), sent = loop_.Now(),
-                 done = std::move(done)](RowsReadResult result) {
-                  const auto self = weak.lock();
-                  if (self) self->OnRead(result, sent);
-                  done(std::move(result));
-                });
-  }
-
   RowStore& store() { return store_; }
 
  private:
@@ -97,21 +85,6 @@
     call->Answer(UnknownOutcome{"no answer in time"});
   }
 
-  void OnCommitted(const RowsResult& result, base::TimePoint sent) {
-    if (std::holds_alternative<RowsCommitted>(result) ||
-        std::holds_alternative<RowsConflict>(result)) {
-      patience_.OnCommit(loop_.Now() - sent);
-    }
-    Note(result, sent);
-  }
-
-  void OnRead(const RowsReadResult& result, base::TimePoint sent) {
-    if (std::holds_alternative<RowsRead>(result)) {
-      patience_.OnRead(loop_.Now() - sent);
-    }
-    Note(result, sent);
-  }
-
   void Watch() {
     const bool is_out = IsOut();
     if (is_out != was_out_) {
@@ -120,17 +93,25 @@
                 {{"silent_ms", (loop_.Now() - answered_at_).count()}});
     }
     if (loop_.Now() - answered_at_ < options_.probe_after) return;
-    Read({kProbeTable, "", "", "", 1}, [](const RowsReadResult&) {});
+    store_.Read({kProbeTable, "", "", "", 1},
+                Noting<RowsReadResult>([](const RowsReadResult&) {}));
   }
 
   void Note(const RowsResult& result, base::TimePoint sent) {
     if (std::holds_alternative<RowsCommitted>(result) ||
         std::holds_alternative<RowsConflict>(result)) {
+      patience_.OnCommit(loop_.Now() - sent);
       return NoteAnswer();
     }
     NoteFailure(sent);
   }
 
+  void Note(const RowsReadResult& result, base::TimePoint sent) {
+    if (std::holds_alternative<ReadFailed>(result)) return NoteFailure(sent);
+    patience_.OnRead(loop_.Now() - sent);
+    NoteAnswer();
+  }
+
   template <typename Result>
   void Note(const Result& result, base::TimePoint sent) {
     if (std::holds_alternative<ReadFailed>(result)) return NoteFailure(sent);
@@ -174,7 +155,8 @@
 
 void MonitoredStore::Read(RowRange range,
                           std::function<void(RowsReadResult)> done) {
-  impl_->Read(std::move(range), std::move(done));
+  impl_->store().Read(std::move(range),
+                      impl_->Noting<RowsReadResult>(std::move(done)));
 }
 
 void MonitoredStore::Parts(std::string table,
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -9,6 +9,15 @@
 
 using base::Duration;
 
+/// A step of `tasks` tasks of a whole worker each.
+jobs::Step WholeWorkers(int tasks) {
+  jobs::Step out;
+  out.tasks = tasks;
+  out.needs = {1'000, 1'000, 8};
+  out.estimate = Duration(4'000);
+  return out;
+}
+
 /// Four workers of eight accelerators on two racks, and jobs on them.
 struct Place {
   Fleet fleet;
@@ -36,36 +45,31 @@
 
   /// A gang of two whole workers that wants one rack.
   Unit& AddRackGang(const char* name, Duration age = Duration(0)) {
-    jobs::Job job;
-    job.name = base::JobName(name);
-    job.priority = 1;
-    jobs::Step step;
-    step.tasks = 2;
+    auto step = WholeWorkers(2);
     step.is_gang = true;
     step.wants_one_rack = true;
-    step.needs = {1'000, 1'000, 8};
-    step.estimate = Duration(4'000);
+    auto& entry = Add(name, 1, 1, step, age);
+    return entry.runs.front().front().units.front();
+  }
+
+  JobEntry& Add(const char* name, int priority, int attempts,
+                const jobs::Step& step, Duration age = Duration(0)) {
+    jobs::Job job;
+    job.name = base::JobName(name);
+    job.priority = priority;
+    job.max_attempts = attempts;
+    // Time to spare for urgent jobs, so that they may displace others.
+    if (priority == 0) job.slack_factor = 3;
     job.steps.push_back(step);
-    auto* entry = book.Add(std::make_shared<const jobs::Job>(job), nullptr,
-                           store::kAbsent, age, now);
-    return entry->runs.front().front().units.front();
+    return *book.Add(std::make_shared<const jobs::Job>(job), nullptr,
+                     store::kAbsent, age, now);
   }
 };
 
 /// Adds a job of `tasks` single tasks, each of a whole worker, that may run
 /// `attempts` times.
 JobEntry& AddTasks(Place& place, const char* name, int tasks, int attempts) {
-  jobs::Job job;
-  job.name = base::JobName(name);
-  job.priority = 2;
-  job.max_attempts = attempts;
-  jobs::Step step;
-  step.tasks = tasks;
-  step.needs = {1'000, 1'000, 8};
-  step.estimate = Duration(4'000);
-  job.steps.push_back(step);
-  return *place.book.Add(std::make_shared<const jobs::Job>(job), nullptr,
-                         store::kAbsent, Duration(0), place.now);
+  return place.Add(name, 2, attempts, WholeWorkers(tasks));
 }
 
 /// Workers on which the units of a decision are started.
@@ -185,16 +189,7 @@
   AddTasks(place, "quiet", 4, 2);
   REQUIRE(place.planner.Decide(place.now).starts.size() == 4);
   for (auto& [name, worker] : place.fleet.workers()) worker.is_doubted = true;
-  jobs::Job urgent;
-  urgent.name = base::JobName("urgent");
-  urgent.slack_factor = 3;
-  urgent.max_attempts = 3;
-  jobs::Step step;
-  step.needs = {1'000, 1'000, 8};
-  step.estimate = Duration(4'000);
-  urgent.steps.push_back(step);
-  place.book.Add(std::make_shared<const jobs::Job>(urgent), nullptr,
-                 store::kAbsent, Duration(0), place.now);
+  place.Add("urgent", 0, 3, WholeWorkers(1));
   CHECK(place.planner.Decide(place.now).displaced.empty());
   place.fleet.Find(base::WorkerName("b0"))->is_doubted = false;
   CHECK(place.planner.Decide(place.now).displaced.size() == 1);
@@ -207,16 +202,7 @@
   place.AddRackGang("quiet2");
   CHECK(place.planner.Decide(place.now).starts.size() == 2);
   place.now += Duration(500);
-  jobs::Job urgent;
-  urgent.name = base::JobName("urgent");
-  urgent.priority = 0;
-  urgent.slack_factor = 3;
-  jobs::Step step;
-  step.needs = {1'000, 1'000, 8};
-  step.estimate = Duration(4'000);
-  urgent.steps.push_back(step);
-  place.book.Add(std::make_shared<const jobs::Job>(urgent), nullptr,
-                 store::kAbsent, Duration(0), place.now);
+  place.Add("urgent", 0, 1, WholeWorkers(1));
   const auto decisions = place.planner.Decide(place.now);
   CHECK(decisions.starts.empty());
   REQUIRE(decisions.displaced.size() == 1);
