--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -105,7 +105,7 @@
   std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
   std::vector<Victim> VictimsFor(const Unit& unit, bool is_owed,
                                  base::TimePoint now) const;
-  void UpdateKept(base::TimePoint now);
+  void TakeStock(base::TimePoint now);
   bool MustLeaveRoom(const StepRun& run, base::TimePoint now) const;
   double CostOf(const Unit& victim, base::TimePoint now) const;
   Outlook OutlookOf(const StepRun& run, base::TimePoint now) const;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -74,7 +74,7 @@
 PlannerDecisions TaskPlanner::Decide(base::TimePoint now) {
   PlannerDecisions out;
   urgent_needs_ = UrgentNeeds();
-  UpdateKept(now);
+  TakeStock(now);
   StartClaimed(now, out);
   std::vector<StepRun*> ready(book_.ready().begin(), book_.ready().end());
   // Work that can be in time goes before work that cannot, urgent work before
@@ -97,10 +97,11 @@
   return out;
 }
 
-/// Takes stock of the accelerators that are free and that are kept for urgent
-/// work, which comes in bursts: without it each burst stops the quiet work that
-/// has just begun in the room of the last one.
-void TaskPlanner::UpdateKept(base::TimePoint now) {
+/// Takes stock of the open workers: accelerators that are free, whether any
+/// worker is doubted or sound, and what is kept for urgent work, which comes in
+/// bursts: without it each burst stops the quiet work that has just begun in
+/// the room of the last one.
+void TaskPlanner::TakeStock(base::TimePoint now) {
   std::int64_t urgent = 0;
   for (const auto* it : book_.active()) {
     if (it->step->job->job->priority != kUrgentPriority) continue;
@@ -231,9 +232,9 @@
     if (is_owed && waited >= options_.owed_slow_after) {
       request.accepts_slow = true;
     }
-    const bool was_kept_out =
+    const bool gives_up_rack =
         is_half_free_ && waited >= options_.kept_out_after + kDisplacedWithin;
-    if (was_kept_out) request.accepts_slow = true;
+    if (gives_up_rack) request.accepts_slow = true;
     auto places = FindSoundPlaces(unit, request, is_kept_out);
     if (!places && !request.accepts_slow && !CouldFit(run, now)) {
       request.accepts_slow = true;
