Look for an answer once more when a deadline passes in a loop that fell behind

Cause: timers run before sockets are looked at. A process whose loop stood for longer than a call's time-out gave the call up though its answer lay in the socket, closed the connection and had the order sent again. The new test blocks the loop past the deadline with the answer there; it fails without the change. After a deadline the loop looks at its sockets once (1 ms) before the call is given up.

--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -31,6 +31,9 @@
 constexpr std::size_t kKeptBufferBytes = 16 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
+/// Long enough for the loop to look at the sockets once.
+constexpr base::Duration kLastLook{1};
+
 enum class State { kConnecting, kBusy, kIdle, kClosed };
 
 bool NeedsLength(const Request& request) {
@@ -165,6 +168,7 @@
 
   void StartCall() {
     bytes_sent_ = 0;
+    is_last_look_ = false;
     deadline_.Set(call_->deadline);
     parser_.emplace();
     parser_->eager(true);
@@ -330,9 +334,20 @@
         timed_out_ = true;
         return Fail("no connection in time");
       case State::kBusy:
-        timed_out_ = true;
-        return FailWhenWritten("no answer in time");
+        return OnAnswerLate();
+    }
+  }
+
+  /// Timers run before sockets are looked at: when this process itself fell
+  /// behind, the answer may be here already, and giving up the call would have
+  /// its work done again.
+  void OnAnswerLate() {
+    if (!is_last_look_) {
+      is_last_look_ = true;
+      return deadline_.SetAfter(kLastLook);
     }
+    timed_out_ = true;
+    FailWhenWritten("no answer in time");
   }
 
   bool TakeSelf() {
@@ -398,6 +413,9 @@
   bool is_waiting_ = false;
   bool is_writing_ = false;
   bool timed_out_ = false;
+  /// Whether the deadline has passed and only input that came before it is
+  /// looked for.
+  bool is_last_look_ = false;
 };
 
 }  // namespace
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -128,6 +128,36 @@
   CHECK(it.client.busy(server.endpoint()) == 0);
 }
 
+TEST_CASE("an answer that came in time is taken by a loop that fell behind") {
+  std::atomic<bool> is_blocked{false};
+  std::atomic<bool> is_read{false};
+  std::atomic<bool> is_answered{false};
+  RawServer server([&](RawSocket& socket) {
+    socket.ReadTo("\r\n\r\n");
+    is_read = true;
+    if (!net::AwaitThat([&] { return is_blocked.load(); })) return;
+    socket.Send(Answer("in time"));
+    is_answered = true;
+    socket.ReadToEnd();
+  });
+  boost::asio::io_context io(1);
+  Client client(io, {});
+  std::optional<ClientResult> result;
+  const auto deadline = base::SteadyClock().Now() + kShort;
+  client.Send(server.endpoint(), {}, kShort,
+              [&result](ClientResult it) { result = std::move(it); });
+  while (!is_read && !result) io.poll();
+  REQUIRE(is_read);
+  // The loop looks at nothing until the answer is there and the deadline has
+  // passed.
+  is_blocked = true;
+  REQUIRE(net::AwaitThat(
+      [&] { return is_answered && base::SteadyClock().Now() > deadline; }));
+  while (!result) io.run_one();
+  REQUIRE(std::holds_alternative<Response>(*result));
+  CHECK(std::get<Response>(*result).body == "in time");
+}
+
 TEST_CASE("a peer that never takes the connection costs the connect time-out") {
   // A listener with a full queue drops further handshakes.
   boost::asio::io_context io;
