Let no lease at a worker outlive its owner's last renewal by more than 11 s

Change: renewals reach 11 s beyond the owner's last renewal of its row at most, where 13.9 s were possible; a successor waits 9.6 s. An outage of 9 s is still outlived. Both have tests; the second fails on the former code.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -28,8 +28,9 @@
 struct OwnerRights {
   /// Whether it certainly is the only owner.
   std::function<bool()> may_start;
-  /// Whether it may still renew leases at workers.
+  /// Whether it may still renew leases at workers, and for how long at most.
   std::function<bool()> may_renew;
+  std::function<base::Duration()> longest_lease;
   /// Another process owns the service.
   std::function<void(const std::string& reason)> on_lost;
 };
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -44,6 +44,8 @@
     std::function<void()> on_other_life;
     /// Asked before each call: whether this owner may still renew leases.
     std::function<bool()> may_renew;
+    /// Asked for each renewal: how long the lease may be.
+    std::function<base::Duration()> longest_lease;
   };
 
   WorkerSession(base::EventLoop& loop, WorkerPort& port, WorkerEntry entry,
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -85,6 +85,7 @@
     });
   };
   events.may_renew = rights_.may_renew;
+  events.longest_lease = rights_.longest_lease;
   auto& worker = workers_[name];
   worker.session = std::make_unique<WorkerSession>(
       ports_.loop, ports_.workers, entry, epoch_, SessionOptions{}, events);
@@ -299,15 +300,15 @@
 /// those that are not registered any more.
 void OwnedService::CheckLapsed() {
   const auto now = ports_.loop.Now();
-  // A former owner that is cut off may have renewed until `orphan_limit` after
-  // its last renewal of the row, which was at least the lease's length before
-  // the row was taken.
+  // The leases that a former owner has given reach `orphan_reach` beyond its
+  // last renewal of the row at most, which was at least the row's lease before
+  // it was taken; those of one that is gone were given before.
   const SessionOptions session;
-  const auto renewed_for = former_is_gone_
-                               ? base::Duration(0)
-                               : options_.orphan_limit - options_.lease.length;
-  const auto unheard =
-      renewed_for + session.lease + session.lease / 20 + session.clock_slack;
+  const auto reach = former_is_gone_
+                         ? session.lease
+                         : std::max(session.lease, options_.orphan_reach -
+                                                       options_.lease.length);
+  const auto unheard = reach + session.lease / 20 + session.clock_slack;
   std::vector<base::WorkerName> gone;
   for (auto& [name, worker] : workers_) {
     const auto& it = *worker.session;
--- a/src/dispatch/service_owner.cc
+++ b/src/dispatch/service_owner.cc
@@ -61,6 +61,7 @@
           return lease_.is_holder() &&
                  lease_.SinceRenewal() < options_.orphan_limit;
         },
+        [this] { return options_.orphan_reach - lease_.SinceRenewal(); },
         [this](const std::string& reason) { lease_.Drop(reason); }};
     owned_ = std::make_shared<internal::OwnedService>(
         ports_, service_, epoch, former_is_gone, options_, rights);
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -37,6 +37,9 @@
   /// successor waits as long before it starts elsewhere what was last on a
   /// worker that it does not reach. Outages last up to 9 s.
   base::Duration orphan_limit{8'000};
+  /// No lease at a worker reaches further beyond that renewal, so that the
+  /// successor's wait is no longer than an outage asks for.
+  base::Duration orphan_reach{11'000};
   /// Most time from a decision to its order at the worker: what a suspended
   /// process sends later is refused as late.
   base::Duration start_window{1'500};
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -30,7 +30,8 @@
     // A worker that did not answer is only asked, not renewed, until it does:
     // otherwise it could never be certain that its lease has run out.
     if (is_heard_ && is_reached_) {
-      order.expires = Clock() + options_.lease.count();
+      const auto lease = std::min(options_.lease, events_.longest_lease());
+      order.expires = Clock() + lease.count();
       NoteExpiry(*order.expires);
     }
     const auto sent = loop_.Now();
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -240,6 +240,45 @@
   CHECK(world.workers().starts(TaskOf("long", 0)) == 1);
 }
 
+TEST_CASE("what runs outlives an outage of nine seconds") {
+  OwnerWorld world(2, 2);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(30'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("map", 4, 1));
+  world.RunFor(1'000);
+  world.store().SetFaultForAll(StoreFault::kSilent);
+  world.RunFor(9'000);
+  world.store().SetFaultForAll(StoreFault::kNone);
+  world.RunFor(15'000);
+  CHECK(world.workers().starts(TaskOf("map", 0)) == 1);
+  CHECK(world.workers().running() == 4);
+}
+
+TEST_CASE("what was on a worker that left with its owner starts in 10 seconds") {
+  OwnerWorld world(2, 3);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return base::Duration(30'000);
+  };
+  world.RunFor(1'000);
+  world.Submit(OwnerWorld::MakeJob("map", 1, 1));
+  world.RunFor(1'000);
+  const auto worker = world.workers().WhereRuns(TaskOf("map", 0));
+  REQUIRE_FALSE(worker.empty());
+  // Its owner may be cut off and renew leases, for all that the next one knows.
+  const auto former = world.OwnerName();
+  world.store().SetFault(former, StoreFault::kSilent);
+  world.workers().Crash(worker);
+  world.Unlist(worker);
+  world.RunFor(2'500);
+  REQUIRE_FALSE(world.OwnerName().empty());
+  CHECK(world.workers().running() == 0);
+  world.RunFor(9'700);
+  CHECK(world.workers().running() == 1);
+  CHECK(world.workers().violations().empty());
+}
+
 TEST_CASE("a start that is carried out late runs nothing twice") {
   OwnerWorld world(2, 3);
   world.RunFor(1'000);
