Read a service's rows no faster than the link carries them

All parts were read at once, a megabyte that takes the link four seconds, and the lease's renewals waited behind it for longer than the lease. Change: ReadWindow reads eight parts at first, fewer when one takes clearly longer than the quickest, more while none does, so that a store that is slow for each is still read many parts at a time.

--- a/src/dispatch/service_loader.cc
+++ b/src/dispatch/service_loader.cc
@@ -1,8 +1,10 @@
 #include "dispatch/internal/service_loader.h"
 
+#include <deque>
 #include <utility>
 
 #include "dispatch/owner_lease.h"
+#include "store/read_window.h"
 
 namespace lapishatch::dispatch::internal {
 namespace {
@@ -58,7 +60,7 @@
                 const RowsResult& result) {
     if (const auto* committed = std::get_if<RowsCommitted>(&result)) {
       loaded_.fences[part] = committed->version;
-      return Read(part, "");
+      return Enqueue(part);
     }
     const auto* conflict = std::get_if<RowsConflict>(&result);
     if (conflict == nullptr) {
@@ -71,31 +73,50 @@
     if (other < epoch_) return Fence(part, row.version);
     // An earlier try without an answer was done after all.
     loaded_.fences[part] = row.version;
-    Read(part, "");
+    Enqueue(part);
+  }
+
+  /// A part that is fenced is read when its turn comes.
+  void Enqueue(std::size_t part) {
+    fenced_.push_back(part);
+    ReadNext();
+  }
+
+  void ReadNext() {
+    while (!fenced_.empty() && reading_ < window_.size()) {
+      ++reading_;
+      const auto part = fenced_.front();
+      fenced_.pop_front();
+      Read(part, "");
+    }
   }
 
   void Read(std::size_t part, const std::string& from) {
     store_.Read(
         {std::string(jobs::kProgressTable), parts_[part], from, "", kPageRows},
-        [weak = weak_from_this(), part, from](RowsReadResult result) {
+        [weak = weak_from_this(), part, from,
+         sent = loop_.Now()](RowsReadResult result) {
           const auto self = weak.lock();
-          if (self) self->OnPage(part, from, std::move(result));
+          if (self) self->OnPage(part, from, sent, std::move(result));
         });
   }
 
-  void OnPage(std::size_t part, const std::string& from,
+  void OnPage(std::size_t part, const std::string& from, base::TimePoint sent,
               RowsReadResult result) {
     auto* page = std::get_if<RowsRead>(&result);
     if (page == nullptr) {
       return Later([part, from](Impl& self) { self.Read(part, from); });
     }
+    window_.OnRead(loop_.Now() - sent);
     std::string last;
     for (auto& it : page->rows) {
       last = it.address.key;
       loaded_.progress[base::JobName(last)] = std::move(it);
     }
     if (page->has_more) return Read(part, store::KeyAfter(last));
-    if (--parts_left_ == 0) on_loaded_(std::move(loaded_));
+    --reading_;
+    if (--parts_left_ == 0) return on_loaded_(std::move(loaded_));
+    ReadNext();
   }
 
   template <typename Step>
@@ -112,6 +133,10 @@
   const std::function<void(LoadedService)> on_loaded_;
   const std::function<void(const std::string&)> on_lost_;
   std::size_t parts_left_;
+  /// Parts that are fenced and wait to be read.
+  std::deque<std::size_t> fenced_;
+  int reading_ = 0;
+  store::ReadWindow window_;
   LoadedService loaded_;
 };
 
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "store/read_window.h"
+
 namespace lapishatch::store {
 
 /// Callbacks hold a weak pointer, so that an answer that comes after the
@@ -26,9 +28,10 @@
   void ReadAll() {
     collected_.clear();
     ++generation_;
-    parts_left_ = parts_.size();
+    parts_begun_ = 0;
+    parts_read_ = 0;
     oldest_ = std::numeric_limits<RowVersion>::max();
-    for (const auto& part : parts_) ReadPage(part, "");
+    ReadParts();
   }
 
  private:
@@ -44,19 +47,30 @@
     };
   }
 
+  /// Begins to read as many parts as may be read at once.
+  void ReadParts() {
+    while (parts_begun_ < parts_.size() &&
+           parts_begun_ - parts_read_ <
+               static_cast<std::size_t>(window_.size())) {
+      ReadPage(parts_[parts_begun_++], "");
+    }
+  }
+
   void ReadPage(const std::string& part, std::string from) {
     store_.Read({table_, part, std::move(from), "", kPageRows},
-                Guarded(&Impl::OnPage, part));
+                Guarded(&Impl::OnPage, part, loop_.Now()));
   }
 
   /// Pages are of different moments. Following from the oldest one tells again
   /// what changed between them, so nothing is missed.
-  void OnPage(const std::string& part, RowsReadResult result) {
+  void OnPage(const std::string& part, base::TimePoint sent,
+              RowsReadResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
       ++generation_;
       return Retry(failed->detail, &Impl::ReadAll);
     }
     backoff_.Reset();
+    window_.OnRead(loop_.Now() - sent);
     auto& page = std::get<RowsRead>(result);
     oldest_ = std::min(oldest_, page.as_of);
     const bool has_more = page.has_more && !page.rows.empty();
@@ -65,7 +79,8 @@
     std::move(page.rows.begin(), page.rows.end(),
               std::back_inserter(collected_));
     if (has_more) return ReadPage(part, next);
-    if (--parts_left_ == 0) OnAllRead();
+    if (++parts_read_ == parts_.size()) return OnAllRead();
+    ReadParts();
   }
 
   void OnAllRead() {
@@ -135,7 +150,10 @@
   base::Backoff backoff_;
   RowVersion as_of_ = kAbsent;
   std::vector<StoredRow> collected_;
-  std::size_t parts_left_ = 0;
+  /// Of the present reading: parts of which reading has begun, and ended.
+  std::size_t parts_begun_ = 0;
+  std::size_t parts_read_ = 0;
+  ReadWindow window_;
   /// Version of the oldest page of the present reading.
   RowVersion oldest_ = kAbsent;
   /// Counts the reloads; answers of an earlier one are dropped.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,6 +11,7 @@
 #include "store/http_platform.h"
 #include "store/object_store.h"
 #include "store/read_back.h"
+#include "store/read_window.h"
 #include "store/row_store.h"
 #include "store/store_health.h"
 #include "store/table.h"
