--- a/src/dispatch/internal/start_window.h
+++ b/src/dispatch/internal/start_window.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_START_WINDOW_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_START_WINDOW_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "base/base.h"
@@ -24,6 +25,9 @@
   double grows_below = 0.25;
   double shrinks_to = 0.6;
   double grows_to = 1.5;
+  /// It grows only when at least this share of it was used: a window that grew
+  /// while little was to be sent says nothing of what can be.
+  double used_share = 0.5;
 };
 
 /// How many starts may be under way to workers at once. More than the owner's
@@ -37,6 +41,9 @@
 
   int size() const { return size_; }
 
+  /// So many starts are under way now.
+  void NoteUse(int under_way) { most_used_ = std::max(most_used_, under_way); }
+
   /// A start was answered after `took`, or had no answer in time. Returns
   /// whether the window has changed.
   bool OnAnswer(std::optional<base::Duration> took, base::TimePoint now);
@@ -49,6 +56,8 @@
   base::TimePoint period_began_{};
   int answers_ = 0;
   int late_ = 0;
+  /// Of the present period.
+  int most_used_ = 0;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -21,6 +21,12 @@
              {"lost_core_s", static_cast<std::int64_t>(it.lost)}});
 }
 
+int CountTasks(const std::vector<Unit*>& units) {
+  int out = 0;
+  for (const auto* it : units) out += static_cast<int>(it->members.size());
+  return out;
+}
+
 }  // namespace
 
 /// Has a round of decisions made soon, once for everything that happens before
@@ -45,8 +51,9 @@
   UpdateOpen();
   PlannerDecisions decisions;
   if (rights_.may_start()) {
-    const int most = window_.size() - book_.CountUnderWay();
-    decisions = planner_.Decide(began, most);
+    const int under_way = book_.CountUnderWay();
+    decisions = planner_.Decide(began, window_.size() - under_way);
+    window_.NoteUse(under_way + CountTasks(decisions.starts));
   }
   waits_for_answers_ = decisions.is_limited;
   for (const auto& it : decisions.displaced) LogDisplaced(it);
--- a/test/dispatch/start_window_test.cc
+++ b/test/dispatch/start_window_test.cc
@@ -12,9 +12,11 @@
   StartWindow window{{}};
   base::TimePoint now{Duration(100'000)};
 
+  /// While the window is used to the full.
   void Give(int n, std::optional<Duration> took) {
     for (int i = 0; i < n; ++i) {
       now += Duration(10);
+      window.NoteUse(window.size());
       window.OnAnswer(took, now);
     }
   }
@@ -45,6 +47,17 @@
   CHECK(answers.window.size() == StartWindowOptions{}.most);
 }
 
+TEST_CASE("a window that is hardly used does not grow") {
+  Answers answers;
+  const int first = answers.window.size();
+  for (int i = 0; i < 200; ++i) {
+    answers.now += Duration(10);
+    answers.window.NoteUse(first / 4);
+    answers.window.OnAnswer(Duration(5), answers.now);
+  }
+  CHECK(answers.window.size() == first);
+}
+
 TEST_CASE("a share of workers that are cut off leaves the window as it is") {
   Answers answers;
   const int first = answers.window.size();
