--- a/bench/job_owner.cc
+++ b/bench/job_owner.cc
@@ -1,6 +1,7 @@
-// What the owner of a service costs in processor time: one owner of 350 workers
-// in virtual time, under the load of the users' larger deployment and twice of
-// it, with real planning and recording against fake workers and a fake store.
+// What the owner of a service costs in processor time, in virtual time, with
+// real planning and recording against fake workers and a fake store: 350
+// workers at half, once and twice the load of the users' grown deployment, and
+// larger fleets with as much load a worker. The fakes' own time is part of it.
 
 #include <chrono>
 #include <cstdio>
@@ -140,19 +141,24 @@
   std::unique_ptr<ServiceOwner> owner_;
 };
 
+/// Workers that the load of kKinds is for.
+constexpr int kWorkers = 350;
+
+void Measure(int workers, double load) {
+  constexpr base::Duration kLength{15'000};
+  Deployment deployment(workers, load * workers / kWorkers);
+  const auto used = deployment.Run(kLength);
+  const auto seconds = std::chrono::duration<double>(kLength).count();
+  std::printf("job_owner_cores_%d_workers_load_%.1f %.3f cores\n", workers,
+              load, used / seconds);
+  std::printf("job_owner_running_%d_workers_load_%.1f %zu tasks\n", workers,
+              load, deployment.running());
+}
+
 int Main() {
   base::StartBoundedLog("bench", base::Severity::kError);
-  constexpr int kWorkers = 350;
-  constexpr base::Duration kLength{30'000};
-  for (const double load : {0.5, 1.0, 2.0}) {
-    Deployment deployment(kWorkers, load);
-    const auto used = deployment.Run(kLength);
-    const auto seconds = std::chrono::duration<double>(kLength).count();
-    std::printf("job_owner_cores_350_workers_load_%.1f %.3f cores\n", load,
-                used / seconds);
-    std::printf("job_owner_running_load_%.1f %zu tasks\n", load,
-                deployment.running());
-  }
+  for (const double load : {0.5, 1.0, 2.0}) Measure(kWorkers, load);
+  for (const int workers : {1'100, 3'000, 8'500}) Measure(workers, 1.0);
   return 0;
 }
 
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_DISPATCH_FLEET_H_
 #define LAPISHATCH_DISPATCH_FLEET_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
   /// Whether it has lately failed a task and ended none well since: what has
   /// another place, or no failure to spare, does not go there.
   bool is_doubted = false;
+  /// Of its rack among those with open workers; set by OpenWorkers.
+  std::size_t rack_index = 0;
   /// Whether its size is known; room is counted on others too, since tasks may
   /// be recorded on a worker before it is heard of.
   bool is_known = false;
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -33,9 +33,8 @@
   base::Duration owed_slow_after{900};
   /// While over half of the accelerators are free, a unit that waits so long
   /// for its rack takes it from what is not urgent there, or is started
-  /// elsewhere: callers count a job as lost that has nothing running for 3 s
-  /// with room for it twice over. A gang of nine whole workers had waited 43 s,
-  /// since the workers of every rack were scattered with small tasks.
+  /// elsewhere: small tasks scattered over the workers of every rack would keep
+  /// a gang of whole workers out for as long as they come.
   base::Duration kept_out_after{1'500};
   /// Estimates are up to half off: a job counts as late only when this share of
   /// what is left of its chain does not fit before its objective.
@@ -51,9 +50,8 @@
   /// Work waits for that room only while it has so much time to spare.
   base::Duration keep_slack{2'000};
   /// Whether a step would fit if nothing else ran changes only with the workers
-  /// that are open: it is looked at again after so long. Looked at each time it
-  /// took a third of the owner's time under twice the usual load of 350
-  /// workers.
+  /// that are open, and is costly to find out: it is looked at again after so
+  /// long.
   base::Duration fit_looked_at{500};
   /// Most work thrown away for an urgent unit, as a multiple of its own.
   double most_waste = 3.0;
--- a/src/dispatch/internal/worker_conduct.h
+++ b/src/dispatch/internal/worker_conduct.h
@@ -12,16 +12,15 @@
 
 struct WorkerConductOptions {
   /// Failures in a row, with no task ending well in between, that put a worker
-  /// out. Tasks fail by their own fault up to one time in twenty, so three in a
-  /// row are chance one time in 8,000.
+  /// out. Tasks fail by their own fault now and then, so that fewer in a row
+  /// may well be chance.
   int failures = 3;
   /// Of so many jobs at least: a job that can never be done fails anywhere.
   std::size_t jobs = 2;
   /// For so long after a failure, unless a task ends well there in between, a
-  /// worker is doubted. A worker that fails all it starts does so for some
-  /// 6 s, within 0.1 s of each start, so one failure is enough to send what
-  /// has other places elsewhere: jobs whose two attempts fell on two such
-  /// workers were most of those never served on days with such workers.
+  /// worker is doubted. A worker that fails all it starts does so for seconds
+  /// and at once, so one failure is enough to send elsewhere what has other
+  /// places: otherwise both attempts of a job fall on such workers.
   base::Duration doubted_for{8'000};
   /// A worker that fails all it starts does so for some 6 s; then it gets work
   /// on trial.
--- a/src/dispatch/open_workers.cc
+++ b/src/dispatch/open_workers.cc
@@ -1,19 +1,22 @@
 #include "dispatch/open_workers.h"
 
+#include <unordered_map>
+
 namespace lapishatch::dispatch {
 
-OpenWorkers::OpenWorkers(const Fleet& fleet) : by_free_(kMostLevel + 1) {
+OpenWorkers::OpenWorkers(Fleet& fleet) : by_free_(kMostLevel + 1) {
   all_.reserve(fleet.workers().size());
-  List* rack = nullptr;
-  for (const auto& [name, worker] : fleet.workers()) {
+  std::unordered_map<base::RackName, std::size_t> indices;
+  for (auto& [name, worker] : fleet.workers()) {
     if (!worker.is_open) continue;
     all_.push_back(&worker);
-    // Names of one rack often follow each other.
-    const bool is_same_rack =
-        rack != nullptr && rack->back()->rack == worker.rack;
-    if (!is_same_rack) rack = &racks_[worker.rack];
-    rack->push_back(&worker);
+    const auto [it, is_new] =
+        indices.try_emplace(worker.rack, free_on_rack_.size());
+    if (is_new) free_on_rack_.push_back(0);
+    worker.rack_index = it->second;
+    racks_[worker.rack].push_back(&worker);
     const auto free = worker.Free().accelerators;
+    free_on_rack_[worker.rack_index] += free;
     by_free_[LevelOf(free)].push_back(&worker);
     accelerators_ += worker.capacity.accelerators;
     free_accelerators_ += free;
--- a/src/dispatch/open_workers.h
+++ b/src/dispatch/open_workers.h
@@ -20,7 +20,8 @@
  public:
   using List = std::vector<const FleetWorker*>;
 
-  explicit OpenWorkers(const Fleet& fleet);
+  /// Notes in each open worker which rack is its.
+  explicit OpenWorkers(Fleet& fleet);
 
   /// Calls `visit` with each worker on which at least `accelerators` are free,
   /// in no order. Costs one step a worker that has them, or had them when they
@@ -55,6 +56,11 @@
   /// By rack, then by name.
   const std::map<base::RackName, List>& racks() const { return racks_; }
 
+  /// Accelerators that were free on a worker's rack when this was made.
+  std::int64_t FreeOnRack(const FleetWorker& worker) const {
+    return free_on_rack_[worker.rack_index];
+  }
+
   /// Accelerators of all of them, and those that were free when this was made.
   std::int64_t accelerators() const { return accelerators_; }
   std::int64_t free_accelerators() const { return free_accelerators_; }
@@ -76,6 +82,7 @@
   List all_;
   std::map<base::RackName, List> racks_;
   std::vector<List> by_free_;
+  std::vector<std::int64_t> free_on_rack_;
   std::int64_t accelerators_ = 0;
   std::int64_t free_accelerators_ = 0;
   bool has_doubted_ = false;
--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -20,7 +20,7 @@
 /// The value of a lease row that nobody holds.
 constexpr std::string_view kNobody = "-";
 
-/// Cores of a VM that owns 350 workers with ease.
+/// Cores from which on a VM is not held back.
 constexpr double kEnoughCores = 0.25;
 /// Handicap of a VM without any.
 constexpr base::Duration kMostHandicap{400};
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -39,9 +39,8 @@
 };
 
 /// How much longer than others a candidate waits whose VM has `cores` (a share
-/// of one, or several). The owner of 350 workers takes up to 0.12 of a core on
-/// a calm day, and far more in a burst: VMs with at least twice that do not
-/// wait, and one with half as much comes after all of these.
+/// of one, or several): a weak VM owns a large service only where there is no
+/// strong one.
 base::Duration HandicapOf(double cores);
 
 /// What the lease tells its owner. Called on the loop.
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -16,6 +16,8 @@
   Room room;
   /// Tasks of the step that may still be added.
   int tasks_left = 0;
+  /// Accelerators that are free on its rack.
+  std::int64_t rack_free = 0;
 };
 
 using Candidates = std::vector<Candidate>;
@@ -44,7 +46,7 @@
     const auto room = worker.Free();
     if (!room.Holds(needs) || !IsAllowed(worker, request)) return;
     const int left = TasksLeft(worker, request);
-    if (left > 0) out.push_back({&worker, room, left});
+    if (left > 0) out.push_back({&worker, room, left, open.FreeOnRack(worker)});
   });
   return out;
 }
@@ -60,9 +62,12 @@
   return static_cast<int>(std::clamp<std::int64_t>(n, 0, most));
 }
 
-/// Less is a better fit: fewer accelerators are left over, then less processor.
+/// Less is a better fit: fewer accelerators are left over on the worker, then
+/// on its rack, so that whole racks stay free for gangs that want one, then
+/// less processor.
 auto Leftover(const Candidate& it) {
-  return std::tie(it.room.accelerators, it.room.cpu_millis, it.worker->name);
+  return std::tie(it.room.accelerators, it.rack_free, it.room.cpu_millis,
+                  it.worker->name);
 }
 
 /// Puts all tasks on `candidates`, best fit first; nothing where they do not
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -35,9 +35,10 @@
 bool HasSlowPlaces(const jobs::Step& step);
 
 /// Where the unit fits now, or nothing. Takes the workers that it fills best,
-/// so that whole workers stay free for tasks that need all accelerators of one.
-/// A gang that wants one rack gets the rack that it fills best. Costs one step
-/// a worker with enough free accelerators for a task.
+/// so that whole workers stay free for tasks that need all accelerators of one,
+/// and among workers alike those on fuller racks, for gangs that want a whole
+/// rack. A gang that wants one rack gets the rack that it fills best. Costs one
+/// step a worker with enough free accelerators for a task.
 std::optional<Places> FindPlaces(OpenWorkers& open,
                                  const PlaceRequest& request);
 
--- a/src/store/commit_patience.h
+++ b/src/store/commit_patience.h
@@ -21,9 +21,9 @@
 };
 
 /// How long a transaction is waited for: longer when the calls answered last
-/// show that the store is slow. At 94 times its usual time a transaction takes
-/// 1.13 s; given up after 1 s, none is ever answered, and nothing is started,
-/// recorded or taken over until the store is fast again.
+/// show that the store is slow. In a store that takes longer than a fixed wait
+/// no transaction would ever be answered, and nothing started, recorded or
+/// taken over until it is fast again.
 class CommitPatience {
  public:
   explicit CommitPatience(CommitPatienceOptions options) : options_(options) {}
--- a/test/dispatch/placer_test.cc
+++ b/test/dispatch/placer_test.cc
@@ -52,6 +52,19 @@
   CHECK(FindPlaces(open, RequestFor(step)) == Called({"w1"}));
 }
 
+TEST_CASE("among workers alike those on a fuller rack are taken first") {
+  auto fleet = MakeFleet(6, 2);
+  Take(fleet, "w5", 8);
+  OpenWorkers open(fleet);
+  const auto step = MakeStep(1, 1);
+  // Any whole worker leaves as much; w4 is on the rack with w5.
+  CHECK(FindPlaces(open, RequestFor(step)) == Called({"w4"}));
+  // A worker that is in use already comes before that.
+  Take(fleet, "w0", 1);
+  OpenWorkers again(fleet);
+  CHECK(FindPlaces(again, RequestFor(step)) == Called({"w0"}));
+}
+
 TEST_CASE("room that was taken or given back in between counts") {
   auto fleet = MakeFleet(2, 2);
   OpenWorkers open(fleet);
