Give the fake store's callers their two seconds back

The time is a member of the fake now, 2 s as before; only the test of an outage of nine seconds, which depends on it, asks for the 1 s of the product.

--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -248,6 +248,8 @@
   world.RunFor(1'000);
   world.Submit(OwnerWorld::MakeJob("map", 4, 1));
   world.RunFor(1'000);
+  // As MonitoredStore does.
+  world.store().commit_timeout = base::Duration(1'000);
   world.store().SetFaultForAll(StoreFault::kSilent);
   world.RunFor(9'000);
   world.store().SetFaultForAll(StoreFault::kNone);
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -16,7 +16,6 @@
 namespace {
 
 /// What a caller waits for an answer that never comes.
-constexpr base::Duration kCommitTimeout{1'000};
 constexpr base::Duration kReadTimeout{1'500};
 constexpr base::Duration kFeedSlack{700};
 constexpr base::Duration kLateBy{3'000};
@@ -35,7 +34,7 @@
     const auto present = TransactionFault();
     switch (present) {
       case StoreFault::kSilent:
-        return After(kCommitTimeout, [done = std::move(done)] {
+        return After(store_.commit_timeout, [done = std::move(done)] {
           done(store::UnknownOutcome{"silent"});
         });
       case StoreFault::kBusy:
@@ -48,7 +47,7 @@
                               ? kLateBy
                               : store_.delay + store_.commit_time;
         After(when, [this, transaction] { store_.Apply(transaction); });
-        return After(kCommitTimeout, [done = std::move(done)] {
+        return After(store_.commit_timeout, [done = std::move(done)] {
           done(store::UnknownOutcome{"no answer"});
         });
       }
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -66,6 +66,8 @@
   base::Duration delay{1};
   /// What a transaction takes.
   base::Duration commit_time{8};
+  /// After so long a transaction that has no answer is given up.
+  base::Duration commit_timeout{2'000};
   /// Most rows of one feed's answer; they must be of different transactions.
   std::size_t feed_limit = 500;
   /// Whether the transactions of one part are done one after another, and
