Say each thing once in the dispatch package

Found by reading the whole change: the urgent priority stood in two files; starts were sorted by part into two maps; the removal of left-over progress also removed a request that is not there, and would have removed one handed in anew just then; two tests of an outage were the same but for its length; two comments told figures of the store.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -110,7 +110,8 @@
   void Tick();
   void RemoveOld();
   void RemoveOrphans(const std::vector<store::StoredRow>& requests);
-  void RemoveRows(const base::JobName& name, store::RowVersion fence);
+  void RemoveRows(const base::JobName& name);
+  void RemoveProgress(const base::JobName& name);
   void Lose(const std::string& reason);
   /// The present run of the task's unit, if it is `run`.
   Unit* FindRun(const jobs::TaskName& task, int run);
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -19,6 +19,9 @@
 struct JobEntry;
 struct StepRun;
 
+/// Urgent jobs of an organisation are protected by its guarantee.
+inline constexpr int kUrgentPriority = 0;
+
 /// What is known of one task of a started run.
 enum class MemberState : std::uint8_t {
   /// Its start is recorded or about to be; nothing was sent.
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -28,8 +28,6 @@
 /// Recorded without delay.
 constexpr base::TimePoint kAtOnce{};
 
-constexpr int kUrgentPriority = 0;
-
 }  // namespace
 
 using jobs::JobProgress;
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -91,8 +91,11 @@
     jobs::TaskName task;
     int run = 0;
   };
-  std::map<int, std::vector<Planned>> by_part;
-  std::map<int, std::vector<base::JobName>> jobs_by_part;
+  struct PartStarts {
+    std::vector<Planned> planned;
+    std::vector<base::JobName> jobs;
+  };
+  std::map<int, PartStarts> by_part;
   for (const auto* unit : units) {
     const auto& job = *unit->step->job;
     if (ports_.metrics != nullptr && unit->last_run == 1) {
@@ -111,15 +114,16 @@
                {"worker", unit->members.front().worker},
                {"waited_ms", (unit->started - unit->waiting_since).count()},
                {"age_ms", (unit->started - job.accepted).count()}});
-    jobs_by_part[job.part].push_back(job.job->name);
+    auto& starts = by_part[job.part];
+    starts.jobs.push_back(job.job->name);
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
-      by_part[job.part].push_back({JobBook::NameOf(*unit, i), unit->last_run});
+      starts.planned.push_back({JobBook::NameOf(*unit, i), unit->last_run});
     }
   }
-  for (auto& [part, planned] : by_part) {
+  for (auto& [part, starts] : by_part) {
     recorders_[static_cast<std::size_t>(part)]->WhenRecorded(
-        jobs_by_part[part],
-        [weak = weak_from_this(), planned = std::move(planned)] {
+        starts.jobs,
+        [weak = weak_from_this(), planned = std::move(starts.planned)] {
           const auto self = weak.lock();
           if (!self) return;
           for (const auto& it : planned) self->SendStart(it.task, it.run);
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -176,7 +176,7 @@
                     [job](const Unit* it) { return it->step->job == job; });
     const auto& recorder = *recorders_[static_cast<std::size_t>(job->part)];
     if (may_run || !recorder.IsRecorded(name)) continue;
-    RemoveRows(name, recorder.fence());
+    RemoveRows(name);
     ended_at_.erase(name);
     book_.Remove(name);
   }
@@ -189,34 +189,36 @@
   for (const auto& it : requests) present.insert(it.address.key);
   for (const auto& [name, row] : std::exchange(progress_rows_, {})) {
     if (present.contains(name.str())) continue;
-    const auto part = static_cast<std::size_t>(jobs::PartIndexOf(name));
-    RemoveRows(name, recorders_[part]->fence());
+    RemoveProgress(name);
   }
 }
 
+void OwnedService::RemoveProgress(const base::JobName& name) {
+  const auto part = static_cast<std::size_t>(jobs::PartIndexOf(name));
+  ports_.store.Commit({jobs::PartOf(service_, name),
+                       {{std::string(kOwnerTable), std::string(kFenceKey),
+                         recorders_[part]->fence()}},
+                       {},
+                       {{std::string(jobs::kProgressTable), name.str()}}},
+                      [](const store::RowsResult&) {});
+}
+
 /// Removes a job's rows, its request first: a request without progress would
 /// be taken for a new job. What a failure leaves behind, the next owner
 /// removes.
-void OwnedService::RemoveRows(const base::JobName& name,
-                              store::RowVersion fence) {
+void OwnedService::RemoveRows(const base::JobName& name) {
   const std::string requests(jobs::kRequestTable);
-  const store::RowTransaction progress{
-      jobs::PartOf(service_, name),
-      {{std::string(kOwnerTable), std::string(kFenceKey), fence}},
-      {},
-      {{std::string(jobs::kProgressTable), name.str()}}};
   ports_.store.Commit(
       {jobs::RequestPartOf(service_, name),
        {},
        {},
        {{requests, name.str()},
         {requests, name.str() + std::string(jobs::kCancelSuffix)}}},
-      [weak = weak_from_this(), progress](const store::RowsResult& result) {
+      [weak = weak_from_this(), name](const store::RowsResult& result) {
         const auto self = weak.lock();
         const bool is_done =
             std::holds_alternative<store::RowsCommitted>(result);
-        if (!self || !is_done) return;
-        self->ports_.store.Commit(progress, [](const store::RowsResult&) {});
+        if (self && is_done) self->RemoveProgress(name);
       });
 }
 
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -15,9 +15,6 @@
 using jobs::Room;
 using jobs::UnitPhase;
 
-/// Urgent jobs of an organisation are protected by its guarantee.
-constexpr int kUrgentPriority = 0;
-
 PlaceRequest RequestFor(const StepRun& run, bool accepts_slow) {
   PlaceRequest out;
   out.step = run.step;
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -12,8 +12,8 @@
 
 namespace lapishatch::jobs {
 
-/// Tables. The store does the transactions of one part one after another, 150 a
-/// second, and 2 a second when it is slow. Requests and progress lie in parts
+/// Tables. The store does the transactions of one part one after another, and a
+/// slow one takes most of a second for each. Requests and progress lie in parts
 /// of their own: an entry writes one job at a time and so needs many parts, the
 /// owner writes many jobs at once and fences each of its parts when it begins.
 ///
@@ -31,8 +31,8 @@
 
 inline constexpr int kParts = 8;
 
-/// Enough that a store which takes 0.7 s a transaction accepts 90 jobs a
-/// second.
+/// Many, since a slow store takes most of a second for each transaction and
+/// every job that is accepted is one.
 inline constexpr int kRequestParts = 64;
 
 /// The part of a job's progress.
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -224,37 +224,35 @@
   CHECK(world.workers().violations().empty());
 }
 
-TEST_CASE("what runs outlives an outage of the store") {
-  OwnerWorld world(3, 4);
-  world.workers().run_time = [](const jobs::TaskName&) {
-    return base::Duration(9'000);
+/// Runs a job of four tasks of `task_ms` each through an outage of the store
+/// for all of `outage_ms`, and `after_ms` more.
+void RunThroughOutage(OwnerWorld& world, int task_ms, int outage_ms,
+                      int after_ms) {
+  world.workers().run_time = [task_ms](const jobs::TaskName&) {
+    return base::Duration(task_ms);
   };
   world.RunFor(1'000);
   world.Submit(OwnerWorld::MakeJob("long", 4, 1));
   world.RunFor(1'000);
   world.store().SetFaultForAll(StoreFault::kSilent);
-  world.RunFor(7'000);
+  world.RunFor(outage_ms);
   world.store().SetFaultForAll(StoreFault::kNone);
-  world.RunFor(8'000);
+  world.RunFor(after_ms);
+}
+
+TEST_CASE("what runs outlives an outage of the store") {
+  OwnerWorld world(3, 4);
+  RunThroughOutage(world, 9'000, 7'000, 8'000);
   CHECK(world.StateOf("long") == JobState::kCompleted);
   CHECK(world.workers().starts(TaskOf("long", 0)) == 1);
 }
 
 TEST_CASE("what runs outlives an outage of nine seconds") {
   OwnerWorld world(2, 2);
-  world.workers().run_time = [](const jobs::TaskName&) {
-    return base::Duration(30'000);
-  };
-  world.RunFor(1'000);
-  world.Submit(OwnerWorld::MakeJob("map", 4, 1));
-  world.RunFor(1'000);
   // As MonitoredStore does.
   world.store().commit_timeout = base::Duration(1'000);
-  world.store().SetFaultForAll(StoreFault::kSilent);
-  world.RunFor(9'000);
-  world.store().SetFaultForAll(StoreFault::kNone);
-  world.RunFor(15'000);
-  CHECK(world.workers().starts(TaskOf("map", 0)) == 1);
+  RunThroughOutage(world, 30'000, 9'000, 15'000);
+  CHECK(world.workers().starts(TaskOf("long", 0)) == 1);
   CHECK(world.workers().running() == 4);
 }
 
