Start nothing in failure domains that operators evacuate

Now each process follows them with the configuration's feed; the planner uses no worker there, and a start that is recorded and not sent is taken back. What runs there runs to its end.

An owner starts nothing before its view of the evacuations is as new as its taking of the service (versions of the store are one counter), nor when the view was not confirmed for 3 s.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -10,7 +10,6 @@
 
 #include "base/base.h"
 #include "dispatch/fleet.h"
-#include "dispatch/internal/evacuation.h"
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
@@ -18,6 +17,7 @@
 #include "dispatch/internal/task_planner.h"
 #include "dispatch/internal/waiting_counter.h"
 #include "dispatch/internal/worker_conduct.h"
+#include "dispatch/internal/worker_drain.h"
 #include "dispatch/internal/worker_session.h"
 #include "dispatch/service_owner.h"
 #include "store/feed_follower.h"
@@ -74,8 +74,14 @@
 
   // Workers.
   void OpenSession(const WorkerEntry& entry);
+  bool IsEvacuated(const Worker& worker) const;
+  /// Whether the evacuations are known as of the taking of this service, and
+  /// were confirmed lately: an owner whose feed lags behind starts nothing.
+  bool KnowsEvacuations() const;
+  bool MayStart() const { return rights_.may_start() && KnowsEvacuations(); }
+  void NoteEvacuations();
   void NoteDeparture(const WorkerEntry& entry);
-  void Evacuate();
+  void DrainWorkers();
   void OnNews(const base::WorkerName& name, const WorkerNews& news,
               base::TimePoint sent);
   void OnRunning(const base::WorkerName& name, const RunningTask& task,
@@ -142,6 +148,9 @@
   /// The earliest time of the next round of decisions.
   base::TimePoint next_decision_{};
   StartWindow window_{{}};
+  /// Evacuated domains as they were logged last.
+  std::set<base::DomainName> evacuated_;
+  bool knows_evacuations_ = true;
   /// Whether more could start once starts that are under way are answered.
   bool waits_for_answers_ = false;
   std::map<base::JobName, base::TimePoint> ended_at_;
--- a/src/dispatch/internal/evacuation.h
+++ b/src/dispatch/internal/worker_drain.h
@@ -1,5 +1,5 @@
-#ifndef LAPISHATCH_DISPATCH_INTERNAL_EVACUATION_H_
-#define LAPISHATCH_DISPATCH_INTERNAL_EVACUATION_H_
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_WORKER_DRAIN_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_WORKER_DRAIN_H_
 
 #include <map>
 #include <vector>
@@ -9,7 +9,7 @@
 
 namespace lapishatch::dispatch::internal {
 
-struct EvacuationOptions {
+struct DrainOptions {
   /// A task that would end so soon after its worker may leave is not stopped:
   /// workers stay a little longer than they say, and estimates are rough.
   base::Duration patience{300};
@@ -27,11 +27,11 @@
 /// stopped in time is listed as ended and starts elsewhere at once; what is
 /// lost with its worker starts again only after the worker's lease, 5.9 s
 /// later. Costs one pass over the members of active units.
-std::vector<Unit*> FindLeaving(const JobBook& book,
+std::vector<Unit*> FindDrained(const JobBook& book,
                                const Departures& departures,
-                               const EvacuationOptions& options,
+                               const DrainOptions& options,
                                base::TimePoint now);
 
 }  // namespace lapishatch::dispatch::internal
 
-#endif  // LAPISHATCH_DISPATCH_INTERNAL_EVACUATION_H_
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_WORKER_DRAIN_H_
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -50,7 +50,7 @@
   const auto began = ports_.loop.Now();
   UpdateOpen();
   PlannerDecisions decisions;
-  if (rights_.may_start()) {
+  if (MayStart()) {
     const int under_way = book_.CountUnderWay();
     decisions = planner_.Decide(began, window_.size() - under_way);
     window_.NoteUse(under_way + CountTasks(decisions.starts));
@@ -139,7 +139,8 @@
   if (member.state == MemberState::kRunning) return;
   auto* worker = FindWorker(member.worker);
   const bool may_send = worker != nullptr && worker->session->is_heard() &&
-                        !unit->is_stopping && rights_.may_start();
+                        !IsEvacuated(*worker) && !unit->is_stopping &&
+                        MayStart();
   if (!may_send) {
     if (member.state == MemberState::kPlanned) {
       book_.OnRefused(*unit, task.index, ports_.loop.Now());
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -150,7 +150,8 @@
     book_.BeginDue(ports_.unix_ms(), ports_.loop.Now());
     CheckLapsed();
     CheckStalled();
-    Evacuate();
+    NoteEvacuations();
+    DrainWorkers();
     conduct_.Release(ports_.loop.Now());
     RemoveOld();
     Pump();
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -47,11 +47,11 @@
 }
 
 /// Stops what would be lost with a worker that leaves.
-void OwnedService::Evacuate() {
+void OwnedService::DrainWorkers() {
   const auto now = ports_.loop.Now();
-  for (auto* unit : FindLeaving(book_, departures_, {}, now)) {
+  for (auto* unit : FindDrained(book_, departures_, {}, now)) {
     const auto task = JobBook::NameOf(*unit, 0);
-    base::Log(base::events::kUnitEvacuated,
+    base::Log(base::events::kUnitDrained,
               {{"request", task.job},
                {"task", TextOf(task)},
                {"run", unit->last_run},
@@ -97,8 +97,45 @@
   UpdateOpen();
 }
 
-/// Whether each worker may get new tasks: it is registered, does not leave, has
-/// answered lately and refused nothing. Both maps are in the order of names.
+bool OwnedService::IsEvacuated(const Worker& worker) const {
+  if (!ports_.evacuations) return false;
+  return ports_.evacuations().domains.contains(worker.session->entry().domain);
+}
+
+bool OwnedService::KnowsEvacuations() const {
+  if (!ports_.evacuations) return true;
+  const auto& known = ports_.evacuations();
+  return known.as_of >= epoch_ &&
+         ports_.loop.Now() - known.confirmed < options_.evacuations_age;
+}
+
+/// Logs what has changed of the evacuations, and has it decided upon.
+void OwnedService::NoteEvacuations() {
+  if (!ports_.evacuations) return;
+  if (KnowsEvacuations() != knows_evacuations_) {
+    knows_evacuations_ = !knows_evacuations_;
+    base::Log(knows_evacuations_ ? base::events::kEvacuationsKnown
+                                 : base::events::kEvacuationsUnknown,
+              {{"service", service_.str()},
+               {"as_of", ports_.evacuations().as_of},
+               {"epoch", epoch_}});
+  }
+  const auto& present = ports_.evacuations().domains;
+  if (present == evacuated_) return;
+  evacuated_ = present;
+  std::size_t tasks = 0;
+  for (const auto& [name, worker] : workers_) {
+    if (IsEvacuated(worker)) tasks += book_.MembersOn(name).size();
+  }
+  base::Log(base::events::kServiceEvacuates, {{"service", service_.str()},
+                                              {"domains", present.size()},
+                                              {"tasks_there", tasks}});
+  Pump();
+}
+
+/// Whether each worker may get new tasks: it is registered, does not leave, is
+/// in no evacuated domain, has answered lately and refused nothing. Both maps
+/// are in the order of names.
 void OwnedService::UpdateOpen() {
   const auto now = ports_.loop.Now();
   auto it = workers_.begin();
@@ -110,7 +147,8 @@
     place.is_open = worker.is_listed && worker.session->is_heard() &&
                     worker.session->IsReached() &&
                     !worker.session->entry().is_draining &&
-                    worker.closed_until <= now && !conduct_.IsOut(name);
+                    !IsEvacuated(worker) && worker.closed_until <= now &&
+                    !conduct_.IsOut(name);
     place.is_doubted = conduct_.IsDoubted(name, now);
   }
 }
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "dispatch/evacuations.h"
 #include "dispatch/owner_lease.h"
 #include "dispatch/worker_port.h"
 #include "store/row_store.h"
@@ -28,6 +29,9 @@
   /// hear of workers only in between, and of all of them each time it begins.
   /// May be empty.
   std::function<void(bool is_owner)> on_ownership = nullptr;
+  /// What is being evacuated, as it is known now. Empty where operators have no
+  /// way to ask for it.
+  std::function<const Evacuations&()> evacuations = nullptr;
 };
 
 struct ServiceOwnerOptions {
@@ -44,6 +48,9 @@
   /// process sends later is refused as late.
   base::Duration start_window{1'500};
   base::Duration start_timeout{500};
+  /// Nothing starts once the evacuations were confirmed longer ago: an order
+  /// sent later could reach a domain after its evacuation is in force.
+  base::Duration evacuations_age{3'000};
   base::Duration stop_timeout{600};
   /// A stop is sent again until its end is listed.
   base::Duration stop_again{500};
--- a/src/dispatch/evacuation.cc
+++ b/src/dispatch/worker_drain.cc
@@ -1,4 +1,4 @@
-#include "dispatch/internal/evacuation.h"
+#include "dispatch/internal/worker_drain.h"
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 }
 
 bool IsLeft(const Unit& unit, const Departures& departures,
-            const EvacuationOptions& options, base::TimePoint now) {
+            const DrainOptions& options, base::TimePoint now) {
   return std::any_of(unit.members.begin(), unit.members.end(),
                      [&](const Member& it) {
                        if (it.state == MemberState::kOver) return false;
@@ -47,9 +47,9 @@
   return std::max(zero, Share(took, share) - since);
 }
 
-std::vector<Unit*> FindLeaving(const JobBook& book,
+std::vector<Unit*> FindDrained(const JobBook& book,
                                const Departures& departures,
-                               const EvacuationOptions& options,
+                               const DrainOptions& options,
                                base::TimePoint now) {
   std::vector<Unit*> out;
   if (departures.empty()) return out;
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -43,6 +43,23 @@
     return base::WorkerName("w" + std::to_string(i));
   }
 
+  /// Of the workers of rack `i`.
+  static base::DomainName DomainCalled(int i) {
+    return base::DomainName("d" + std::to_string(i));
+  }
+
+  /// Operators ask for a domain to be emptied, or take it back.
+  void Evacuate(int domain) { TellEvacuation(domain, true); }
+  void TakeBack(int domain) { TellEvacuation(domain, false); }
+
+  /// What an owner knows of the evacuations stays as it is until Thaw.
+  void FreezeEvacuations(const std::string& name) {
+    views_.at(name).is_frozen = true;
+  }
+  void ThawEvacuations(const std::string& name) {
+    views_.at(name).is_frozen = false;
+  }
+
   void AddWorker(int i) {
     constexpr int kPerRack = 4;
     WorkerEntry entry;
@@ -50,6 +67,7 @@
     entry.service = base::ServiceName(kService);
     entry.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1 + i)};
     entry.rack = base::RackName("r" + std::to_string(i / kPerRack));
+    entry.domain = DomainCalled(i / kPerRack);
     entry.labels = {"a", entry.rack.str()};
     entry.capacity = {kCoresMillis, kMemoryMb, kAccelerators};
     entries_[entry.name] = entry;
@@ -75,6 +93,7 @@
   void StartOwner(const std::string& name, double cores = 1) {
     ServiceOwnerOptions options;
     options.lease.handicap = HandicapOf(cores);
+    views_.try_emplace(name);
     auto& vm = vms_[name];
     vm = std::make_unique<Vm>(time_, store_.For(name), workers_.For(name));
     vm->processor.SetCost(cost_);
@@ -86,7 +105,8 @@
             &metrics_,
             [this, name](bool is_owner) {
               if (is_owner) TellWorkers(name);
-            }},
+            },
+            [this, name]() -> const Evacuations& { return ViewOf(name); }},
         base::ServiceName(kService), name, options);
     owner->SetGuarantees(guarantees_);
     owner->Start();
@@ -196,6 +216,28 @@
   const std::map<base::JobName, jobs::Job>& jobs() const { return jobs_; }
 
  private:
+  /// What one owner's process knows of the evacuations.
+  struct View {
+    Evacuations known;
+    bool is_frozen = false;
+  };
+
+  void TellEvacuation(int domain, bool is_asked) {
+    if (is_asked) {
+      evacuated_.insert(DomainCalled(domain));
+    } else {
+      evacuated_.erase(DomainCalled(domain));
+    }
+  }
+
+  const Evacuations& ViewOf(const std::string& name) {
+    auto& view = views_.at(name);
+    if (!view.is_frozen) {
+      view.known = {evacuated_, store_.version(), time_.Now()};
+    }
+    return view.known;
+  }
+
   jobs::Room NeedsOf(const jobs::TaskName& task) const {
     const auto it = jobs_.find(task.job);
     if (it == jobs_.end()) return {};
@@ -224,6 +266,8 @@
   std::set<base::JobName> accepted_;
   std::map<base::WorkerName, WorkerEntry> entries_;
   std::map<base::OrganisationName, std::int64_t> guarantees_;
+  std::set<base::DomainName> evacuated_;
+  std::map<std::string, View> views_;
   /// Outlive the owners on them.
   std::map<std::string, std::unique_ptr<Vm>> vms_;
   std::map<std::string, std::unique_ptr<ServiceOwner>> owners_;
--- a/test/dispatch/evacuation_test.cc
+++ b/test/dispatch/worker_drain_test.cc
@@ -1,4 +1,4 @@
-#include "dispatch/internal/evacuation.h"
+#include "dispatch/internal/worker_drain.h"
 
 #include <catch2/catch.hpp>
 
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -48,6 +48,9 @@
   /// Feeds from before now have no history.
   void DropHistory() { oldest_ = version_; }
 
+  /// Of the last transaction that took effect.
+  store::RowVersion version() const { return version_; }
+
   /// Writes a row as an outside party does.
   void Put(const std::string& table, const std::string& part,
            const std::string& key, const std::string& value);
