Log and count each end of a job once

Cause: the removal of old jobs noted the end of a job before it was logged whenever a paced round of decisions came later than the tick, so 3 to 8 of 14 ends a second had a line; and a new owner logged all ended jobs again, with the age they had then. Found by a ledger of late jobs, which took a takeover for their end. Now only the logging notes an end, and ended jobs that are read are noted silently. The line says priority and objective too.

The test failed before (neither count was 40). Nothing that is decided changes.

--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -304,6 +304,8 @@
   base::Log(base::events::kJobEnded,
             {{"request", job.job->name},
              {"state", base::NameOf(job.state)},
+             {"priority", job.job->priority},
+             {"objective_ms", job.objective.count()},
              {"after_ms", (now - job.accepted).count()}});
 }
 
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -131,8 +131,11 @@
   const auto age =
       std::clamp(base::Duration(ports_.unix_ms() - job->accepted_ms),
                  base::Duration(0), kMostAge);
-  book_.Add(std::make_shared<const jobs::Job>(std::move(*job)),
-            progress ? &*progress : nullptr, version, age, ports_.loop.Now());
+  const auto* entry = book_.Add(
+      std::make_shared<const jobs::Job>(std::move(*job)),
+      progress ? &*progress : nullptr, version, age, ports_.loop.Now());
+  // Its end was logged by the owner that saw it.
+  if (IsFinal(entry->state)) ended_at_.emplace(name, ports_.loop.Now());
 }
 
 void OwnedService::OnCancel(const base::JobName& name) {
@@ -165,10 +168,8 @@
 void OwnedService::RemoveOld() {
   const auto now = ports_.loop.Now();
   std::vector<base::JobName> old;
-  for (const auto& [name, job] : book_.jobs()) {
-    if (!IsFinal(job->state)) continue;
-    const auto [it, is_new] = ended_at_.try_emplace(name, now);
-    if (!is_new && now - it->second > options_.keep_ended) old.push_back(name);
+  for (const auto& [name, at] : ended_at_) {
+    if (now - at > options_.keep_ended) old.push_back(name);
   }
   for (const auto& name : old) {
     auto* job = book_.Find(name);
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -38,6 +38,24 @@
         std::string::npos);
 }
 
+TEST_CASE("each end of a job is counted once, whoever owns the service then") {
+  OwnerWorld world(2, 2);
+  world.RunFor(1'000);
+  constexpr int kJobs = 40;
+  for (int i = 0; i < kJobs; ++i) {
+    world.Submit(OwnerWorld::MakeJob("job" + std::to_string(i), 1, 1));
+    world.RunFor(70);
+  }
+  world.RunFor(8'000);
+  // The next owner reads the ended jobs from the store.
+  world.KillOwner(world.OwnerName());
+  world.RunFor(4'000);
+  const auto text = world.metrics().Render();
+  CHECK(text.find("lapishatch_job_seconds_count{organisation=\"crews\","
+                  "priority=\"1\",state=\"completed\"} " +
+                  std::to_string(kJobs) + '\n') != std::string::npos);
+}
+
 TEST_CASE("a step begins only after the steps that it waits for") {
   OwnerWorld world(1, 2);
   world.RunFor(1'000);
