Take the platform's bounds from the settings

Cause: times that workers keep to and operators expect stood as constants of one customer's figures: a preempted place free within 1 s, guaranteed work begun within 2.9 s, leases of 5.9 s, states kept 180 s, feeds spaced for a drain delay of 2 s. Now dispatch::Bounds holds them, decoded once from the settings and checked, and what follows from them is worked out in one place, with tests over ranges beyond those known. With the former figures all derived waits are as before, but for the poll of the configuration, 1 s or half of its bound.

The settings of a process that runs do not change; a wrong reload is refused with the reason, as before.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 /// Umbrella header of the dispatch package: who owns a service, and how its
 /// owner places, starts, stops and records the tasks of jobs.
 
+#include "dispatch/bounds.h"
 #include "dispatch/evacuations.h"
 #include "dispatch/fleet.h"
 #include "dispatch/open_workers.h"
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -134,6 +134,7 @@
   Fleet fleet_;
   JobBook book_;
   TaskPlanner planner_;
+  const SessionOptions session_options_;
   ServiceLoader loader_;
   /// By part; none before the service is loaded.
   std::vector<std::unique_ptr<Recorder>> recorders_;
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -25,12 +25,14 @@
 
 struct TaskPlannerOptions {
   /// After so much waiting, as a share of the step's estimate, a place off its
-  /// wanted rack will do: there the step takes three times as long, so less
-  /// waiting than twice the estimate is the better choice.
+  /// wanted rack will do: waiting longer costs more than the slower place.
   double slow_place_after = 2.0;
-  /// The same for urgent work that is owed its place, which must begin within
-  /// 2.9 s of its acceptance.
-  base::Duration owed_slow_after{900};
+  /// The same for urgent work within its organisation's guarantee, which must
+  /// begin in time wherever it is.
+  base::Duration guaranteed_slow_after{900};
+  /// Upper bound on freeing the place of a preempted unit: the worker's stop
+  /// and the poll that lists its end.
+  base::Duration preempted_within{1'000};
   /// While over half of the accelerators are free, a unit that waits so long
   /// for its rack takes it from what is not urgent there, or is started
   /// elsewhere: small tasks scattered over the workers of every rack would keep
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/internal/derived_options.h"
+
 namespace lapishatch::dispatch::internal {
 
 using base::TimePoint;
@@ -31,7 +33,8 @@
       rights_(std::move(rights)),
       taken_at_(ports.loop.Now()),
       book_(fleet_),
-      planner_(book_, fleet_, {}),
+      planner_(book_, fleet_, PlannerOptionsFor(options.bounds)),
+      session_options_(SessionOptionsFor(options.bounds)),
       loader_(
           ports.loop, ports.store, service_, epoch,
           [this](LoadedService loaded) { OnLoaded(std::move(loaded)); },
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -88,7 +88,7 @@
   events.longest_lease = rights_.longest_lease;
   auto& worker = workers_[name];
   worker.session = std::make_unique<WorkerSession>(
-      ports_.loop, ports_.workers, entry, epoch_, SessionOptions{}, events);
+      ports_.loop, ports_.workers, entry, epoch_, session_options_, events);
   if (is_loaded_) worker.session->Start();
 }
 
@@ -341,7 +341,7 @@
   // The leases that a former owner has given reach `orphan_reach` beyond its
   // last renewal of the row at most, which was at least the row's lease before
   // it was taken; those of one that is gone were given before.
-  const SessionOptions session;
+  const auto& session = session_options_;
   const auto reach = former_is_gone_
                          ? session.lease
                          : std::max(session.lease, options_.orphan_reach -
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "dispatch/bounds.h"
 #include "dispatch/evacuations.h"
 #include "dispatch/owner_lease.h"
 #include "dispatch/worker_port.h"
@@ -36,6 +37,7 @@
 
 struct ServiceOwnerOptions {
   OwnerLeaseOptions lease;
+  Bounds bounds;
   /// An owner that misses the store goes on renewing leases at workers for so
   /// long after its last renewal, so that what runs outlives an outage. A
   /// successor waits as long before it starts elsewhere what was last on a
@@ -70,10 +72,13 @@
   int decide_pause = 3;
   /// Between two looks at what has lapsed, waits too long or is due.
   base::Duration tick{100};
-  /// Jobs that ended so long ago are removed; callers may ask for 120 s.
+  /// Jobs that ended so long ago are removed.
   base::Duration keep_ended{180'000};
 };
 
+/// The options of an owner that keeps to `bounds`, which have no problem.
+ServiceOwnerOptions OwnerOptionsFor(const Bounds& bounds);
+
 /// One process's part in owning a service: as the owner it starts, stops and
 /// records the tasks of the service's jobs; otherwise it waits to become it.
 class ServiceOwner {
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -24,10 +24,6 @@
   return out;
 }
 
-/// A displaced unit's place is free within so long: the users' workers stop a
-/// task within 0.4 s and list its end at the next renewal.
-constexpr base::Duration kDisplacedWithin{1'000};
-
 /// An accelerator weighs as much as so many cores, as the users reckon work.
 constexpr double kCoresPerAccelerator = 8;
 
@@ -254,11 +250,12 @@
         static_cast<double>(run.step->estimate.count())));
     auto request = RequestFor(run, waited >= patience);
     if (is_urgent && is_late) request.accepts_slow = true;
-    if (is_owed && waited >= options_.owed_slow_after) {
+    if (is_owed && waited >= options_.guaranteed_slow_after) {
       request.accepts_slow = true;
     }
     const bool gives_up_rack =
-        is_half_free_ && waited >= options_.kept_out_after + kDisplacedWithin;
+        is_half_free_ &&
+        waited >= options_.kept_out_after + options_.preempted_within;
     if (gives_up_rack) request.accepts_slow = true;
     auto places = FindSoundPlaces(unit, request, is_kept_out);
     if (!places && !request.accepts_slow && !CouldFit(run, now)) {
@@ -369,7 +366,7 @@
   if (is_too_soon) return false;
   const auto& step = *unit.step->step;
   const bool accepts_slow =
-      (is_owed && now - unit.waiting_since >= options_.owed_slow_after) ||
+      (is_owed && now - unit.waiting_since >= options_.guaranteed_slow_after) ||
       !CouldFit(*unit.step, now);
   const auto& board = Board(is_owed, now);
   std::optional<ReclaimPlan> best;
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -13,8 +13,7 @@
 
 struct FollowerOptions {
   /// How long one call waits for news. A connection that fell silent is noticed
-  /// after this and the store client's own timeout, so it is bounded by the
-  /// 2 s within which a configuration must be in force.
+  /// after this and the store client's own timeout.
   base::Duration wait{1'000};
   /// Between an answer with news and the next call: news that need not be heard
   /// at once are so gathered into fewer calls.
--- /dev/null
+++ b/test/dispatch/bounds_test.cc
@@ -0,0 +1,77 @@
+#include <catch2/catch.hpp>
+#include <initializer_list>
+
+#include "dispatch/dispatch.h"
+#include "dispatch/internal/derived_options.h"
+
+namespace lapishatch::dispatch {
+namespace {
+
+using base::Duration;
+
+TEST_CASE("the default bounds can be kept") {
+  CHECK_FALSE(ProblemOf(Bounds{}).has_value());
+}
+
+TEST_CASE("bounds that contradict each other are refused") {
+  Bounds bounds;
+  bounds.stop_timeout = bounds.longest_lease;
+  CHECK(ProblemOf(bounds) ==
+        "a task must be stopped before its lease runs out");
+  bounds = Bounds{};
+  bounds.remote_factor = 0.5;
+  CHECK(ProblemOf(bounds) == "work off its rack cannot be faster");
+}
+
+/// From 100 ms to 3 s to stop a task, 1 s to 10 s to begin guaranteed work.
+TEST_CASE("waits that follow from the bounds leave time for what comes after") {
+  for (const int stop : {100, 400, 900, 3'000}) {
+    for (const int start : {1'000, 2'900, 3'400, 10'000}) {
+      Bounds bounds;
+      bounds.stop_timeout = Duration(stop);
+      bounds.guaranteed_start = Duration(start);
+      const auto planner = internal::PlannerOptionsFor(bounds);
+      CHECK(planner.preempted_within > bounds.stop_timeout);
+      CHECK(planner.guaranteed_slow_after >= Duration(0));
+      // A preemption after the wait is over still ends in time, if any could.
+      const bool is_possible =
+          planner.preempted_within < bounds.guaranteed_start;
+      if (!is_possible) continue;
+      CHECK(planner.guaranteed_slow_after + planner.preempted_within <
+            bounds.guaranteed_start);
+    }
+  }
+}
+
+TEST_CASE("a lease is never longer than workers allow") {
+  for (const int most : {2'000, 3'000, 6'000, 10'000, 60'000}) {
+    Bounds bounds;
+    bounds.longest_lease = Duration(most);
+    CHECK(internal::SessionOptionsFor(bounds).lease < bounds.longest_lease);
+  }
+}
+
+TEST_CASE("an order does not outlast the bound of an evacuation") {
+  for (const int delay : {3'000, 5'000, 10'000}) {
+    for (const int gang : {1'000, 3'000, 5'000}) {
+      Bounds bounds;
+      bounds.evacuation_delay = Duration(delay);
+      bounds.gang_timeout = Duration(gang);
+      const auto options = OwnerOptionsFor(bounds);
+      CHECK(options.evacuations_age + options.start_window <
+            bounds.evacuation_delay);
+      CHECK(options.start_window < bounds.gang_timeout);
+    }
+  }
+}
+
+TEST_CASE("a job's state outlives the time that callers may ask for it") {
+  for (const int kept : {1'000, 120'000, 3'600'000}) {
+    Bounds bounds;
+    bounds.state_kept = Duration(kept);
+    CHECK(OwnerOptionsFor(bounds).keep_ended > bounds.state_kept);
+  }
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -25,6 +25,9 @@
 max-fds = 4100
 [bounds]
 grace-s = 6
+stop-timeout-ms = 900
+status_s = 90
+reclaim-ms = 3400
 [platform]
 address = "10.9.0.1:8524"
 )";
@@ -39,6 +42,11 @@
   CHECK(settings.max_descriptors == 3'900);
   CHECK(settings.cores == 0.5);
   CHECK(settings.stop_grace == base::Duration(6'000));
+  CHECK(settings.bounds.stop_timeout == base::Duration(900));
+  CHECK(settings.bounds.state_kept == base::Duration(90'000));
+  CHECK(settings.bounds.guaranteed_start == base::Duration(3'400));
+  // What the file leaves out keeps its default.
+  CHECK(settings.bounds.longest_lease == dispatch::Bounds{}.longest_lease);
 }
 
 TEST_CASE("a wrong settings file is refused with what is wrong") {
@@ -51,6 +59,17 @@
   std::string text(kSettings);
   text.replace(text.find("10.0.0.7:8521"), 13, "10.0.0.7:port");
   CHECK(problem(text) == "x.toml: listen-addrs.front must be address:port");
+  const auto with_bound = [&problem](const std::string& line) {
+    std::string out(kSettings);
+    out.replace(out.find("grace-s = 6"), 11, line);
+    return problem(out);
+  };
+  CHECK(with_bound("drain-ms = \"soon\"") ==
+        "x.toml: bounds.drain-ms must be a number");
+  CHECK(with_bound("evacuate-ms = 0") ==
+        "x.toml: bounds: the delay of an evacuation must be above 0");
+  CHECK(with_bound("max-hold-ms = 300") ==
+        "x.toml: bounds: the longest lease is too short to be renewed in time");
 }
 
 TEST_CASE("a transaction is encoded with base64 values in one part") {
