Start a unit with a reserved place wherever room is free first

Cause: urgent units that preempt others wait 0.42 s (median; 0.50 s at p90) for the last of some 15 preempted tasks to stop, and looked at no other room meanwhile, though tasks end everywhere. Now each round looks for free places for them too. A planner test failed before.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -23,6 +23,14 @@
   kHopeless,
 };
 
+/// Of places that others are being preempted for.
+enum class ReservationState : std::uint8_t {
+  kFree,
+  kTaken,
+  /// A worker of them is gone or closed: other places are to be found.
+  kGone,
+};
+
 struct TaskPlannerOptions {
   /// After so much waiting, as a share of the step's estimate, a place off its
   /// wanted rack will do: waiting longer costs more than the slower place.
@@ -104,6 +112,8 @@
 
  private:
   void StartClaimed(base::TimePoint now, PlannerDecisions& out);
+  ReservationState StateOf(const std::vector<base::WorkerName>& places,
+                           const jobs::Room& needs);
   void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
   std::optional<Places> FindSoundPlaces(const Unit& unit, PlaceRequest request,
                                         bool is_kept_out);
@@ -119,7 +129,7 @@
                          bool is_owed, base::TimePoint now) const;
   std::vector<StepRun*> ReadyInOrder(base::TimePoint now) const;
   void TakeStock(base::TimePoint now);
-  void CountStart(const Unit& unit);
+  void CountStart(const Unit& unit, bool was_free);
   bool MustLeaveRoom(const StepRun& run, base::TimePoint now) const;
   double CostOf(const Unit& victim, base::TimePoint now) const;
   Outlook OutlookOf(const StepRun& run, base::TimePoint now) const;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -133,12 +133,13 @@
   is_half_free_ = 2 * free_ > all;
 }
 
-/// Counts the tasks of a unit that is started now.
-void TaskPlanner::CountStart(const Unit& unit) {
+/// Counts the tasks of a unit that is started now; a reserved place was not
+/// among what was free.
+void TaskPlanner::CountStart(const Unit& unit, bool was_free) {
   const int tasks = unit.step->TasksPerUnit();
   starts_left_ -= tasks;
   quiet_starts_left_ -= tasks;
-  free_ -= unit.step->step->needs.accelerators * tasks;
+  if (was_free) free_ -= unit.step->step->needs.accelerators * tasks;
 }
 
 /// Whether one more unit of a step would take room that is kept.
@@ -198,7 +199,22 @@
          needs->second <= guarantee->second;
 }
 
-/// Starts units whose claimed places have become free.
+ReservationState TaskPlanner::StateOf(
+    const std::vector<base::WorkerName>& places, const Room& needs) {
+  std::map<base::WorkerName, Room> wanted;
+  for (const auto& it : places) wanted[it] += needs;
+  bool is_free = true;
+  for (const auto& [name, room] : wanted) {
+    const auto* worker = fleet_.Find(name);
+    if (worker == nullptr || !worker->is_open) return ReservationState::kGone;
+    is_free = is_free && worker->Free().Holds(room);
+  }
+  return is_free ? ReservationState::kFree : ReservationState::kTaken;
+}
+
+/// Starts units whose reserved places have become free, or that other places
+/// have become free for: stops of what is preempted take their time, and tasks
+/// end everywhere meanwhile.
 void TaskPlanner::StartClaimed(base::TimePoint now, PlannerDecisions& out) {
   const std::vector<StepRun*> ready(book_.ready().begin(), book_.ready().end());
   for (auto* run : ready) {
@@ -207,24 +223,18 @@
       if (unit.claim.empty()) continue;
       const auto claim = unit.claim;
       book_.DropClaim(unit);
-      std::map<base::WorkerName, Room> wanted;
-      for (const auto& it : claim) wanted[it] += needs;
-      bool is_gone = false;
-      bool is_free = true;
-      for (const auto& [name, room] : wanted) {
-        const auto* worker = fleet_.Find(name);
-        is_gone = is_gone || worker == nullptr || !worker->is_open;
-        is_free = is_free && !is_gone && worker->Free().Holds(room);
+      const auto state = StateOf(claim, needs);
+      if (state == ReservationState::kGone) continue;
+      std::optional<Places> places = claim;
+      if (state == ReservationState::kTaken) {
+        places = FindSoundPlaces(unit, RequestFor(*run, false), false);
       }
-      if (is_gone) continue;
-      if (!is_free) {
+      if (!places) {
         book_.SetClaim(unit, claim);
         continue;
       }
-      book_.Plan(unit, claim, now);
-      // Its room was claimed, and is not among what is free.
-      starts_left_ -= run->TasksPerUnit();
-      quiet_starts_left_ -= run->TasksPerUnit();
+      book_.Plan(unit, *places, now);
+      CountStart(unit, state == ReservationState::kTaken);
       out.starts.push_back(&unit);
     }
   }
@@ -264,7 +274,7 @@
     }
     if (places) {
       book_.Plan(unit, *places, now);
-      CountStart(unit);
+      CountStart(unit, true);
       out.starts.push_back(&unit);
       continue;
     }
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -197,6 +197,30 @@
   CHECK(place.planner.Decide(place.now).displaced.size() == 1);
 }
 
+TEST_CASE("a unit takes room that is free before its reserved place is") {
+  Place place;
+  place.OpenAll();
+  AddTasks(place, "quiet", 4, 3);
+  CHECK(place.planner.Decide(place.now).starts.size() == 4);
+  place.now += Duration(100);
+  auto& urgent = place.Add("urgent", 0, 3, WholeWorkers(1));
+  CHECK(place.planner.Decide(place.now).displaced.size() == 1);
+  auto& unit = urgent.runs.front().front().units.front();
+  REQUIRE(unit.claim.size() == 1);
+  // Another task ends while the preempted one is still being stopped.
+  auto& quiet = place.book.Find(base::JobName("quiet"))->runs.front().front();
+  for (auto& it : quiet.units) {
+    if (it.is_stopping) continue;
+    place.book.OnEnded(it, it.first_index, EndKind::kDone, "", place.now);
+    break;
+  }
+  place.now += Duration(100);
+  const auto decisions = place.planner.Decide(place.now);
+  REQUIRE(decisions.starts.size() == 1);
+  CHECK(decisions.starts.front() == &unit);
+  CHECK(unit.claim.empty());
+}
+
 TEST_CASE("what it costs to make room is told with each displaced unit") {
   Place place;
   place.OpenAll();
