Start nothing in a failure domain that has fallen silent

Cause: when a domain is cut off, each of its workers was missed by itself, 1.0 s after the cut on the mean (polls of 0.8 s, 0.6 s more for the answer). Urgent work that started there meanwhile waited 5 to 8 s for the leases to run out, five to eight jobs a cut. Now a domain counts as silent when several of its workers' polls were due since its last answer and did not come while other domains answered.

Tests: the pure rule (crashed workers, an owner that hears nobody), and urgent work after a cut in virtual time, which failed before.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -13,6 +13,7 @@
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
+#include "dispatch/internal/silent_domains.h"
 #include "dispatch/internal/start_window.h"
 #include "dispatch/internal/task_planner.h"
 #include "dispatch/internal/waiting_counter.h"
@@ -91,6 +92,7 @@
                        base::TimePoint sent);
   void EndAllOn(const base::WorkerName& name, const std::string& why);
   void UpdateOpen();
+  void FindSilent();
   void CheckLapsed();
   void CheckStalled();
 
@@ -149,6 +151,8 @@
   /// The earliest time of the next round of decisions.
   base::TimePoint next_decision_{};
   StartWindow window_{{}};
+  /// Failure domains that are cut off from this owner.
+  std::set<base::DomainName> silent_;
   /// Evacuated domains as they were logged last.
   std::set<base::DomainName> evacuated_;
   bool knows_evacuations_ = true;
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -67,6 +67,12 @@
   /// Whether it has answered lately, and no order to it has failed since.
   bool IsReached() const;
 
+  /// When it answered last.
+  base::TimePoint LastAnswer() const;
+
+  /// When the answer that is awaited was due first; the maximum while none is.
+  base::TimePoint AnswerDue() const;
+
   /// An order to it had no answer: it counts as not reached until it answers.
   void Doubt();
 
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -155,6 +155,7 @@
   if (is_loaded_) {
     book_.BeginDue(ports_.unix_ms(), ports_.loop.Now());
     CheckLapsed();
+    FindSilent();
     CheckStalled();
     NoteEvacuations();
     DrainWorkers();
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -133,9 +133,35 @@
   Pump();
 }
 
+/// Notes which failure domains are cut off: an order that is sent there has no
+/// answer, and what it should start waits for the worker's lease to run out.
+void OwnedService::FindSilent() {
+  std::vector<PollState> polls;
+  polls.reserve(workers_.size());
+  for (const auto& [name, worker] : workers_) {
+    const auto& session = *worker.session;
+    if (!worker.is_listed || !session.is_heard()) continue;
+    polls.push_back(
+        {session.entry().domain, session.LastAnswer(), session.AnswerDue()});
+  }
+  auto silent = FindSilentDomains(polls, {}, ports_.loop.Now());
+  if (silent == silent_) return;
+  for (const auto& it : silent) {
+    if (silent_.contains(it)) continue;
+    base::Log(base::events::kDomainSilent,
+              {{"service", service_.str()}, {"domain", it.str()}});
+  }
+  for (const auto& it : silent_) {
+    if (silent.contains(it)) continue;
+    base::Log(base::events::kDomainAnswers,
+              {{"service", service_.str()}, {"domain", it.str()}});
+  }
+  silent_ = std::move(silent);
+}
+
 /// Whether each worker may get new tasks: it is registered, does not leave, is
-/// in no evacuated domain, has answered lately and refused nothing. Both maps
-/// are in the order of names.
+/// in no evacuated or silent domain, has answered lately and refused nothing.
+/// Both maps are in the order of names.
 void OwnedService::UpdateOpen() {
   const auto now = ports_.loop.Now();
   auto it = workers_.begin();
@@ -144,10 +170,12 @@
     if (it == workers_.end()) return;
     if (it->first != name) continue;
     const auto& worker = it->second;
-    place.is_open = worker.is_listed && worker.session->is_heard() &&
-                    worker.session->IsReached() &&
-                    !worker.session->entry().is_draining &&
-                    !IsEvacuated(worker) && worker.closed_until <= now &&
+    const auto& session = *worker.session;
+    const bool is_reached = session.is_heard() && session.IsReached() &&
+                            !silent_.contains(session.entry().domain);
+    const bool is_wanted = worker.is_listed && !session.entry().is_draining &&
+                           !IsEvacuated(worker);
+    place.is_open = is_reached && is_wanted && worker.closed_until <= now &&
                     !conduct_.IsOut(name);
     place.is_doubted = conduct_.IsDoubted(name, now);
   }
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -35,6 +35,7 @@
       NoteExpiry(*order.expires);
     }
     const auto sent = loop_.Now();
+    answer_due_ = std::min(answer_due_, sent + wait);
     port_.Hold({entry_.name, entry_.endpoint}, order,
                wait + options_.answer_timeout,
                [weak = weak_from_this(), sent](HoldResult result) {
@@ -99,6 +100,7 @@
     is_reached_ = true;
     clock_ = news.clock;
     clock_at_ = loop_.Now();
+    answer_due_ = base::TimePoint::max();
     std::erase_if(news.ended,
                   [this](const EndedTask& it) { return it.number <= told_; });
     if (!news.ended.empty()) told_ = news.ended.back().number;
@@ -133,6 +135,7 @@
   /// The worker's clock in its last answer, and when that came.
   WorkerClock clock_ = 0;
   base::TimePoint clock_at_{};
+  base::TimePoint answer_due_ = base::TimePoint::max();
   WorkerClock latest_expiry_ = 0;
   std::uint64_t told_ = 0;
   std::uint64_t recorded_ = 0;
@@ -165,6 +168,10 @@
 
 bool WorkerSession::IsReached() const { return impl_->IsReached(); }
 
+base::TimePoint WorkerSession::LastAnswer() const { return impl_->clock_at_; }
+
+base::TimePoint WorkerSession::AnswerDue() const { return impl_->answer_due_; }
+
 void WorkerSession::Doubt() { impl_->is_reached_ = false; }
 
 WorkerClock WorkerSession::Clock() const { return impl_->Clock(); }
--- /dev/null
+++ b/test/dispatch/silent_domains_test.cc
@@ -0,0 +1,75 @@
+#include "dispatch/internal/silent_domains.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "owner_world.h"
+
+namespace lapishatch::dispatch::internal {
+namespace {
+
+using base::DomainName;
+using base::Duration;
+using base::TimePoint;
+
+TimePoint At(int ms) { return TimePoint(Duration(ms)); }
+
+/// Ten workers a domain that answered 100 ms apart, `a` until 1 s, `b` until
+/// `b_until`, and whose next answers are due 800 ms after the last.
+std::vector<PollState> TwoDomains(int b_until) {
+  std::vector<PollState> out;
+  for (int i = 0; i < 10; ++i) {
+    out.push_back({DomainName("a"), At(100 * i + 100), At(100 * i + 900)});
+    const int answered = std::min(100 * i + 100, b_until);
+    out.push_back({DomainName("b"), At(answered), At(answered + 800)});
+  }
+  return out;
+}
+
+TEST_CASE("a domain that misses several answers while others come is silent") {
+  CHECK(FindSilentDomains(TwoDomains(1'000), {}, At(1'000)).empty());
+  const auto silent = FindSilentDomains(TwoDomains(0), {}, At(1'000));
+  CHECK(silent == std::set<DomainName>{DomainName("b")});
+}
+
+TEST_CASE("an owner that hears nobody finds no domain silent") {
+  CHECK(FindSilentDomains(TwoDomains(1'000), {}, At(5'000)).empty());
+}
+
+TEST_CASE("two workers that crashed are no silent domain") {
+  auto polls = TwoDomains(1'000);
+  int left = 2;
+  for (auto& it : polls) {
+    if (it.domain != DomainName("b") || left-- <= 0) continue;
+    it.answered = At(0);
+    it.due = At(10);
+  }
+  CHECK(FindSilentDomains(polls, {}, At(1'000)).empty());
+}
+
+TEST_CASE("urgent work avoids a domain that was cut off a moment ago") {
+  OwnerWorld world(1, 24);
+  world.RunFor(1'000);
+  // Polls of workers are spread in time as tasks end here and there.
+  for (int i = 0; i < 24; ++i) {
+    auto job = OwnerWorld::MakeJob("warm" + std::to_string(i), 1, 8);
+    world.Submit(job);
+    world.RunFor(60);
+  }
+  world.RunFor(4'000);
+  constexpr int kPerDomain = 4;
+  for (int i = 0; i < kPerDomain; ++i) {
+    world.workers().Cut("", OwnerWorld::WorkerCalled(i));
+  }
+  world.RunFor(1'100);
+  auto urgent = OwnerWorld::MakeJob("urgent", 20, 8);
+  urgent.priority = 0;
+  world.Submit(urgent);
+  world.RunFor(300);
+  CHECK(world.workers().running() == 20);
+  world.RunFor(3'000);
+  CHECK(world.StateOf("urgent") == jobs::JobState::kCompleted);
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch::internal
