--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -25,12 +25,12 @@
   /// for the owner, or that it does not know.
   jobs::Room strays;
   /// Promised to units that wait for others to be stopped.
-  jobs::Room claimed;
+  jobs::Room reserved;
   /// Whether anything new may start there.
   bool is_open = false;
   /// Whether it has lately failed a task and ended none well since: what has
   /// another place, or no failure to spare, does not go there.
-  bool is_doubted = false;
+  bool is_suspect = false;
   /// Of its rack among those with open workers; set by OpenWorkers.
   std::size_t rack_index = 0;
   /// Whether its size is known; room is counted on others too, since tasks may
@@ -41,7 +41,7 @@
     auto out = capacity;
     out -= used;
     out -= strays;
-    out -= claimed;
+    out -= reserved;
     return out;
   }
 
--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -30,7 +30,7 @@
   explicit JobBook(Fleet& fleet) : fleet_(fleet) {}
 
   /// Adds a job as it was accepted, with what an earlier owner recorded of it.
-  /// Members of a recorded start are unsure until their workers are heard.
+  /// Members of a recorded start are unconfirmed until their workers are heard.
   /// `age` is the time since its acceptance.
   JobEntry* Add(std::shared_ptr<const jobs::Job> job,
                 const jobs::JobProgress* progress, std::uint64_t row_version,
@@ -121,8 +121,8 @@
   std::vector<base::JobName> TakeEnded() { return std::exchange(ended_, {}); }
 
   /// Gives up the room that a waiting unit was promised.
-  void DropClaim(Unit& unit);
-  void SetClaim(Unit& unit, std::vector<base::WorkerName> places);
+  void DropReservation(Unit& unit);
+  void SetReservation(Unit& unit, std::vector<base::WorkerName> places);
 
  private:
   void MarkDirty(JobEntry& job, base::TimePoint due);
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -17,8 +17,8 @@
 #include "dispatch/internal/start_window.h"
 #include "dispatch/internal/task_planner.h"
 #include "dispatch/internal/waiting_counter.h"
-#include "dispatch/internal/worker_conduct.h"
 #include "dispatch/internal/worker_drain.h"
+#include "dispatch/internal/worker_health.h"
 #include "dispatch/internal/worker_session.h"
 #include "dispatch/service_owner.h"
 #include "store/feed_follower.h"
@@ -142,7 +142,7 @@
   std::vector<std::unique_ptr<Recorder>> recorders_;
   std::optional<WaitingCounter> counter_;
   std::map<base::WorkerName, Worker> workers_;
-  WorkerConduct conduct_{{}};
+  WorkerHealth health_{{}};
   Departures departures_;
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> requests_;
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -15,15 +15,15 @@
 
 namespace lapishatch::dispatch::internal {
 
-/// What can still come of a job.
-enum class Outlook : std::uint8_t {
+/// How a job stands towards its deadline.
+enum class DeadlineStatus : std::uint8_t {
   kInTime,
   kLate,
-  /// Too late to be worth anything.
-  kHopeless,
+  /// Past its deadline: worth nothing any more.
+  kPast,
 };
 
-/// Of places that others are being preempted for.
+/// Of places for which victims are being stopped.
 enum class ReservationState : std::uint8_t {
   kFree,
   kTaken,
@@ -45,41 +45,39 @@
   /// for its rack takes it from what is not urgent there, or is started
   /// elsewhere: small tasks scattered over the workers of every rack would keep
   /// a gang of whole workers out for as long as they come.
-  base::Duration kept_out_after{1'500};
-  /// Estimates are up to half off: a job counts as late only when this share of
-  /// what is left of its chain does not fit before its objective.
+  base::Duration rack_wait_limit{1'500};
+  /// Fraction of the estimated remaining time that must fit before the
+  /// deadline; below 1 tolerates overestimates.
   double sure_share = 0.7;
-  /// A job that ends after this many objectives is worth nothing to its caller:
-  /// it runs when nothing else wants the room.
-  int hopeless_after = 3;
-  /// Room that urgent work had lately is kept for it from work that can still
-  /// wait: the peak of its accelerators in use, fading over this time.
+  /// A job that ends after this many objectives is worth nothing to its caller
+  /// and runs when nothing else wants the resources.
+  int past_after = 3;
+  /// Time constant with which the peak of accelerators in use by urgent work
+  /// fades; what is left of the peak is its headroom.
   base::Duration peak_fades{8'000};
-  /// Most of all accelerators that are kept so.
-  double most_kept = 0.35;
-  /// Work waits for that room only while it has so much time to spare.
-  base::Duration keep_slack{2'000};
-  /// Whether a step would fit if nothing else ran changes only with the workers
-  /// that are open, and is costly to find out: it is looked at again after so
-  /// long.
-  base::Duration fit_looked_at{500};
+  /// Most headroom, as a share of all accelerators.
+  double most_headroom = 0.35;
+  /// Other work leaves the headroom free while it has so much time to spare.
+  base::Duration headroom_slack{2'000};
+  /// How long it is remembered that a step would fit on an empty fleet, which
+  /// is costly to find out.
+  base::Duration fit_recheck{500};
   /// Most work thrown away for an urgent unit, as a multiple of its own.
   double most_waste = 3.0;
-  /// What could not be stopped for a unit is looked for again after so long: a
-  /// search costs a pass over all workers and what runs there.
+  /// Pause between two searches for units to preempt for the same unit: each
+  /// costs a pass over all workers and what runs there.
   base::Duration reclaim_again{100};
   /// Share of the starts that only urgent units may use, so that they need not
   /// wait behind others.
   double urgent_starts = 0.25;
 };
 
-/// A unit that is stopped so that another one gets its place.
-struct Displaced {
+/// A victim, and the unit that gets its place.
+struct Preemption {
   Unit* unit = nullptr;
-  /// Which gets the place.
   const Unit* by = nullptr;
-  /// A guarantee owes it the place, rather than its worth.
-  bool is_owed = false;
+  /// `by` is within its organisation's guarantee.
+  bool is_guaranteed = false;
   /// Work lost since the last checkpoint, in core-seconds.
   double lost = 0;
 };
@@ -89,14 +87,14 @@
   /// Units whose starts are to be recorded and sent.
   std::vector<Unit*> starts;
   /// Units that are now to be stopped.
-  std::vector<Displaced> displaced;
+  std::vector<Preemption> preempted;
   /// Whether some units were not looked at as enough starts are under way.
   bool is_limited = false;
 };
 
 /// Decides which units start where and which are stopped for whom. Changes the
-/// book (Plan, Stop, SetClaim) and sends nothing. Deterministic: the same book,
-/// fleet and time give the same decisions.
+/// book (Plan, Stop, SetReservation) and sends nothing. Deterministic: the same
+/// book, fleet and time give the same decisions.
 class TaskPlanner {
  public:
   TaskPlanner(JobBook& book, Fleet& fleet, TaskPlannerOptions options)
@@ -111,28 +109,29 @@
                           int most_starts = std::numeric_limits<int>::max());
 
  private:
-  void StartClaimed(base::TimePoint now, PlannerDecisions& out);
+  void StartReserved(base::TimePoint now, PlannerDecisions& out);
   ReservationState StateOf(const std::vector<base::WorkerName>& places,
                            const jobs::Room& needs);
   void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
   std::optional<Places> FindSoundPlaces(const Unit& unit, PlaceRequest request,
-                                        bool is_kept_out);
-  bool FitsOffRack(const Unit& unit, PlaceRequest request, bool is_kept_out);
-  bool TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
+                                        bool is_starved);
+  bool FitsOffRack(const Unit& unit, PlaceRequest request, bool is_starved);
+  bool TryReclaim(Unit& unit, bool is_guaranteed, base::TimePoint now,
                   PlannerDecisions& out);
   bool CouldFit(StepRun& run, base::TimePoint now) const;
-  bool IsOwed(const JobEntry& job) const;
+  bool IsGuaranteed(const JobEntry& job) const;
   std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
-  std::vector<Victim> Victims(bool is_owed, base::TimePoint now) const;
-  ReclaimBoard& Board(bool is_owed, base::TimePoint now);
+  std::vector<Victim> Victims(bool is_guaranteed, base::TimePoint now) const;
+  ReclaimBoard& Board(bool is_guaranteed, base::TimePoint now);
   bool ThrowsAwayTooMuch(const ReclaimPlan& plan, const Unit& unit,
-                         bool is_owed, base::TimePoint now) const;
+                         bool is_guaranteed, base::TimePoint now) const;
   std::vector<StepRun*> ReadyInOrder(base::TimePoint now) const;
-  void TakeStock(base::TimePoint now);
+  void UpdateHeadroom(base::TimePoint now);
   void CountStart(const Unit& unit, bool was_free);
-  bool MustLeaveRoom(const StepRun& run, base::TimePoint now) const;
+  bool MustLeaveHeadroom(const StepRun& run, base::TimePoint now) const;
   double CostOf(const Unit& victim, base::TimePoint now) const;
-  Outlook OutlookOf(const StepRun& run, base::TimePoint now) const;
+  DeadlineStatus DeadlineStatusOf(const StepRun& run,
+                                  base::TimePoint now) const;
 
   JobBook& book_;
   Fleet& fleet_;
@@ -142,20 +141,21 @@
   double urgent_peak_ = 0;
   base::TimePoint peak_at_{};
   /// Of the present call.
-  std::int64_t kept_ = 0;
+  std::int64_t headroom_ = 0;
   std::int64_t free_ = 0;
   bool is_half_free_ = false;
   int starts_left_ = 0;
   int quiet_starts_left_ = 0;
   std::optional<OpenWorkers> open_;
-  /// What may be stopped for units that are owed their place, and for others.
+  /// What may be stopped for units that are guaranteed their place, and for
+  /// others.
   struct Boards {
-    std::optional<ReclaimBoard> owed;
-    std::optional<ReclaimBoard> not_owed;
+    std::optional<ReclaimBoard> guaranteed;
+    std::optional<ReclaimBoard> not_guaranteed;
 
     void Clear() {
-      owed.reset();
-      not_owed.reset();
+      guaranteed.reset();
+      not_guaranteed.reset();
     }
   };
   Boards boards_;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -28,7 +28,7 @@
   kPlanned,
   /// A start was sent and has no answer yet, or none came: it may run, or begin
   /// to until `expires`.
-  kUnsure,
+  kUnconfirmed,
   /// The worker has said that it runs.
   kRunning,
   /// It runs no more and never will.
@@ -46,7 +46,7 @@
   bool is_stop_confirmed = false;
   /// How far it was when it was last seen to get on, and when that was.
   int percent = 0;
-  base::TimePoint moved{};
+  base::TimePoint last_progress{};
   /// The same of when it was seen first; a resumed run begins above 0.
   int first_percent = 0;
   base::TimePoint first_seen{};
@@ -77,7 +77,7 @@
   /// Where its last failed run failed: better places are looked for first.
   std::set<base::WorkerName> failed_on;
   /// Places that others are being stopped for; empty for none.
-  std::vector<base::WorkerName> claim;
+  std::vector<base::WorkerName> reserved;
   base::TimePoint waiting_since{};
   base::TimePoint started{};
   /// When nothing was found that could be stopped for it.
@@ -109,7 +109,7 @@
   /// Whether a unit would fit where it wants to be if nothing else ran, and
   /// when that was looked at; see TaskPlanner.
   bool could_fit = false;
-  base::TimePoint could_fit_at{};
+  base::TimePoint fit_checked_at{};
 
   bool IsDone() const { return units_done == static_cast<int>(units.size()); }
   int TasksPerUnit() const { return step->is_gang ? step->tasks : 1; }
--- a/src/dispatch/internal/worker_drain.h
+++ b/src/dispatch/internal/worker_drain.h
@@ -25,8 +25,8 @@
 
 /// Units to stop since a worker of theirs leaves before they can end. What is
 /// stopped in time is listed as ended and starts elsewhere at once; what is
-/// lost with its worker starts again only after the worker's lease, 5.9 s
-/// later. Costs one pass over the members of active units.
+/// lost with its worker starts again only after the worker's lease. Costs one
+/// pass over the members of active units.
 std::vector<Unit*> FindDrained(const JobBook& book,
                                const Departures& departures,
                                const DrainOptions& options,
--- a/src/dispatch/internal/worker_conduct.h
+++ b/src/dispatch/internal/worker_health.h
@@ -1,5 +1,5 @@
-#ifndef LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
-#define LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_WORKER_HEALTH_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_WORKER_HEALTH_H_
 
 #include <map>
 #include <set>
@@ -10,7 +10,7 @@
 
 namespace lapishatch::dispatch::internal {
 
-struct WorkerConductOptions {
+struct WorkerHealthOptions {
   /// Failures in a row, with no task ending well in between, that put a worker
   /// out. Tasks fail by their own fault now and then, so that fewer in a row
   /// may well be chance.
@@ -18,12 +18,12 @@
   /// Of so many jobs at least: a job that can never be done fails anywhere.
   std::size_t jobs = 2;
   /// For so long after a failure, unless a task ends well there in between, a
-  /// worker is doubted. A worker that fails all it starts does so for seconds
+  /// worker is suspect. A worker that fails all it starts does so for seconds
   /// and at once, so one failure is enough to send elsewhere what has other
   /// places: otherwise both attempts of a job fall on such workers.
-  base::Duration doubted_for{8'000};
-  /// A worker that fails all it starts does so for some 6 s; then it gets work
-  /// on trial.
+  base::Duration suspect_for{8'000};
+  /// A worker that failed several jobs in a row gets work on trial after a
+  /// pause that grows.
   placement::WorkerQuarantine::Options quarantine{0.2, base::Duration(4'000),
                                                   base::Duration(60'000),
                                                   base::Duration(60'000), 1};
@@ -31,9 +31,9 @@
 
 /// Finds workers that fail what they start. Such a worker always has room, so
 /// it would take one task after another and use up their attempts. Pure.
-class WorkerConduct {
+class WorkerHealth {
  public:
-  explicit WorkerConduct(WorkerConductOptions options)
+  explicit WorkerHealth(WorkerHealthOptions options)
       : options_(options), quarantine_(options.quarantine) {}
 
   /// A task ended on a worker of a fleet of `fleet_size`. True when the worker
@@ -42,7 +42,7 @@
                EndKind kind, std::size_t fleet_size, base::TimePoint now);
 
   /// Whether the worker has lately failed a task and ended none well since.
-  bool IsDoubted(const base::WorkerName& worker, base::TimePoint now) const;
+  bool IsSuspect(const base::WorkerName& worker, base::TimePoint now) const;
 
   /// Puts a worker out for another reason. False when it is out, or too many
   /// are.
@@ -66,7 +66,7 @@
     std::set<base::JobName> jobs;
   };
 
-  const WorkerConductOptions options_;
+  const WorkerHealthOptions options_;
   placement::WorkerQuarantine quarantine_;
   std::map<base::WorkerName, Record> records_;
   /// When each worker last failed a task, until one ends well there.
@@ -75,4 +75,4 @@
 
 }  // namespace lapishatch::dispatch::internal
 
-#endif  // LAPISHATCH_DISPATCH_INTERNAL_WORKER_CONDUCT_H_
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_WORKER_HEALTH_H_
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -13,7 +13,7 @@
 
 struct SessionOptions {
   /// A worker kills what it runs when so much time has passed since the last
-  /// renewal was sent. Long enough for a takeover (2.5 s) after a renewal that
+  /// renewal was sent. Long enough for a takeover after a renewal that
   /// is as old as `wait`; short, since work on a worker that nobody reaches may
   /// start elsewhere only after it.
   base::Duration lease{5'900};
@@ -74,7 +74,7 @@
   base::TimePoint AnswerDue() const;
 
   /// An order to it had no answer: it counts as not reached until it answers.
-  void Doubt();
+  void MarkUnreached();
 
   /// An estimate of the worker's clock that is late by a round trip at most.
   /// Only when it is heard.
@@ -88,7 +88,7 @@
   bool HasLapsed() const;
 
   /// Highest number of an end that was told.
-  std::uint64_t ends_told() const;
+  std::uint64_t ends_received() const;
 
   /// Ends up to `number` stand in the store.
   void EndsRecorded(std::uint64_t number);
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -127,7 +127,7 @@
     if (record.phase != UnitPhase::kStarted) continue;
     unit->last_run = record.last_run - 1;
     Plan(*unit, record.workers, now);
-    for (auto& member : unit->members) member.state = MemberState::kUnsure;
+    for (auto& member : unit->members) member.state = MemberState::kUnconfirmed;
   }
   dirty(job.part).erase(&job);
 }
@@ -167,7 +167,7 @@
 
 void JobBook::Plan(Unit& unit, const std::vector<base::WorkerName>& places,
                    base::TimePoint now) {
-  DropClaim(unit);
+  DropReservation(unit);
   auto& run = *unit.step;
   const auto needs = CountedNeeds(*run.step);
   unit.phase = UnitPhase::kStarted;
@@ -213,7 +213,7 @@
                        unit.step->step->is_service ||
                        IsFinal(unit.step->job->state);
   if (is_over || run > unit.last_run) return;
-  DropClaim(unit);
+  DropReservation(unit);
   MarkDone(unit, now);
   Stop(unit);
 }
@@ -234,7 +234,7 @@
     if (unit->is_stopping) continue;
     for (const auto& it : unit->members) {
       const bool is_sent =
-          it.state == MemberState::kUnsure && it.sent != base::TimePoint{};
+          it.state == MemberState::kUnconfirmed && it.sent != base::TimePoint{};
       if (it.state == MemberState::kPlanned || is_sent) ++out;
     }
   }
@@ -372,7 +372,7 @@
     for (auto& run : runs) {
       UpdateReady(run);
       for (auto& unit : run.units) {
-        DropClaim(unit);
+        DropReservation(unit);
         if (unit.phase != UnitPhase::kDone) Stop(unit);
       }
     }
@@ -386,7 +386,7 @@
       std::erase_if(not_due_,
                     [&run](const auto& it) { return it.second == &run; });
       for (auto& unit : run.units) {
-        DropClaim(unit);
+        DropReservation(unit);
         to_stop_.erase(&unit);
         active_.erase(&unit);
         for (std::size_t i = 0; i < unit.members.size(); ++i) {
@@ -436,21 +436,21 @@
   return out;
 }
 
-void JobBook::DropClaim(Unit& unit) {
+void JobBook::DropReservation(Unit& unit) {
   const auto needs = CountedNeeds(*unit.step->step);
-  for (const auto& it : unit.claim) {
-    if (auto* worker = fleet_.Find(it)) worker->claimed -= needs;
+  for (const auto& it : unit.reserved) {
+    if (auto* worker = fleet_.Find(it)) worker->reserved -= needs;
   }
-  unit.claim.clear();
+  unit.reserved.clear();
 }
 
-void JobBook::SetClaim(Unit& unit, std::vector<base::WorkerName> places) {
-  DropClaim(unit);
+void JobBook::SetReservation(Unit& unit, std::vector<base::WorkerName> places) {
+  DropReservation(unit);
   const auto needs = CountedNeeds(*unit.step->step);
   for (const auto& it : places) {
-    if (auto* worker = fleet_.Find(it)) worker->claimed += needs;
+    if (auto* worker = fleet_.Find(it)) worker->reserved += needs;
   }
-  unit.claim = std::move(places);
+  unit.reserved = std::move(places);
 }
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/open_workers.h
+++ b/src/dispatch/open_workers.h
@@ -65,8 +65,8 @@
   std::int64_t accelerators() const { return accelerators_; }
   std::int64_t free_accelerators() const { return free_accelerators_; }
 
-  /// Whether any is doubted, and whether any is not.
-  bool has_doubted() const { return has_doubted_; }
+  /// Whether any is suspect, and whether any is not.
+  bool has_suspects() const { return has_doubted_; }
   bool has_sound() const { return has_sound_; }
 
  private:
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -9,15 +9,15 @@
 
 namespace {
 
-void LogDisplaced(const Displaced& it) {
+void LogPreemption(const Preemption& it) {
   const auto& job = *it.unit->step->job;
-  base::Log(base::events::kUnitDisplaced,
+  base::Log(base::events::kUnitPreempted,
             {{"request", job.job->name},
              {"task", TextOf(JobBook::NameOf(*it.unit, 0))},
              {"run", it.unit->last_run},
              {"tasks", it.unit->members.size()},
              {"by", TextOf(JobBook::NameOf(*it.by, 0))},
-             {"owed", it.is_owed},
+             {"guaranteed", it.is_guaranteed},
              {"lost_core_s", static_cast<std::int64_t>(it.lost)}});
 }
 
@@ -56,7 +56,7 @@
     window_.NoteUse(under_way + CountTasks(decisions.starts));
   }
   waits_for_answers_ = decisions.is_limited;
-  for (const auto& it : decisions.displaced) LogDisplaced(it);
+  for (const auto& it : decisions.preempted) LogPreemption(it);
   SendStops();
   if (!decisions.starts.empty()) SendStarts(decisions.starts);
   LogEnds();
@@ -156,7 +156,7 @@
                    epoch_,
                    unit->checkpoint};
   session.NoteExpiry(order.expires);
-  member.state = MemberState::kUnsure;
+  member.state = MemberState::kUnconfirmed;
   member.expires = std::max(member.expires, order.expires);
   member.sent = ports_.loop.Now();
   ports_.workers.Start(session.address(), std::move(order),
@@ -216,7 +216,7 @@
     return Pump();
   }
   if (std::holds_alternative<NotSent>(result) && member.unanswered == 0) {
-    if (worker != nullptr) worker->session->Doubt();
+    if (worker != nullptr) worker->session->MarkUnreached();
     book_.OnRefused(*unit, task.index, now);
     return Pump();
   }
@@ -226,7 +226,7 @@
                                              {"run", run},
                                              {"worker", member.worker},
                                              {"tries", member.unanswered}});
-  if (worker != nullptr) worker->session->Doubt();
+  if (worker != nullptr) worker->session->MarkUnreached();
   if (member.unanswered < options_.start_tries) return SendStart(task, run);
   book_.Stop(*unit);
   Pump();
@@ -236,7 +236,7 @@
   for (auto* unit : book_.to_stop()) {
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
       auto& member = unit->members[i];
-      const bool can_stop = member.state == MemberState::kUnsure ||
+      const bool can_stop = member.state == MemberState::kUnconfirmed ||
                             member.state == MemberState::kRunning;
       if (!can_stop || member.is_stop_under_way) continue;
       member.is_stop_under_way = true;
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -159,7 +159,7 @@
     CheckStalled();
     NoteEvacuations();
     DrainWorkers();
-    conduct_.Release(ports_.loop.Now());
+    health_.Release(ports_.loop.Now());
     RemoveOld();
     Pump();
   }
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -176,8 +176,8 @@
     const bool is_wanted = worker.is_listed && !session.entry().is_draining &&
                            !IsEvacuated(worker);
     place.is_open = is_reached && is_wanted && worker.closed_until <= now &&
-                    !conduct_.IsOut(name);
-    place.is_doubted = conduct_.IsDoubted(name, now);
+                    !health_.IsOut(name);
+    place.is_suspect = health_.IsSuspect(name, now);
   }
 }
 
@@ -200,14 +200,14 @@
   if (auto* place = fleet_.Find(name)) place->strays = strays;
   for (const auto& it : news.ended) OnEnded(name, it);
   ResolveUnlisted(name, news, sent);
-  const auto told = worker->session->ends_told();
+  const auto told = worker->session->ends_received();
   if (!news.ended.empty()) {
     for (const auto& it : news.ended) worker->unrecorded.insert(it.task.job);
     WhenRecorded(worker->unrecorded, [weak = weak_from_this(), name, told] {
       const auto self = weak.lock();
       auto* it = self ? self->FindWorker(name) : nullptr;
       if (it == nullptr) return;
-      if (it->session->ends_told() == told) it->unrecorded.clear();
+      if (it->session->ends_received() == told) it->unrecorded.clear();
       it->session->EndsRecorded(told);
     });
   }
@@ -229,11 +229,11 @@
   auto& member = JobBook::MemberOf(*unit, task.task.index);
   if (member.worker != name) return;
   JobBook::OnCheckpoint(*unit, task.checkpoint, sent);
-  const bool has_moved =
+  const bool has_progress =
       task.percent != member.percent || member.state != MemberState::kRunning;
-  if (has_moved) {
+  if (has_progress) {
     member.percent = task.percent;
-    member.moved = ports_.loop.Now();
+    member.last_progress = ports_.loop.Now();
   }
   if (member.first_seen == TimePoint{}) {
     member.first_percent = task.percent;
@@ -267,7 +267,7 @@
                           {{"how", std::string(base::NameOf(end.kind))}});
   }
   const auto now = ports_.loop.Now();
-  if (conduct_.OnEnded(name, end.task.job, end.kind, workers_.size(), now)) {
+  if (health_.OnEnded(name, end.task.job, end.kind, workers_.size(), now)) {
     base::Log(base::events::kWorkerPutOut,
               {{"service", service_.str()}, {"worker", name}});
   }
@@ -296,8 +296,8 @@
         (member.state == MemberState::kRunning || member.is_stop_confirmed);
     // A start of a former owner has no known expiry here (0): this owner's
     // epoch has ended it.
-    const bool is_too_late =
-        member.state == MemberState::kUnsure && news.clock > member.expires;
+    const bool is_too_late = member.state == MemberState::kUnconfirmed &&
+                             news.clock > member.expires;
     if (!was_confirmed && !is_too_late) continue;
     base::Log(base::events::kTaskVanished, {{"request", task.job},
                                             {"task", TextOf(task)},
@@ -322,18 +322,17 @@
     std::set<base::WorkerName> still;
     for (const auto& it : unit->members) {
       const bool is_still = it.state == MemberState::kRunning &&
-                            it.moved != TimePoint{} &&
-                            now - it.moved > patience;
+                            it.last_progress != TimePoint{} &&
+                            now - it.last_progress > patience;
       if (is_still) still.insert(it.worker);
     }
     if (still.empty()) continue;
     // A whole gang stands still when one of its tasks does: which worker it is
     // shows by what else is there.
     if (unit->members.size() == 1) {
-      conduct_.PutOut(*still.begin(), workers_.size(), now);
+      health_.PutOut(*still.begin(), workers_.size(), now);
     }
-    std::erase_if(still,
-                  [this](const auto& it) { return !conduct_.IsOut(it); });
+    std::erase_if(still, [this](const auto& it) { return !health_.IsOut(it); });
     if (still.empty()) continue;
     unit->failed_on = std::move(still);
     stalled.push_back(unit);
@@ -387,7 +386,7 @@
   for (const auto& it : gone) {
     workers_.erase(it);
     departures_.erase(it);
-    conduct_.Forget(it);
+    health_.Forget(it);
     fleet_.Remove(it);
   }
   if (now - taken_at_ <= unheard) return;
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -24,8 +24,8 @@
 inline constexpr std::string_view kFenceKey = "fence";
 
 struct OwnerLeaseOptions {
-  /// How long a renewal counts, from before it was sent. A takeover must end
-  /// within 2.5 s of a kill, and then some 50 ms are left to read rows.
+  /// How long a renewal counts, from before it was sent. A service has no owner
+  /// for about as long after a kill.
   base::Duration length{2'000};
   base::Duration renew_every{500};
   base::Duration retry_every{200};
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -35,7 +35,7 @@
 bool IsAllowed(const FleetWorker& worker, const PlaceRequest& request) {
   const auto& label = request.step->required_label;
   if (!label.empty() && !worker.HasLabel(label)) return false;
-  if (request.avoids_doubted && worker.is_doubted) return false;
+  if (request.avoids_suspects && worker.is_suspect) return false;
   return request.avoid == nullptr || !request.avoid->contains(worker.name);
 }
 
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -22,7 +22,7 @@
   /// Workers that are not to be taken; null for none.
   const std::set<base::WorkerName>* avoid = nullptr;
   /// Whether workers that lately failed a task are left out.
-  bool avoids_doubted = false;
+  bool avoids_suspects = false;
   /// Whether a rack other than the wanted one will do.
   bool accepts_slow = false;
 };
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -41,7 +41,7 @@
   /// An owner that misses the store goes on renewing leases at workers for so
   /// long after its last renewal, so that what runs outlives an outage. A
   /// successor waits as long before it starts elsewhere what was last on a
-  /// worker that it does not reach. Outages last up to 9 s.
+  /// worker that it does not reach.
   base::Duration orphan_limit{8'000};
   /// No lease at a worker reaches further beyond that renewal, so that the
   /// successor's wait is no longer than an outage asks for.
@@ -59,7 +59,7 @@
   int start_tries = 3;
   /// A worker that refused for want of health or room gets nothing for so long.
   base::Duration refused_pause{1'000};
-  /// A run whose progress, told in whole percents, has not moved for so long,
+  /// A run whose progress, in whole percents, has not moved for so long,
   /// and for this share of its estimate, is started elsewhere. One percent
   /// takes a hundredth of the estimate, and up to 24 times that on a slow
   /// worker off its rack. It guards against workers that stand still for good;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -72,8 +72,8 @@
   quiet_starts_left_ =
       most_starts - static_cast<int>(options_.urgent_starts * most_starts);
   urgent_needs_ = UrgentNeeds();
-  TakeStock(now);
-  StartClaimed(now, out);
+  UpdateHeadroom(now);
+  StartReserved(now, out);
   for (auto* it : ReadyInOrder(now)) {
     if (starts_left_ <= 0) {
       out.is_limited = true;
@@ -92,13 +92,13 @@
 std::vector<StepRun*> TaskPlanner::ReadyInOrder(base::TimePoint now) const {
   const auto key = [&](StepRun* it) {
     const auto& job = *it->job;
-    const auto outlook = OutlookOf(*it, now);
+    const auto status = DeadlineStatusOf(*it, now);
     const bool is_urgent = job.job->priority == kUrgentPriority;
     const auto latest = job.accepted + job.objective - it->tail;
     const std::string_view name = job.job->name.str();
-    return std::tuple(outlook == Outlook::kHopeless,
-                      outlook == Outlook::kLate && !is_urgent,
-                      job.job->priority, outlook, latest, name, it->occurrence,
+    return std::tuple(status == DeadlineStatus::kPast,
+                      status == DeadlineStatus::kLate && !is_urgent,
+                      job.job->priority, status, latest, name, it->occurrence,
                       it->number, it);
   };
   std::vector<decltype(key(nullptr))> keys;
@@ -114,7 +114,7 @@
 /// Takes stock of the open workers: accelerators that are free, and what is
 /// kept for urgent work, which comes in bursts: without it each burst stops the
 /// quiet work that has just begun in the room of the last one.
-void TaskPlanner::TakeStock(base::TimePoint now) {
+void TaskPlanner::UpdateHeadroom(base::TimePoint now) {
   std::int64_t urgent = 0;
   for (const auto* it : book_.active()) {
     if (it->step->job->job->priority != kUrgentPriority) continue;
@@ -127,9 +127,9 @@
   peak_at_ = now;
   const auto all = open_->accelerators();
   free_ = open_->free_accelerators();
-  const auto most = options_.most_kept * static_cast<double>(all);
+  const auto most = options_.most_headroom * static_cast<double>(all);
   const auto wanted = urgent_peak_ - static_cast<double>(urgent);
-  kept_ = static_cast<std::int64_t>(std::min(most, wanted));
+  headroom_ = static_cast<std::int64_t>(std::min(most, wanted));
   is_half_free_ = 2 * free_ > all;
 }
 
@@ -143,24 +143,27 @@
 }
 
 /// Whether one more unit of a step would take room that is kept.
-bool TaskPlanner::MustLeaveRoom(const StepRun& run, base::TimePoint now) const {
+bool TaskPlanner::MustLeaveHeadroom(const StepRun& run,
+                                    base::TimePoint now) const {
   const auto& job = *run.job;
   if (job.job->priority == kUrgentPriority) return false;
   const auto latest = job.accepted + job.objective - run.tail;
-  if (now + options_.keep_slack > latest) return false;
+  if (now + options_.headroom_slack > latest) return false;
   const auto takes = run.step->needs.accelerators * run.TasksPerUnit();
-  return takes > 0 && free_ - takes < kept_;
+  return takes > 0 && free_ - takes < headroom_;
 }
 
-Outlook TaskPlanner::OutlookOf(const StepRun& run, base::TimePoint now) const {
+DeadlineStatus TaskPlanner::DeadlineStatusOf(const StepRun& run,
+                                             base::TimePoint now) const {
   const auto& job = *run.job;
   const auto left = base::Duration(static_cast<std::int64_t>(
       options_.sure_share * static_cast<double>(run.tail.count())));
   const auto begun = run.due_ms > 0 ? run.ready_since : job.accepted;
-  if (now + left > begun + options_.hopeless_after * job.objective) {
-    return Outlook::kHopeless;
+  if (now + left > begun + options_.past_after * job.objective) {
+    return DeadlineStatus::kPast;
   }
-  return now + left > begun + job.objective ? Outlook::kLate : Outlook::kInTime;
+  return now + left > begun + job.objective ? DeadlineStatus::kLate
+                                            : DeadlineStatus::kInTime;
 }
 
 /// Accelerators that the urgent jobs of each organisation need at once, those
@@ -182,15 +185,15 @@
 /// Whether it is worth waiting for a place that is not slow.
 bool TaskPlanner::CouldFit(StepRun& run, base::TimePoint now) const {
   if (!HasSlowPlaces(*run.step)) return true;
-  if (run.could_fit && now - run.could_fit_at < options_.fit_looked_at) {
+  if (run.could_fit && now - run.fit_checked_at < options_.fit_recheck) {
     return true;
   }
   run.could_fit = CouldEverFit(*open_, RequestFor(run, false));
-  run.could_fit_at = now;
+  run.fit_checked_at = now;
   return run.could_fit;
 }
 
-bool TaskPlanner::IsOwed(const JobEntry& job) const {
+bool TaskPlanner::IsGuaranteed(const JobEntry& job) const {
   if (job.job->priority != kUrgentPriority) return false;
   const auto& organisation = job.job->organisation;
   const auto guarantee = guarantees_.find(organisation);
@@ -215,22 +218,22 @@
 /// Starts units whose reserved places have become free, or that other places
 /// have become free for: stops of what is preempted take their time, and tasks
 /// end everywhere meanwhile.
-void TaskPlanner::StartClaimed(base::TimePoint now, PlannerDecisions& out) {
+void TaskPlanner::StartReserved(base::TimePoint now, PlannerDecisions& out) {
   const std::vector<StepRun*> ready(book_.ready().begin(), book_.ready().end());
   for (auto* run : ready) {
     const auto needs = CountedNeeds(*run->step);
     for (auto& unit : run->units) {
-      if (unit.claim.empty()) continue;
-      const auto claim = unit.claim;
-      book_.DropClaim(unit);
-      const auto state = StateOf(claim, needs);
+      if (unit.reserved.empty()) continue;
+      const auto reserved = unit.reserved;
+      book_.DropReservation(unit);
+      const auto state = StateOf(reserved, needs);
       if (state == ReservationState::kGone) continue;
-      std::optional<Places> places = claim;
+      std::optional<Places> places = reserved;
       if (state == ReservationState::kTaken) {
         places = FindSoundPlaces(unit, RequestFor(*run, false), false);
       }
       if (!places) {
-        book_.SetClaim(unit, claim);
+        book_.SetReservation(unit, reserved);
         continue;
       }
       book_.Plan(unit, *places, now);
@@ -242,35 +245,35 @@
 
 void TaskPlanner::StartReady(StepRun& run, base::TimePoint now,
                              PlannerDecisions& out) {
-  const bool is_owed = IsOwed(*run.job);
+  const bool is_guaranteed = IsGuaranteed(*run.job);
   const bool is_urgent = run.job->job->priority == kUrgentPriority;
-  const bool is_late = OutlookOf(run, now) != Outlook::kInTime;
+  const bool is_late = DeadlineStatusOf(run, now) != DeadlineStatus::kInTime;
   for (auto& unit : run.units) {
-    if (unit.phase != UnitPhase::kWaiting || !unit.claim.empty()) continue;
+    if (unit.phase != UnitPhase::kWaiting || !unit.reserved.empty()) continue;
     // Orders beyond what workers answer in time would wait behind each other.
     if ((is_urgent ? starts_left_ : quiet_starts_left_) <= 0) {
       out.is_limited = true;
       return;
     }
     const auto waited = now - unit.waiting_since;
-    const bool is_kept_out = is_half_free_ && waited >= options_.kept_out_after;
-    if (!is_kept_out && MustLeaveRoom(run, now)) return;
+    const bool is_starved = is_half_free_ && waited >= options_.rack_wait_limit;
+    if (!is_starved && MustLeaveHeadroom(run, now)) return;
     const auto patience = base::Duration(static_cast<std::int64_t>(
         options_.slow_place_after *
         static_cast<double>(run.step->estimate.count())));
     auto request = RequestFor(run, waited >= patience);
     if (is_urgent && is_late) request.accepts_slow = true;
-    if (is_owed && waited >= options_.guaranteed_slow_after) {
+    if (is_guaranteed && waited >= options_.guaranteed_slow_after) {
       request.accepts_slow = true;
     }
     const bool gives_up_rack =
         is_half_free_ &&
-        waited >= options_.kept_out_after + options_.preempted_within;
+        waited >= options_.rack_wait_limit + options_.preempted_within;
     if (gives_up_rack) request.accepts_slow = true;
-    auto places = FindSoundPlaces(unit, request, is_kept_out);
+    auto places = FindSoundPlaces(unit, request, is_starved);
     if (!places && !request.accepts_slow && !CouldFit(run, now)) {
       request.accepts_slow = true;
-      places = FindSoundPlaces(unit, request, is_kept_out);
+      places = FindSoundPlaces(unit, request, is_starved);
     }
     if (places) {
       book_.Plan(unit, *places, now);
@@ -280,10 +283,10 @@
     }
     // With so much room, whatever is stopped for its rack finds another place.
     const bool is_off_rack_only =
-        is_kept_out && FitsOffRack(unit, request, is_kept_out);
+        is_starved && FitsOffRack(unit, request, is_starved);
     const bool may_reclaim =
-        is_owed || (is_urgent && !is_late) || is_off_rack_only;
-    if (may_reclaim && TryReclaim(unit, is_owed, now, out)) continue;
+        is_guaranteed || (is_urgent && !is_late) || is_off_rack_only;
+    if (may_reclaim && TryReclaim(unit, is_guaranteed, now, out)) continue;
     // What one task of the step does not get, its others do not get either,
     // unless it asks for more than they do.
     if (!IsLastAttempt(unit)) return;
@@ -291,20 +294,20 @@
 }
 
 /// Places where the unit is not known to fail: not where it has failed, and not
-/// on doubted workers, unless it has attempts to spare or has waited long
-/// (`is_kept_out`), and finds no others.
+/// on suspect workers, unless it has attempts to spare or has waited long
+/// (`is_starved`), and finds no others.
 std::optional<Places> TaskPlanner::FindSoundPlaces(const Unit& unit,
                                                    PlaceRequest request,
-                                                   bool is_kept_out) {
+                                                   bool is_starved) {
   if (!unit.failed_on.empty()) request.avoid = &unit.failed_on;
-  request.avoids_doubted = true;
+  request.avoids_suspects = true;
   auto places = FindPlaces(*open_, request);
   if (places) return places;
-  // Where all are doubted, the job may be the cause as well as the worker.
+  // Where all are suspect, the job may be the cause as well as the worker.
   const bool may_risk =
-      !IsLastAttempt(unit) || !open_->has_sound() || is_kept_out;
-  if (open_->has_doubted() && may_risk) {
-    request.avoids_doubted = false;
+      !IsLastAttempt(unit) || !open_->has_sound() || is_starved;
+  if (open_->has_suspects() && may_risk) {
+    request.avoids_suspects = false;
     places = FindPlaces(*open_, request);
   }
   if (places || unit.failed_on.empty()) return places;
@@ -314,10 +317,10 @@
 
 /// Whether only its wish for a rack keeps the unit from starting.
 bool TaskPlanner::FitsOffRack(const Unit& unit, PlaceRequest request,
-                              bool is_kept_out) {
+                              bool is_starved) {
   if (request.accepts_slow || !HasSlowPlaces(*request.step)) return false;
   request.accepts_slow = true;
-  return FindSoundPlaces(unit, request, is_kept_out).has_value();
+  return FindSoundPlaces(unit, request, is_starved).has_value();
 }
 
 /// What stopping a unit costs: the work since its last checkpoint, and more
@@ -332,9 +335,9 @@
 }
 
 /// Units that may be stopped, the cheapest first; those that are being stopped
-/// anyway cost nothing: what is not urgent, and for a unit that is owed its
-/// place, everything that no guarantee protects.
-std::vector<Victim> TaskPlanner::Victims(bool is_owed,
+/// anyway cost nothing: what is not urgent, and for a unit that is guaranteed
+/// its place, everything that no guarantee protects.
+std::vector<Victim> TaskPlanner::Victims(bool is_guaranteed,
                                          base::TimePoint now) const {
   std::vector<Victim> out;
   out.reserve(book_.active().size());
@@ -342,7 +345,7 @@
     const auto& job = *it->step->job;
     if (it->phase == UnitPhase::kDone) continue;
     const bool is_urgent = job.job->priority == kUrgentPriority;
-    if (is_urgent && (!is_owed || IsOwed(job))) continue;
+    if (is_urgent && (!is_guaranteed || IsGuaranteed(job))) continue;
     // Urgent work is stopped for other urgent work only when nothing else does.
     constexpr double kUrgentCost = 1e6;
     const double extra = is_urgent ? kUrgentCost : 0;
@@ -360,25 +363,26 @@
 }
 
 /// Made when the first unit of the round asks for it.
-ReclaimBoard& TaskPlanner::Board(bool is_owed, base::TimePoint now) {
-  auto& out = is_owed ? boards_.owed : boards_.not_owed;
-  if (!out) out.emplace(*open_, Victims(is_owed, now));
+ReclaimBoard& TaskPlanner::Board(bool is_guaranteed, base::TimePoint now) {
+  auto& out = is_guaranteed ? boards_.guaranteed : boards_.not_guaranteed;
+  if (!out) out.emplace(*open_, Victims(is_guaranteed, now));
   return *out;
 }
 
 /// Finds the places for `unit` that cost least, on one rack if it wants one,
-/// stops what is in the way and claims them.
-bool TaskPlanner::TryReclaim(Unit& unit, bool is_owed, base::TimePoint now,
-                             PlannerDecisions& out) {
+/// stops what is in the way and reserves them.
+bool TaskPlanner::TryReclaim(Unit& unit, bool is_guaranteed,
+                             base::TimePoint now, PlannerDecisions& out) {
   const bool is_too_soon =
       unit.reclaim_failed_at != base::TimePoint{} &&
       now - unit.reclaim_failed_at < options_.reclaim_again;
   if (is_too_soon) return false;
   const auto& step = *unit.step->step;
   const bool accepts_slow =
-      (is_owed && now - unit.waiting_since >= options_.guaranteed_slow_after) ||
+      (is_guaranteed &&
+       now - unit.waiting_since >= options_.guaranteed_slow_after) ||
       !CouldFit(*unit.step, now);
-  const auto& board = Board(is_owed, now);
+  const auto& board = Board(is_guaranteed, now);
   std::optional<ReclaimPlan> best;
   if (!step.preferred_rack.empty()) {
     best = board.FindOn(*unit.step, step.preferred_rack);
@@ -390,25 +394,26 @@
   if (!best && accepts_slow && HasSlowPlaces(step)) {
     best = board.FindAnywhere(*unit.step);
   }
-  if (!best || ThrowsAwayTooMuch(*best, unit, is_owed, now)) {
+  if (!best || ThrowsAwayTooMuch(*best, unit, is_guaranteed, now)) {
     unit.reclaim_failed_at = now;
     return false;
   }
   for (auto* it : best->victims) {
     if (it->is_stopping) continue;
-    out.displaced.push_back({it, &unit, is_owed, LostBy(*it, now)});
+    out.preempted.push_back({it, &unit, is_guaranteed, LostBy(*it, now)});
     book_.Stop(*it);
   }
-  for (auto* it : {&boards_.owed, &boards_.not_owed}) {
+  for (auto* it : {&boards_.guaranteed, &boards_.not_guaranteed}) {
     if (*it) (*it)->NoteStopped(*best);
   }
-  book_.SetClaim(unit, best->places);
+  book_.SetReservation(unit, best->places);
   return true;
 }
 
 bool TaskPlanner::ThrowsAwayTooMuch(const ReclaimPlan& plan, const Unit& unit,
-                                    bool is_owed, base::TimePoint now) const {
-  if (is_owed) return false;
+                                    bool is_guaranteed,
+                                    base::TimePoint now) const {
+  if (is_guaranteed) return false;
   double waste = 0;
   for (const auto* it : plan.victims) waste += LostBy(*it, now);
   return waste > options_.most_waste * WorkOf(*unit.step);
--- a/src/dispatch/waiting_counter.cc
+++ b/src/dispatch/waiting_counter.cc
@@ -12,7 +12,7 @@
 using store::RowsResult;
 using store::RowVersion;
 
-/// A count may be 2 s old when it is told.
+/// Callers are promised a recent count, not an exact one.
 constexpr base::Duration kEvery{400};
 
 }  // namespace
--- a/src/dispatch/worker_drain.cc
+++ b/src/dispatch/worker_drain.cc
@@ -32,13 +32,13 @@
                         base::TimePoint now) {
   const auto zero = base::Duration(0);
   const auto estimate = unit.step->step->estimate;
-  if (member.moved == base::TimePoint{}) {
+  if (member.last_progress == base::TimePoint{}) {
     return std::max(zero, estimate - (now - unit.started));
   }
-  const auto since = now - member.moved;
+  const auto since = now - member.last_progress;
   const int left = kWholePercent - member.percent;
   const int gained = member.percent - member.first_percent;
-  const auto took = member.moved - member.first_seen;
+  const auto took = member.last_progress - member.first_seen;
   if (gained <= 0 || took <= zero) {
     const double share = static_cast<double>(left) / kWholePercent;
     return std::max(zero, Share(estimate, share) - since);
--- a/src/dispatch/worker_conduct.cc
+++ b/src/dispatch/worker_health.cc
@@ -1,10 +1,10 @@
-#include "dispatch/internal/worker_conduct.h"
+#include "dispatch/internal/worker_health.h"
 
 namespace lapishatch::dispatch::internal {
 
-bool WorkerConduct::OnEnded(const base::WorkerName& worker,
-                            const base::JobName& job, EndKind kind,
-                            std::size_t fleet_size, base::TimePoint now) {
+bool WorkerHealth::OnEnded(const base::WorkerName& worker,
+                           const base::JobName& job, EndKind kind,
+                           std::size_t fleet_size, base::TimePoint now) {
   if (kind == EndKind::kDone) {
     records_.erase(worker);
     failed_at_.erase(worker);
@@ -22,13 +22,13 @@
   return quarantine_.Add(worker, fleet_size, now);
 }
 
-bool WorkerConduct::IsDoubted(const base::WorkerName& worker,
-                              base::TimePoint now) const {
+bool WorkerHealth::IsSuspect(const base::WorkerName& worker,
+                             base::TimePoint now) const {
   const auto it = failed_at_.find(worker);
-  return it != failed_at_.end() && now - it->second < options_.doubted_for;
+  return it != failed_at_.end() && now - it->second < options_.suspect_for;
 }
 
-void WorkerConduct::Forget(const base::WorkerName& worker) {
+void WorkerHealth::Forget(const base::WorkerName& worker) {
   records_.erase(worker);
   failed_at_.erase(worker);
   quarantine_.Remove(worker);
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -67,7 +67,7 @@
 
   void EndsRecorded(std::uint64_t number) {
     recorded_ = std::max(recorded_, number);
-    if (!is_waiting_for_record_ || recorded_ < told_) return;
+    if (!is_waiting_for_record_ || recorded_ < received_) return;
     is_waiting_for_record_ = false;
     Hold(options_.wait);
   }
@@ -101,10 +101,11 @@
     clock_ = news.clock;
     clock_at_ = loop_.Now();
     answer_due_ = base::TimePoint::max();
-    std::erase_if(news.ended,
-                  [this](const EndedTask& it) { return it.number <= told_; });
-    if (!news.ended.empty()) told_ = news.ended.back().number;
-    is_waiting_for_record_ = told_ > recorded_;
+    std::erase_if(news.ended, [this](const EndedTask& it) {
+      return it.number <= received_;
+    });
+    if (!news.ended.empty()) received_ = news.ended.back().number;
+    is_waiting_for_record_ = received_ > recorded_;
     const auto turn = turn_;
     const auto weak = weak_from_this();
     events_.on_news(std::move(news), sent);
@@ -137,7 +138,7 @@
   base::TimePoint clock_at_{};
   base::TimePoint answer_due_ = base::TimePoint::max();
   WorkerClock latest_expiry_ = 0;
-  std::uint64_t told_ = 0;
+  std::uint64_t received_ = 0;
   std::uint64_t recorded_ = 0;
   bool is_waiting_for_record_ = false;
   /// Counts the calls; a timer of an earlier one does nothing.
@@ -172,7 +173,7 @@
 
 base::TimePoint WorkerSession::AnswerDue() const { return impl_->answer_due_; }
 
-void WorkerSession::Doubt() { impl_->is_reached_ = false; }
+void WorkerSession::MarkUnreached() { impl_->is_reached_ = false; }
 
 WorkerClock WorkerSession::Clock() const { return impl_->Clock(); }
 
@@ -182,7 +183,7 @@
 
 bool WorkerSession::HasLapsed() const { return impl_->HasLapsed(); }
 
-std::uint64_t WorkerSession::ends_told() const { return impl_->told_; }
+std::uint64_t WorkerSession::ends_received() const { return impl_->received_; }
 
 void WorkerSession::EndsRecorded(std::uint64_t number) {
   impl_->EndsRecorded(number);
--- a/src/store/commit_patience.h
+++ b/src/store/commit_patience.h
@@ -10,11 +10,11 @@
 struct CommitPatienceOptions {
   /// While the store is as fast as usual. What has no answer by then is looked
   /// up: an owner whose renewal was done and not answered would lose its lease
-  /// of 2 s by waiting longer.
+  /// by waiting longer.
   base::Duration least{1'000};
   /// A renewal that is given up after so long is just in time.
   base::Duration most{1'700};
-  /// A transaction takes 12 ms and a read 4 ms; both become slower together.
+  /// What a transaction takes, in reads; both become slower together.
   int reads_per_commit = 3;
   /// Room for one call that takes longer than the last.
   double margin = 1.3;
--- a/src/store/store_health.h
+++ b/src/store/store_health.h
@@ -15,8 +15,8 @@
   /// Without an answer for so long, the store is probed.
   base::Duration probe_after{400};
   base::Duration probe_every{300};
-  /// Without an answer for so long it counts as out. Above the 0.7 s that a
-  /// call takes when the store is slow, so that slowness is no outage.
+  /// Without an answer for so long it counts as out. Above what a call takes
+  /// when the store is slow, so that slowness is no outage.
   base::Duration out_after{1'200};
   /// The same when calls are refused or broken off rather than unanswered.
   base::Duration refused_after{300};
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -449,7 +449,7 @@
   CHECK(world.workers().violations().empty());
 }
 
-TEST_CASE("urgent work that is owed its place gets it from others") {
+TEST_CASE("urgent work that is guaranteed its place gets it from others") {
   OwnerWorld world(1, 2);
   world.SetGuarantee("crews", 8);
   world.workers().run_time = [](const jobs::TaskName& task) {
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -58,7 +58,7 @@
     job.name = base::JobName(name);
     job.priority = priority;
     job.max_attempts = attempts;
-    // Time to spare for urgent jobs, so that they may displace others.
+    // Time to spare for urgent jobs, so that they may preempt others.
     if (priority == 0) job.slack_factor = 3;
     job.steps.push_back(step);
     return *book.Add(std::make_shared<const jobs::Job>(job), nullptr,
@@ -113,13 +113,13 @@
   REQUIRE(place.planner.Decide(place.now).starts.size() == 1);
   place.Fill("b0", 1);
   auto& gang = place.AddRackGang("gang");
-  CHECK(place.planner.Decide(place.now).displaced.empty());
+  CHECK(place.planner.Decide(place.now).preempted.empty());
   place.now += Duration(1'500);
   // What fills b0 is not known to be stoppable; the small task on a0 is.
   const auto decisions = place.planner.Decide(place.now);
-  REQUIRE(decisions.displaced.size() == 1);
-  CHECK(decisions.displaced[0].by == &gang);
-  CHECK(decisions.displaced[0].unit == &small.runs[0][0].units[0]);
+  REQUIRE(decisions.preempted.size() == 1);
+  CHECK(decisions.preempted[0].by == &gang);
+  CHECK(decisions.preempted[0].unit == &small.runs[0][0].units[0]);
 }
 
 TEST_CASE(
@@ -145,11 +145,11 @@
   CHECK(place.planner.Decide(place.now).starts.size() == 1);
 }
 
-TEST_CASE("doubted workers are taken last, and never for a last attempt") {
+TEST_CASE("suspect workers are taken last, and never for a last attempt") {
   Place place;
   place.OpenAll();
-  place.fleet.Find(base::WorkerName("a0"))->is_doubted = true;
-  place.fleet.Find(base::WorkerName("a1"))->is_doubted = true;
+  place.fleet.Find(base::WorkerName("a0"))->is_suspect = true;
+  place.fleet.Find(base::WorkerName("a1"))->is_suspect = true;
   AddTasks(place, "first", 1, 2);
   CHECK(WorkersOf(place.planner.Decide(place.now)) ==
         std::set<std::string>{"b0"});
@@ -160,13 +160,13 @@
   AddTasks(place, "other", 1, 2);
   CHECK(WorkersOf(place.planner.Decide(place.now)) ==
         std::set<std::string>{"a0"});
-  place.fleet.Find(base::WorkerName("a1"))->is_doubted = false;
+  place.fleet.Find(base::WorkerName("a1"))->is_suspect = false;
   CHECK(WorkersOf(place.planner.Decide(place.now)) ==
         std::set<std::string>{"a1"});
   CHECK(last.runs.front().front().units.back().last_run == 1);
 }
 
-TEST_CASE("a failed task with one attempt left spares no doubted worker") {
+TEST_CASE("a failed task with one attempt left spares no suspect worker") {
   Place place;
   place.OpenAll();
   auto& job = AddTasks(place, "job", 1, 2);
@@ -176,25 +176,25 @@
   place.book.OnEnded(unit, 0, EndKind::kFailed, "", place.now);
   // It failed on one worker; all others but one have failed another task.
   for (auto& [name, worker] : place.fleet.workers()) {
-    worker.is_doubted = name.str() != "b1";
+    worker.is_suspect = name.str() != "b1";
   }
   CHECK(WorkersOf(place.planner.Decide(place.now)) ==
         std::set<std::string>{"b1"});
   CHECK(unit.members.front().worker != first);
 }
 
-TEST_CASE("nothing is stopped for a place on a doubted worker") {
+TEST_CASE("nothing is stopped for a place on a suspect worker") {
   Place place;
   place.OpenAll();
   AddTasks(place, "quiet", 4, 2);
   REQUIRE(place.planner.Decide(place.now).starts.size() == 4);
-  for (auto& [name, worker] : place.fleet.workers()) worker.is_doubted = true;
+  for (auto& [name, worker] : place.fleet.workers()) worker.is_suspect = true;
   place.Add("urgent", 0, 3, WholeWorkers(1));
-  CHECK(place.planner.Decide(place.now).displaced.empty());
-  place.fleet.Find(base::WorkerName("b0"))->is_doubted = false;
+  CHECK(place.planner.Decide(place.now).preempted.empty());
+  place.fleet.Find(base::WorkerName("b0"))->is_suspect = false;
   // What was not found is looked for again after a short time.
   place.now += Duration(100);
-  CHECK(place.planner.Decide(place.now).displaced.size() == 1);
+  CHECK(place.planner.Decide(place.now).preempted.size() == 1);
 }
 
 TEST_CASE("a unit takes room that is free before its reserved place is") {
@@ -204,9 +204,9 @@
   CHECK(place.planner.Decide(place.now).starts.size() == 4);
   place.now += Duration(100);
   auto& urgent = place.Add("urgent", 0, 3, WholeWorkers(1));
-  CHECK(place.planner.Decide(place.now).displaced.size() == 1);
+  CHECK(place.planner.Decide(place.now).preempted.size() == 1);
   auto& unit = urgent.runs.front().front().units.front();
-  REQUIRE(unit.claim.size() == 1);
+  REQUIRE(unit.reserved.size() == 1);
   // Another task ends while the preempted one is still being stopped.
   auto& quiet = place.book.Find(base::JobName("quiet"))->runs.front().front();
   for (auto& it : quiet.units) {
@@ -218,10 +218,10 @@
   const auto decisions = place.planner.Decide(place.now);
   REQUIRE(decisions.starts.size() == 1);
   CHECK(decisions.starts.front() == &unit);
-  CHECK(unit.claim.empty());
+  CHECK(unit.reserved.empty());
 }
 
-TEST_CASE("what it costs to make room is told with each displaced unit") {
+TEST_CASE("what it costs to make room is told with each preempted unit") {
   Place place;
   place.OpenAll();
   auto& quiet = place.AddRackGang("quiet");
@@ -231,11 +231,11 @@
   place.Add("urgent", 0, 1, WholeWorkers(1));
   const auto decisions = place.planner.Decide(place.now);
   CHECK(decisions.starts.empty());
-  REQUIRE(decisions.displaced.size() == 1);
-  CHECK(decisions.displaced[0].unit == &quiet);
-  CHECK_FALSE(decisions.displaced[0].is_owed);
+  REQUIRE(decisions.preempted.size() == 1);
+  CHECK(decisions.preempted[0].unit == &quiet);
+  CHECK_FALSE(decisions.preempted[0].is_guaranteed);
   // Two tasks of 9 cores (8 for the accelerators each) for half a second.
-  CHECK(decisions.displaced[0].lost == Approx(65.0));
+  CHECK(decisions.preempted[0].lost == Approx(65.0));
   CHECK(quiet.is_stopping);
 }
 
@@ -288,9 +288,9 @@
   place.Add("first", 0, 3, SmallTasks(1));
   place.Add("second", 0, 3, SmallTasks(1));
   const auto decisions = place.planner.Decide(place.now);
-  CHECK(decisions.displaced.size() == 2);
+  CHECK(decisions.preempted.size() == 2);
   std::set<const Unit*> stopped;
-  for (const auto& it : decisions.displaced) stopped.insert(it.unit);
+  for (const auto& it : decisions.preempted) stopped.insert(it.unit);
   CHECK(stopped.size() == 2);
 }
 
--- a/test/dispatch/worker_drain_test.cc
+++ b/test/dispatch/worker_drain_test.cc
@@ -41,7 +41,7 @@
   it.member().first_percent = 50;
   it.member().first_seen = kStart + Duration(500);
   it.member().percent = 60;
-  it.member().moved = kStart + Duration(1'500);
+  it.member().last_progress = kStart + Duration(1'500);
   // A tenth a second: 40 more take 4 s, half a second of which has passed.
   CHECK(it.LeftAfter(2'000) == Duration(3'500));
 }
@@ -51,7 +51,7 @@
   it.member().first_percent = 25;
   it.member().first_seen = kStart + Duration(800);
   it.member().percent = 25;
-  it.member().moved = it.member().first_seen;
+  it.member().last_progress = it.member().first_seen;
   CHECK(it.LeftAfter(800) == Duration(3'000));
 }
 
--- a/test/dispatch/worker_conduct_test.cc
+++ b/test/dispatch/worker_health_test.cc
@@ -1,4 +1,4 @@
-#include "dispatch/internal/worker_conduct.h"
+#include "dispatch/internal/worker_health.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,13 +9,13 @@
 constexpr base::TimePoint kNow{base::Duration(1'000)};
 const base::WorkerName kWorker("w0");
 
-bool Fail(WorkerConduct& conduct, const std::string& job) {
+bool Fail(WorkerHealth& conduct, const std::string& job) {
   return conduct.OnEnded(kWorker, base::JobName(job), EndKind::kFailed, kFleet,
                          kNow);
 }
 
 TEST_CASE("failures of several jobs in a row put a worker out for a time") {
-  WorkerConduct conduct({});
+  WorkerHealth conduct({});
   CHECK_FALSE(Fail(conduct, "a"));
   CHECK_FALSE(Fail(conduct, "b"));
   CHECK(Fail(conduct, "a"));
@@ -25,12 +25,12 @@
 }
 
 TEST_CASE("one job that always fails puts no worker out") {
-  WorkerConduct conduct({});
+  WorkerHealth conduct({});
   for (int i = 0; i < 10; ++i) CHECK_FALSE(Fail(conduct, "poison"));
 }
 
 TEST_CASE("a task that ends well clears a worker's failures") {
-  WorkerConduct conduct({});
+  WorkerHealth conduct({});
   Fail(conduct, "a");
   Fail(conduct, "b");
   conduct.OnEnded(kWorker, base::JobName("c"), EndKind::kDone, kFleet, kNow);
@@ -39,21 +39,21 @@
 }
 
 TEST_CASE(
-    "one failure makes a worker doubted for a time, or until a good end") {
-  WorkerConduct conduct({});
-  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow));
+    "one failure makes a worker suspect for a time, or until a good end") {
+  WorkerHealth conduct({});
+  CHECK_FALSE(conduct.IsSuspect(kWorker, kNow));
   Fail(conduct, "a");
-  CHECK(conduct.IsDoubted(kWorker, kNow));
-  CHECK(conduct.IsDoubted(kWorker, kNow + base::Duration(7'900)));
-  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow + base::Duration(8'000)));
+  CHECK(conduct.IsSuspect(kWorker, kNow));
+  CHECK(conduct.IsSuspect(kWorker, kNow + base::Duration(7'900)));
+  CHECK_FALSE(conduct.IsSuspect(kWorker, kNow + base::Duration(8'000)));
   conduct.OnEnded(kWorker, base::JobName("b"), EndKind::kStopped, kFleet, kNow);
-  CHECK(conduct.IsDoubted(kWorker, kNow));
+  CHECK(conduct.IsSuspect(kWorker, kNow));
   conduct.OnEnded(kWorker, base::JobName("c"), EndKind::kDone, kFleet, kNow);
-  CHECK_FALSE(conduct.IsDoubted(kWorker, kNow));
+  CHECK_FALSE(conduct.IsSuspect(kWorker, kNow));
 }
 
 TEST_CASE("no more than a fifth of the workers are out at once") {
-  WorkerConduct conduct({});
+  WorkerHealth conduct({});
   int out = 0;
   for (int i = 0; i < static_cast<int>(kFleet); ++i) {
     const base::WorkerName name("w" + std::to_string(i));
