Hand over what a stopping process has just taken

Cause: a SIGTERM between the writing of a take and its answer found no ownership to release, so the process ended and its service had no owner until the lease had run out, 2 s. A release waits for the takes under way now, and gives back what they took.

--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -86,10 +86,12 @@
 
   void Release(std::function<void()> done) {
     is_leaving_ = true;
-    if (!epoch_) return done();
-    const auto epoch = *epoch_;
-    epoch_.reset();
-    WriteRelease(epoch, std::move(done));
+    if (epoch_)
+      return WriteRelease(*std::exchange(epoch_, {}), std::move(done));
+    if (takes_under_way_ == 0) return done();
+    // A take that is done after all would leave the service without an owner
+    // until its lease has run out.
+    on_take_answered_ = std::move(done);
   }
 
   void Drop(const std::string& reason) {
@@ -206,6 +208,7 @@
     open_take_->is_former_gone =
         open_take_->is_former_gone && take.is_former_gone;
     const auto lease_version = row_ ? row_->version : store::kAbsent;
+    ++takes_under_way_;
     store_.Commit({service_.str(),
                    {Condition(kEpochKey, epoch_row_),
                     Condition(kLeaseKey, lease_version)},
@@ -214,12 +217,24 @@
                   [weak = weak_from_this(), take](const RowsResult& result) {
                     const auto self = weak.lock();
                     if (!self) return;
+                    --self->takes_under_way_;
                     const auto* committed = std::get_if<RowsCommitted>(&result);
+                    if (self->is_leaving_) return self->GiveUpTake(committed);
                     if (committed == nullptr) return self->OnTakeFailed();
                     self->OnTaken(committed->version, take);
                   });
   }
 
+  /// Releases what was taken while this process was already stopping.
+  void GiveUpTake(const RowsCommitted* committed) {
+    if (!on_take_answered_) return;
+    if (committed != nullptr) {
+      return WriteRelease(committed->version,
+                          std::exchange(on_take_answered_, nullptr));
+    }
+    if (takes_under_way_ == 0) std::exchange(on_take_answered_, nullptr)();
+  }
+
   /// Whatever the reason, the feed shows how things stand: also when the row
   /// was taken after all without an answer, as happens in a slow store.
   void OnTakeFailed() {
@@ -333,6 +348,9 @@
   base::TimePoint renewed_at_{};
   base::Duration suspended_at_renewal_{0};
   bool is_leaving_ = false;
+  int takes_under_way_ = 0;
+  /// What a release waits with until the takes under way are answered.
+  std::function<void()> on_take_answered_;
 };
 
 OwnerLease::OwnerLease(base::EventLoop& loop, store::RowStore& store,
--- a/test/dispatch/owner_test.cc
+++ b/test/dispatch/owner_test.cc
@@ -161,6 +161,24 @@
   }
 }
 
+TEST_CASE("a candidate that stops amid its take hands the service over") {
+  OwnerWorld world(2, 2);
+  // The row is written, and its writer has not been answered yet.
+  while (world.store().ValueOf("owners", "survey", "lease").empty()) {
+    world.RunFor(1);
+  }
+  REQUIRE(world.OwnerName().empty());
+  const auto holder = world.store().ValueOf("owners", "survey", "lease");
+  const auto taker = holder.substr(0, holder.find('/'));
+  bool is_told = false;
+  world.owner(taker).Stop([&is_told] { is_told = true; });
+  CHECK_FALSE(is_told);
+  world.RunFor(400);
+  CHECK(is_told);
+  CHECK_FALSE(world.OwnerName().empty());
+  CHECK(world.OwnerName() != taker);
+}
+
 TEST_CASE("an owner that stops goes on trying until the store has said so") {
   OwnerWorld world(2, 2);
   world.RunFor(1'000);
