--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -1,6 +1,7 @@
 #include "dispatch/owner_lease.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -86,8 +87,10 @@
 
   void Release(std::function<void()> done) {
     is_leaving_ = true;
-    if (epoch_)
-      return WriteRelease(*std::exchange(epoch_, {}), std::move(done));
+    if (epoch_) {
+      const auto epoch = *std::exchange(epoch_, std::nullopt);
+      return WriteRelease(epoch, std::move(done));
+    }
     if (takes_under_way_ == 0) return done();
     // A take that is done after all would leave the service without an owner
     // until its lease has run out.
