Log and count each task that is lost with its worker

Cause: when a task is restarted repeatedly, the logs do not show whether it was returned without counting an attempt, whether a count was lost, or whether workers crash independently of the task. E639 gives the number of tasks lost with a worker, but does not identify them. Task ends that no worker lists were not counted by any metric. Change: event 658, task_lost, is logged once for each lost task, with its run, how the loss was detected, the time since the worker confirmed the run, the number of tasks of other units lost with it, and the number of attempts counted so far. The counter lapishatch_tasks_lost_total counts lost tasks by reason. The reason is an enum that E639 also uses: other-life and lapsed in place of two sentences. Recorded starts on workers that never registered with a new owner are now handled like other losses. Tasks that a worker that answers does not list (E636) are not counted.

--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -55,6 +55,9 @@
   static Member& MemberOf(Unit& unit, int index) {
     return unit.members[static_cast<std::size_t>(index - unit.first_index)];
   }
+  static const Member& MemberOf(const Unit& unit, int index) {
+    return unit.members[static_cast<std::size_t>(index - unit.first_index)];
+  }
 
   static jobs::TaskName NameOf(const Unit& unit, std::size_t member);
 
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -1,11 +1,13 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_OWNED_SERVICE_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_OWNED_SERVICE_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -90,7 +92,12 @@
   void OnEnded(const base::WorkerName& name, const EndedTask& end);
   void ResolveUnlisted(const base::WorkerName& name, const WorkerNews& news,
                        base::TimePoint sent);
-  void EndAllOn(const base::WorkerName& name, const std::string& why);
+  /// Tasks as pairs of unit and task index; see JobBook::MembersOn.
+  using Members = std::vector<std::pair<Unit*, int>>;
+  void EndAllOn(const base::WorkerName& name, WorkerLossReason reason);
+  void EndLostMembers(const Members& members, WorkerLossReason reason);
+  void ReportLostTask(const Unit& unit, int index, std::ptrdiff_t others,
+                      WorkerLossReason reason);
   void UpdateOpen();
   void FindSilent();
   void CheckLapsed();
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -1,12 +1,14 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/base.h"
@@ -35,6 +37,17 @@
   kOver,
 };
 
+/// Why an owner treats a worker and its tasks as lost.
+enum class WorkerLossReason : std::uint8_t {
+  /// Another life answers at the worker's address.
+  kOtherLife,
+  /// The worker's lease has expired without an answer.
+  kLapsed,
+  /// A former owner recorded a start on the worker, which never registered with
+  /// this owner.
+  kUnregistered,
+};
+
 /// One task of a unit's present run.
 struct Member {
   base::WorkerName worker;
@@ -137,4 +150,12 @@
 
 }  // namespace lapishatch::dispatch::internal
 
+namespace lapishatch::base {
+template <>
+struct EnumNames<dispatch::internal::WorkerLossReason> {
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "other-life", "lapsed", "unregistered"};
+};
+}  // namespace lapishatch::base
+
 #endif  // LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -77,7 +77,7 @@
   events.on_other_life = [weak, name] {
     const auto self = weak.lock();
     if (!self) return;
-    self->EndAllOn(name, "another life is at its address");
+    self->EndAllOn(name, WorkerLossReason::kOtherLife);
     self->fleet_.Remove(name);
     self->departures_.erase(name);
     self->ports_.loop.Post([weak, name] {
@@ -348,16 +348,53 @@
   }
 }
 
+/// Logs and counts a task that was lost with its worker. `others` is the number
+/// of tasks of other units that were lost with the same worker.
+void OwnedService::ReportLostTask(const Unit& unit, int index,
+                                  std::ptrdiff_t others,
+                                  WorkerLossReason reason) {
+  const auto& member = JobBook::MemberOf(unit, index);
+  const auto& job = *unit.step->job;
+  const jobs::TaskName task{job.job->name, unit.step->occurrence,
+                            unit.step->number, index};
+  const auto run_time = member.confirmed == TimePoint{}
+                            ? base::Duration(0)
+                            : ports_.loop.Now() - member.confirmed;
+  base::Log(base::events::kTaskLost, {{"request", task.job},
+                                      {"task", TextOf(task)},
+                                      {"run", unit.last_run},
+                                      {"worker", member.worker},
+                                      {"reason", base::NameOf(reason)},
+                                      {"ran_ms", run_time.count()},
+                                      {"others", others},
+                                      {"failures", unit.failures}});
+  if (ports_.metrics == nullptr) return;
+  ports_.metrics->Count("lapishatch_tasks_lost_total",
+                        {{"reason", std::string(base::NameOf(reason))}});
+}
+
+/// Reports and ends `members`, all of which were on the same worker.
+void OwnedService::EndLostMembers(const Members& members,
+                                  WorkerLossReason reason) {
+  for (const auto& [unit, index] : members) {
+    const auto others = std::count_if(
+        members.begin(), members.end(),
+        [lost = unit](const auto& it) { return it.first != lost; });
+    ReportLostTask(*unit, index, others, reason);
+  }
+  for (const auto& [unit, index] : members) {
+    book_.OnLost(*unit, index, ports_.loop.Now());
+  }
+}
+
 void OwnedService::EndAllOn(const base::WorkerName& name,
-                            const std::string& why) {
+                            WorkerLossReason reason) {
   const auto members = book_.MembersOn(name);
   base::Log(base::events::kWorkerGone, {{"service", service_.str()},
                                         {"worker", name},
                                         {"tasks", members.size()},
-                                        {"reason", why}});
-  for (const auto& [unit, index] : members) {
-    book_.OnLost(*unit, index, ports_.loop.Now());
-  }
+                                        {"reason", base::NameOf(reason)}});
+  EndLostMembers(members, reason);
   Pump();
 }
 
@@ -380,7 +417,9 @@
     const bool has_lapsed =
         it.is_heard() ? it.HasLapsed() : now - taken_at_ > unheard;
     if (!has_lapsed) continue;
-    if (!book_.MembersOn(name).empty()) EndAllOn(name, "its lease has run out");
+    if (!book_.MembersOn(name).empty()) {
+      EndAllOn(name, WorkerLossReason::kLapsed);
+    }
     if (!worker.is_listed) gone.push_back(name);
   }
   for (const auto& it : gone) {
@@ -391,17 +430,20 @@
   }
   if (now - taken_at_ <= unheard) return;
   // Recorded starts at workers that were never seen under this epoch.
-  std::vector<std::pair<Unit*, int>> lost;
+  std::map<base::WorkerName, Members> lost;
   for (auto* unit : book_.active()) {
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
       const auto& it = unit->members[i];
       if (it.state == MemberState::kOver || workers_.contains(it.worker)) {
         continue;
       }
-      lost.emplace_back(unit, unit->first_index + static_cast<int>(i));
+      lost[it.worker].emplace_back(unit,
+                                   unit->first_index + static_cast<int>(i));
     }
   }
-  for (const auto& [unit, index] : lost) book_.OnLost(*unit, index, now);
+  for (const auto& [name, members] : lost) {
+    EndLostMembers(members, WorkerLossReason::kUnregistered);
+  }
 }
 
 void OwnedService::SetGuarantees(
