--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -75,6 +75,17 @@
     for (const auto& [name, owner] : owners_) owner->PutWorker(entry);
   }
 
+  /// From now on a crashed worker is back after `down`, with another name, at
+  /// its address or at another one.
+  void RestartCrashed(base::Duration down, bool moves = false) {
+    workers_.on_crash = [this, down, moves](const base::WorkerName& name) {
+      const auto entry = entries_.at(name);
+      time_.After(down, [this, entry, moves] { Restart(entry, moves); });
+      constexpr base::Duration kRegistration{4'500};
+      time_.After(kRegistration, [this, name] { Unlist(name); });
+    };
+  }
+
   /// The worker says that it leaves, after `stays` at the earliest.
   void Drain(const base::WorkerName& name, base::Duration stays) {
     auto& entry = entries_.at(name);
@@ -222,6 +233,19 @@
     bool is_frozen = false;
   };
 
+  void Restart(WorkerEntry entry, bool moves) {
+    const auto name = entry.name;
+    entry.name = base::WorkerName(name.str() + "'");
+    entry.is_draining = false;
+    entry.stays.reset();
+    constexpr std::uint16_t kOtherPort = 1'000;
+    if (moves) entry.endpoint.port += kOtherPort;
+    if (!moves) workers_.Supersede(name);
+    entries_[entry.name] = entry;
+    workers_.Add(entry);
+    for (const auto& [unused, owner] : owners_) owner->PutWorker(entry);
+  }
+
   void TellEvacuation(int domain, bool is_asked) {
     if (is_asked) {
       evacuated_.insert(DomainCalled(domain));
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -40,6 +40,7 @@
 struct FakeTaskWorkers::Worker {
   dispatch::WorkerEntry entry;
   bool is_alive = true;
+  bool is_superseded = false;
   /// Its clock began at some other moment than others'.
   WorkerClock clock_offset = 0;
   dispatch::Epoch epoch = 0;
@@ -116,8 +117,9 @@
     workers_.time_.After(timeout, [finish] { finish(NoAnswer{"timeout"}); });
     workers_.time_.After(kDelay, [this, name, act, finish] {
       auto* worker = workers_.Find(name);
-      if (worker == nullptr || !worker->is_alive) return;
-      if (workers_.IsCut(owner_, name)) return;
+      if (worker == nullptr || workers_.IsCut(owner_, name)) return;
+      if (worker->is_superseded) return finish(dispatch::OtherLife{});
+      if (!worker->is_alive) return;
       act(*worker, [this, name, finish](Result result) {
         if (workers_.IsCut(owner_, name)) return;
         workers_.time_.After(
@@ -145,8 +147,17 @@
 
 void FakeTaskWorkers::Crash(const WorkerName& name) {
   auto* worker = Find(name);
-  worker->is_alive = false;
-  worker->running.clear();
+  if (!std::exchange(worker->is_alive, false)) return;
+  constexpr int kThird = 3;
+  for (const auto& it : std::exchange(worker->running, {})) {
+    if (++crashes_[it.task] != kThird) continue;
+    starts_at_third_crash_[it.task] = starts_[it.task];
+  }
+  if (on_crash) on_crash(name);
+}
+
+void FakeTaskWorkers::Supersede(const WorkerName& name) {
+  Find(name)->is_superseded = true;
 }
 
 void FakeTaskWorkers::Cut(const std::string& owner, const WorkerName& name) {
@@ -208,11 +219,23 @@
   NoteStart(worker, run);
   worker.running.push_back(run);
   BeginWork(worker, run);
+  if (on_start) on_start(worker.entry.name);
+  const auto crash = crash_after ? crash_after(order.task) : std::nullopt;
+  if (crash) {
+    time_.After(*crash, [this, name = worker.entry.name, id = run.id] {
+      const auto& running = Find(name)->running;
+      const bool is_there =
+          std::any_of(running.begin(), running.end(),
+                      [id](const Run& it) { return it.id == id; });
+      if (is_there) Crash(name);
+    });
+  }
   return dispatch::Started{};
 }
 
 void FakeTaskWorkers::NoteStart(Worker& worker, const Run& run) {
   ++starts_[run.task];
+  CheckRestarts(run.task);
   if (IsRunning(run.task)) Violate("two runs at once: " + TextOf(run.task));
   if (done_.contains(run.task)) {
     Violate("started after its end: " + TextOf(run.task));
@@ -226,6 +249,15 @@
   }
 }
 
+void FakeTaskWorkers::CheckRestarts(const TaskName& task) {
+  const auto it = starts_at_third_crash_.find(task);
+  const bool crashes = crash_after && crash_after(task);
+  if (!crashes || it == starts_at_third_crash_.end()) return;
+  constexpr int kTooMany = 3;
+  if (starts_[task] - it->second != kTooMany) return;
+  Violate("restarted after three crashes: " + TextOf(task));
+}
+
 /// A gang's work begins when all its tasks are there.
 void FakeTaskWorkers::BeginWork(Worker& worker, const Run& run) {
   const auto name = worker.entry.name;
@@ -382,6 +414,11 @@
   return it == starts_.end() ? 0 : it->second;
 }
 
+int FakeTaskWorkers::crashes(const TaskName& task) const {
+  const auto it = crashes_.find(task);
+  return it == crashes_.end() ? 0 : it->second;
+}
+
 std::size_t FakeTaskWorkers::unacknowledged() const {
   std::size_t out = 0;
   for (const auto& [name, it] : workers_) {
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -27,6 +27,14 @@
   /// How tasks behave; the defaults run 2 s and end well.
   std::function<base::Duration(const jobs::TaskName&)> run_time;
   std::function<dispatch::EndKind(const jobs::TaskName&, int run)> outcome;
+  /// How long after its start a task crashes its worker; nothing for one that
+  /// does not.
+  std::function<std::optional<base::Duration>(const jobs::TaskName&)>
+      crash_after;
+  /// Called when a task starts at a worker.
+  std::function<void(const base::WorkerName&)> on_start;
+  /// Called after the crash of a worker.
+  std::function<void(const base::WorkerName&)> on_crash;
   /// What a task takes; without it nothing is checked of capacity.
   std::function<jobs::Room(const jobs::TaskName&)> needs;
   /// Tasks of the gang that a task belongs to; 1 for none.
@@ -37,6 +45,9 @@
   /// The worker's process dies with all that it ran, and does not come back.
   void Crash(const base::WorkerName& name);
 
+  /// Another life answers at the address of a crashed worker.
+  void Supersede(const base::WorkerName& name);
+
   /// Orders and answers between `owner` and the worker are lost until Join.
   /// An empty owner means all.
   void Cut(const std::string& owner, const base::WorkerName& name);
@@ -65,6 +76,8 @@
   /// Where it runs, or an empty name.
   base::WorkerName WhereRuns(const jobs::TaskName& task) const;
   int starts(const jobs::TaskName& task) const;
+  /// Workers that crashed while the task ran there.
+  int crashes(const jobs::TaskName& task) const;
   /// Ends that are listed and not acknowledged, on workers that live.
   std::size_t unacknowledged() const;
 
@@ -94,6 +107,7 @@
   void BeginWork(Worker& worker, const Run& run);
   void Work(const base::WorkerName& name, const Run& run, base::Duration left);
   void NoteStart(Worker& worker, const Run& run);
+  void CheckRestarts(const jobs::TaskName& task);
   dispatch::WorkerClock ClockOf(const Worker& worker) const;
   void Violate(std::string what) { violations_.push_back(std::move(what)); }
 
@@ -102,6 +116,9 @@
   std::map<std::string, std::unique_ptr<Port>> ports_;
   std::set<std::pair<std::string, base::WorkerName>> cuts_;
   std::map<jobs::TaskName, int> starts_;
+  std::map<jobs::TaskName, int> crashes_;
+  /// Starts of a task when the third worker crashed under it.
+  std::map<jobs::TaskName, int> starts_at_third_crash_;
   /// Ends "done" that were acknowledged.
   std::set<jobs::TaskName> done_;
   std::vector<std::string> violations_;
