Give up tasks under which several workers have crashed

Cause: an attempt counted only if a worker listed the end of the run as failed. A crashed worker lists nothing, so JobBook::OnLost returned the unit to waiting as if it had never started. This is an unlimited retry loop: the most costly kind of end was the only one without a limit.

Evidence: in the recorded logs there was one owner throughout, so no count was lost at a takeover, and no listed end of these tasks. Crashes come 2.0 s after each start and nowhere else.

Change: worker losses are counted for each task and stored in the row of its job, together with a suspicion: 2 for the crash of a worker that ran nothing else, 1 for a crash beside other units, and none for a silent worker, a start that was never confirmed, or a crash with a common cause (other workers of the rack, of the fleet, or of the workers without a suspect task are down within 6 s). A task is given up, and its job fails, at suspicion 3 or after 4 losses. From 3 losses on, every unsuccessful run counts as a loss, so that no more than one start follows the third loss. For up to 2 s of waiting, a suspect task is placed only on the emptiest worker, apart from other suspect tasks and from addresses that crashed in the last 10 s; other tasks avoid that worker while they have another place. Tasks of service steps drop earlier losses after a run of 30 s.

Why it works: the count is written with the record of the next start, so a new owner reads it. A sound task that lost its worker beside a crashing one is not placed beside another suspect task, so only another cause can take its next worker.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -54,4 +54,9 @@
   if (!it->second.is_known && is_unused) workers_.erase(it);
 }
 
+void Fleet::AddSuspectTasks(const base::WorkerName& name, int n) {
+  const auto it = workers_.find(name);
+  if (it != workers_.end()) it->second.suspect_tasks += n;
+}
+
 }  // namespace lapishatch::dispatch
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -31,6 +31,12 @@
   /// Whether it has lately failed a task and ended none well since: what has
   /// another place, or no failure to spare, does not go there.
   bool is_suspect = false;
+  /// Number of tasks there that are suspected of crashing workers. Other
+  /// suspect tasks are kept apart, and other tasks prefer another worker.
+  int suspect_tasks = 0;
+  /// Whether a worker at its address crashed recently: a further crash under a
+  /// suspect task could be due to either the task or the machine.
+  bool has_recent_crash = false;
   /// Of its rack among those with open workers; set by OpenWorkers.
   std::size_t rack_index = 0;
   /// Whether its size is known; room is counted on others too, since tasks may
@@ -46,6 +52,9 @@
   }
 
   bool HasLabel(const std::string& label) const;
+
+  /// Whether tasks should start here only if no other worker is available.
+  bool IsRisky() const { return is_suspect || suspect_tasks > 0; }
 };
 
 /// What a step takes of a worker: one that fills needs no processor of its own.
@@ -75,6 +84,9 @@
   void Take(const base::WorkerName& name, const jobs::Room& room);
   void GiveBack(const base::WorkerName& name, const jobs::Room& room);
 
+  /// Adds `n`, which may be negative, to the number of suspect tasks.
+  void AddSuspectTasks(const base::WorkerName& name, int n);
+
  private:
   std::map<base::WorkerName, FleetWorker> workers_;
 };
--- /dev/null
+++ b/src/dispatch/internal/crash_history.h
@@ -0,0 +1,51 @@
+#ifndef LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
+#define LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
+
+#include <map>
+
+#include "base/base.h"
+#include "http/message.h"
+
+namespace lapishatch::dispatch::internal {
+
+struct CrashHistoryOptions {
+  /// How long after a crash the address is avoided for suspect tasks.
+  base::Duration recent_crash_window{10'000};
+  /// Number of crashes, each within `retention` of the previous one, from which
+  /// the workers at an address are considered unreliable.
+  int unreliable_after = 2;
+  base::Duration retention{60'000};
+};
+
+/// Crashes by address, since a worker that restarts after a crash registers
+/// under another name. Pure.
+class CrashHistory {
+ public:
+  explicit CrashHistory(CrashHistoryOptions options) : options_(options) {}
+
+  /// Records the crash of a worker that ran no suspect task.
+  void Add(const http::Endpoint& address, base::TimePoint now);
+
+  bool HasRecentCrash(const http::Endpoint& address, base::TimePoint now) const;
+
+  /// Whether workers at the address crash repeatedly without suspect tasks.
+  bool IsUnreliable(const http::Endpoint& address, base::TimePoint now) const;
+
+  /// Removes addresses without a crash during the retention period.
+  void Prune(base::TimePoint now);
+
+ private:
+  struct Record {
+    int crashes = 0;
+    base::TimePoint last{};
+  };
+
+  const Record* Find(const http::Endpoint& address) const;
+
+  const CrashHistoryOptions options_;
+  std::map<http::Endpoint, Record> records_;
+};
+
+}  // namespace lapishatch::dispatch::internal
+
+#endif  // LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -81,6 +81,14 @@
   /// The member may have begun, and is certain to run no more.
   void OnLost(Unit& unit, int index, base::TimePoint now);
 
+  /// Like OnLost, for a member that its worker neither runs nor lists as ended.
+  void OnVanished(Unit& unit, int index, base::TimePoint now);
+
+  /// Records that the worker of a member was lost, and adds `suspicion` to the
+  /// task. Call before OnLost. Returns the losses of the task.
+  static jobs::TaskLosses CountLoss(Unit& unit, int index, int suspicion,
+                                    base::TimePoint now);
+
   /// Stops the present run of a unit, to be started again later.
   void Stop(Unit& unit);
 
@@ -139,6 +147,7 @@
   void MemberOver(Unit& unit, Member& member, base::TimePoint now);
   void Finish(Unit& unit, base::TimePoint now);
   void MarkDone(Unit& unit, base::TimePoint now);
+  void Fail(JobEntry& job, JobFailure failure);
   void End(JobEntry& job, jobs::JobState state);
   void Unindex(JobEntry& job);
 
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -12,6 +12,8 @@
 
 #include "base/base.h"
 #include "dispatch/fleet.h"
+#include "dispatch/internal/crash_history.h"
+#include "dispatch/internal/crash_policy.h"
 #include "dispatch/internal/job_book.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
@@ -68,6 +70,11 @@
     base::TimePoint closed_until{};
   };
 
+  struct RecentCrash {
+    DownWorker worker;
+    base::TimePoint at{};
+  };
+
   // Loading.
   void OnLoaded(LoadedService loaded);
   void FollowRequests();
@@ -95,9 +102,14 @@
   /// Tasks as pairs of unit and task index; see JobBook::MembersOn.
   using Members = std::vector<std::pair<Unit*, int>>;
   void EndAllOn(const base::WorkerName& name, WorkerLossReason reason);
-  void EndLostMembers(const Members& members, WorkerLossReason reason);
-  void ReportLostTask(const Unit& unit, int index, std::ptrdiff_t others,
+  void EndLostMembers(const base::WorkerName& name, const Members& members,
                       WorkerLossReason reason);
+  void ReportLostTask(const Unit& unit, int index, std::ptrdiff_t others,
+                      WorkerLossReason reason, const jobs::TaskLosses& losses);
+  bool RunsSuspect(const base::WorkerName& name) const;
+  std::vector<jobs::TaskName> TasksOn(const base::WorkerName& name) const;
+  DownWorkers FindDownWorkers() const;
+  void RecordCrash(const base::WorkerName& name);
   void UpdateOpen();
   void FindSilent();
   void CheckLapsed();
@@ -150,6 +162,9 @@
   std::optional<WaitingCounter> counter_;
   std::map<base::WorkerName, Worker> workers_;
   WorkerHealth health_{{}};
+  CrashHistory crashes_{{}};
+  /// Workers without suspect tasks whose crash was detected recently.
+  std::map<base::WorkerName, RecentCrash> recent_crashes_;
   Departures departures_;
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> requests_;
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -67,6 +67,9 @@
   /// Pause between two searches for units to preempt for the same unit: each
   /// costs a pass over all workers and what runs there.
   base::Duration reclaim_again{100};
+  /// How long a suspect task waits for a worker that has no other suspect task
+  /// and no recent crash.
+  base::Duration suspect_wait{2'000};
   /// Share of the starts that only urgent units may use, so that they need not
   /// wait behind others.
   double urgent_starts = 0.25;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -68,6 +68,9 @@
   /// Starts sent without an answer.
   int unanswered = 0;
   bool is_stop_under_way = false;
+  /// Whether the task was suspected of crashing workers when this run was
+  /// planned.
+  bool is_suspect = false;
 };
 
 /// Tasks that start together and are one to whoever counts attempts: a whole
@@ -89,6 +92,8 @@
   bool is_stopping = false;
   /// Where its last failed run failed: better places are looked for first.
   std::set<base::WorkerName> failed_on;
+  /// Losses of each task that lost a worker.
+  std::vector<jobs::TaskLosses> losses;
   /// Places that others are being stopped for; empty for none.
   std::vector<base::WorkerName> reserved;
   base::TimePoint waiting_since{};
@@ -128,12 +133,23 @@
   int TasksPerUnit() const { return step->is_gang ? step->tasks : 1; }
 };
 
+/// Why a job has failed.
+enum class JobFailure : std::uint8_t {
+  kNone,
+  /// A task has failed as often as the job allows.
+  kAttempts,
+  /// Too many workers were lost while running a task.
+  kWorkerLosses,
+};
+
 /// A job that the owner knows.
 struct JobEntry {
   std::shared_ptr<const jobs::Job> job;
   /// Index of the part with its rows.
   int part = 0;
   jobs::JobState state = jobs::JobState::kQueued;
+  /// Set only if the job failed under this owner.
+  JobFailure failure = JobFailure::kNone;
   /// By occurrence, then step. Empty once the job has ended and nothing of it
   /// may run.
   std::vector<std::deque<StepRun>> runs;
@@ -156,6 +172,11 @@
   static constexpr std::array<std::string_view, 3> kNames = {
       "other-life", "lapsed", "unregistered"};
 };
+template <>
+struct EnumNames<dispatch::internal::JobFailure> {
+  static constexpr std::array<std::string_view, 3> kNames = {"none", "attempts",
+                                                             "worker-losses"};
+};
 }  // namespace lapishatch::base
 
 #endif  // LAPISHATCH_DISPATCH_INTERNAL_UNIT_H_
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/internal/crash_policy.h"
+
 namespace lapishatch::dispatch::internal {
 namespace {
 
@@ -28,6 +30,16 @@
 /// Recorded without delay.
 constexpr base::TimePoint kAtOnce{};
 
+constexpr CrashPolicyOptions kCrashPolicy;
+
+/// Counts an unsuccessful run of a task with many losses as another loss, which
+/// limits its further restarts however its runs end.
+void CountUnsuccessfulRun(Unit& unit, int member) {
+  const auto losses = LossesOf(unit.losses, member);
+  if (losses.count < kCrashPolicy.strict_counting_after) return;
+  AddLoss(unit.losses, member, 0);
+}
+
 }  // namespace
 
 using jobs::JobProgress;
@@ -123,6 +135,7 @@
     unit->failed_run = record.failed_run;
     unit->last_run = record.last_run;
     unit->checkpoint = record.checkpoint;
+    unit->losses = record.losses;
     if (record.phase == UnitPhase::kDone) MarkDone(*unit, now);
     if (record.phase != UnitPhase::kStarted) continue;
     unit->last_run = record.last_run - 1;
@@ -177,12 +190,14 @@
   unit.checkpointed = now;
   unit.members.clear();
   for (const auto& it : places) {
-    unit.members.push_back({it});
+    const auto position = static_cast<int>(unit.members.size());
+    auto& member = unit.members.emplace_back();
+    member.worker = it;
+    member.is_suspect = LossesOf(unit.losses, position).suspicion > 0;
     fleet_.Take(it, needs);
+    if (member.is_suspect) fleet_.AddSuspectTasks(it, 1);
     ++run.on_worker[it];
-    const int index =
-        unit.first_index + static_cast<int>(unit.members.size()) - 1;
-    members_on_[it].emplace(&unit, index);
+    members_on_[it].emplace(&unit, unit.first_index + position);
   }
   active_.insert(&unit);
   if (run.job->state == JobState::kQueued) run.job->state = JobState::kRunning;
@@ -198,6 +213,9 @@
   OnCheckpoint(unit, checkpoint, now);
   const bool is_service = unit.step->step->is_service;
   if (kind == EndKind::kDone && !is_service) MarkDone(unit, now);
+  if (kind != EndKind::kDone) {
+    CountUnsuccessfulRun(unit, index - unit.first_index);
+  }
   const bool counts = unit.failed_run < unit.last_run && !is_service;
   if (kind == EndKind::kFailed && counts) {
     unit.failed_run = unit.last_run;
@@ -222,6 +240,30 @@
   OnLost(unit, index, now);
 }
 
+void JobBook::OnVanished(Unit& unit, int index, base::TimePoint now) {
+  CountUnsuccessfulRun(unit, index - unit.first_index);
+  OnLost(unit, index, now);
+}
+
+jobs::TaskLosses JobBook::CountLoss(Unit& unit, int index, int suspicion,
+                                    base::TimePoint now) {
+  const int position = index - unit.first_index;
+  const auto& member = MemberOf(unit, index);
+  // The start was not sent, so the task cannot have crashed the worker.
+  if (member.state == MemberState::kPlanned) {
+    return LossesOf(unit.losses, position);
+  }
+  const bool resets_losses =
+      unit.step->step->is_service && member.first_seen != base::TimePoint{} &&
+      now - member.first_seen >= kCrashPolicy.loss_reset_run_time;
+  if (resets_losses) {
+    std::erase_if(unit.losses,
+                  [position](const auto& it) { return it.member == position; });
+  }
+  AddLoss(unit.losses, position, suspicion);
+  return LossesOf(unit.losses, position);
+}
+
 void JobBook::OnLost(Unit& unit, int index, base::TimePoint now) {
   auto& member = MemberOf(unit, index);
   if (member.state == MemberState::kOver) return;
@@ -262,6 +304,7 @@
   const auto index =
       unit.first_index + static_cast<int>(&member - unit.members.data());
   ForgetMember(unit, member.worker, index);
+  if (member.is_suspect) fleet_.AddSuspectTasks(member.worker, -1);
   fleet_.GiveBack(member.worker, CountedNeeds(*run.step));
   const auto it = run.on_worker.find(member.worker);
   if (it != run.on_worker.end() && --it->second == 0) run.on_worker.erase(it);
@@ -283,13 +326,21 @@
     unit.phase = UnitPhase::kWaiting;
     unit.waiting_since = now;
     MarkDirty(job, now + kGatherEnds);
-    if (unit.failures >= job.job->max_attempts && !IsFinal(job.state)) {
-      End(job, JobState::kFailed);
+    if (unit.failures >= job.job->max_attempts) {
+      Fail(job, JobFailure::kAttempts);
+    } else if (IsGivenUp(unit.losses, kCrashPolicy)) {
+      Fail(job, JobFailure::kWorkerLosses);
     }
   }
   UpdateReady(*unit.step);
 }
 
+void JobBook::Fail(JobEntry& job, JobFailure failure) {
+  if (IsFinal(job.state)) return;
+  job.failure = failure;
+  End(job, JobState::kFailed);
+}
+
 void JobBook::MarkDone(Unit& unit, base::TimePoint now) {
   if (unit.phase == UnitPhase::kDone) return;
   unit.phase = UnitPhase::kDone;
@@ -417,6 +468,7 @@
           record.failed_run = unit.failed_run;
           record.last_run = unit.last_run;
           record.checkpoint = unit.checkpoint;
+          record.losses = unit.losses;
           for (const auto& it : unit.members) {
             record.workers.push_back(it.worker);
           }
--- a/src/dispatch/open_workers.cc
+++ b/src/dispatch/open_workers.cc
@@ -20,8 +20,8 @@
     by_free_[LevelOf(free)].push_back(&worker);
     accelerators_ += worker.capacity.accelerators;
     free_accelerators_ += free;
-    has_doubted_ = has_doubted_ || worker.is_suspect;
-    has_sound_ = has_sound_ || !worker.is_suspect;
+    has_doubted_ = has_doubted_ || worker.IsRisky();
+    has_sound_ = has_sound_ || !worker.IsRisky();
   }
 }
 
--- /dev/null
+++ b/src/dispatch/owned_losses.cc
@@ -0,0 +1,145 @@
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/internal/owned_service.h"
+#include "dispatch/internal/task_text.h"
+
+namespace lapishatch::dispatch::internal {
+
+using base::TimePoint;
+
+namespace {
+
+/// Crashes detected within this time may have a common cause. Workers that fail
+/// together are detected one by one, as each is polled.
+constexpr base::Duration kCommonCauseWindow{6'000};
+
+}  // namespace
+
+/// Logs a task that was lost with its worker and updates the metrics. `others`
+/// is the number of tasks of other units lost with the same worker.
+void OwnedService::ReportLostTask(const Unit& unit, int index,
+                                  std::ptrdiff_t others,
+                                  WorkerLossReason reason,
+                                  const jobs::TaskLosses& losses) {
+  const auto& member = JobBook::MemberOf(unit, index);
+  const auto task =
+      JobBook::NameOf(unit, static_cast<std::size_t>(index - unit.first_index));
+  const auto run_time = member.confirmed == TimePoint{}
+                            ? base::Duration(0)
+                            : ports_.loop.Now() - member.confirmed;
+  base::Log(base::events::kTaskLost, {{"request", task.job},
+                                      {"task", TextOf(task)},
+                                      {"run", unit.last_run},
+                                      {"worker", member.worker},
+                                      {"reason", base::NameOf(reason)},
+                                      {"ran_ms", run_time.count()},
+                                      {"others", others},
+                                      {"failures", unit.failures},
+                                      {"losses", losses.count},
+                                      {"suspicion", losses.suspicion}});
+  if (ports_.metrics == nullptr) return;
+  ports_.metrics->Count("lapishatch_tasks_lost_total",
+                        {{"reason", std::string(base::NameOf(reason))}});
+}
+
+/// Whether a suspect task is known to be running on the worker.
+bool OwnedService::RunsSuspect(const base::WorkerName& name) const {
+  const auto members = book_.MembersOn(name);
+  return std::any_of(members.begin(), members.end(), [](const auto& it) {
+    const auto& [unit, index] = it;
+    const auto& member = JobBook::MemberOf(*unit, index);
+    return member.is_suspect && member.state == MemberState::kRunning;
+  });
+}
+
+std::vector<jobs::TaskName> OwnedService::TasksOn(
+    const base::WorkerName& name) const {
+  std::vector<jobs::TaskName> out;
+  for (const auto& [unit, index] : book_.MembersOn(name)) {
+    out.push_back(JobBook::NameOf(
+        *unit, static_cast<std::size_t>(index - unit->first_index)));
+  }
+  return out;
+}
+
+DownWorkers OwnedService::FindDownWorkers() const {
+  const auto now = ports_.loop.Now();
+  DownWorkers out;
+  for (const auto& [name, it] : recent_crashes_) {
+    if (now - it.at < kCommonCauseWindow) out.workers.push_back(it.worker);
+  }
+  for (const auto& [name, worker] : workers_) {
+    const auto& session = *worker.session;
+    const auto& entry = session.entry();
+    ++out.fleet_size;
+    const auto place = fleet_.workers().find(name);
+    const bool has_suspects =
+        place != fleet_.workers().end() && place->second.suspect_tasks > 0;
+    if (!has_suspects) ++out.without_suspects;
+    const bool is_down = worker.is_listed && !entry.is_draining &&
+                         session.is_heard() && !session.IsReached();
+    if (!is_down || recent_crashes_.contains(name)) continue;
+    if (!RunsSuspect(name)) out.workers.push_back({entry.rack, TasksOn(name)});
+  }
+  return out;
+}
+
+/// Records the crash of a worker, unless it was leaving or a suspect task on it
+/// may be the cause.
+void OwnedService::RecordCrash(const base::WorkerName& name) {
+  const auto* worker = FindWorker(name);
+  if (worker == nullptr || departures_.contains(name)) return;
+  if (RunsSuspect(name)) return;
+  const auto now = ports_.loop.Now();
+  std::erase_if(recent_crashes_, [now](const auto& it) {
+    return now - it.second.at >= kCommonCauseWindow;
+  });
+  const auto& entry = worker->session->entry();
+  recent_crashes_[name] = {{entry.rack, TasksOn(name)}, now};
+  crashes_.Add(entry.endpoint, now);
+}
+
+/// Reports and ends `members`, which were all on the lost worker. Losses are
+/// not counted if the worker had announced that it leaves.
+void OwnedService::EndLostMembers(const base::WorkerName& name,
+                                  const Members& members,
+                                  WorkerLossReason reason) {
+  const bool counts = !departures_.contains(name);
+  const auto* worker = FindWorker(name);
+  const auto rack =
+      worker == nullptr ? base::RackName() : worker->session->entry().rack;
+  const auto down = members.empty() ? DownWorkers{} : FindDownWorkers();
+  const auto now = ports_.loop.Now();
+  for (const auto& [unit, index] : members) {
+    const auto others = std::count_if(
+        members.begin(), members.end(),
+        [lost = unit](const auto& it) { return it.first != lost; });
+    const auto task = JobBook::NameOf(
+        *unit, static_cast<std::size_t>(index - unit->first_index));
+    const bool was_running =
+        JobBook::MemberOf(*unit, index).confirmed != TimePoint{};
+    const bool is_explained =
+        !was_running || HasCommonCause(down, rack, task, {});
+    const int suspicion = SuspicionOf(reason, is_explained, others == 0);
+    const auto losses = counts
+                            ? JobBook::CountLoss(*unit, index, suspicion, now)
+                            : LossesOf(unit->losses, index - unit->first_index);
+    ReportLostTask(*unit, index, others, reason, losses);
+  }
+  for (const auto& [unit, index] : members) book_.OnLost(*unit, index, now);
+}
+
+void OwnedService::EndAllOn(const base::WorkerName& name,
+                            WorkerLossReason reason) {
+  const auto members = book_.MembersOn(name);
+  base::Log(base::events::kWorkerGone, {{"service", service_.str()},
+                                        {"worker", name},
+                                        {"tasks", members.size()},
+                                        {"reason", base::NameOf(reason)}});
+  if (reason == WorkerLossReason::kOtherLife) RecordCrash(name);
+  EndLostMembers(name, members, reason);
+  Pump();
+}
+
+}  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -304,6 +304,7 @@
   base::Log(base::events::kJobEnded,
             {{"request", job.job->name},
              {"state", base::NameOf(job.state)},
+             {"failure", base::NameOf(job.failure)},
              {"priority", job.job->priority},
              {"objective_ms", job.objective.count()},
              {"after_ms", (now - job.accepted).count()}});
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -177,7 +177,10 @@
                            !IsEvacuated(worker);
     place.is_open = is_reached && is_wanted && worker.closed_until <= now &&
                     !health_.IsOut(name);
-    place.is_suspect = health_.IsSuspect(name, now);
+    const auto& address = session.entry().endpoint;
+    place.is_suspect =
+        health_.IsSuspect(name, now) || crashes_.IsUnreliable(address, now);
+    place.has_recent_crash = crashes_.HasRecentCrash(address, now);
   }
 }
 
@@ -303,7 +306,7 @@
                                             {"task", TextOf(task)},
                                             {"run", unit->last_run},
                                             {"worker", name}});
-    book_.OnLost(*unit, index, ports_.loop.Now());
+    book_.OnVanished(*unit, index, ports_.loop.Now());
   }
 }
 
@@ -348,56 +351,6 @@
   }
 }
 
-/// Logs and counts a task that was lost with its worker. `others` is the number
-/// of tasks of other units that were lost with the same worker.
-void OwnedService::ReportLostTask(const Unit& unit, int index,
-                                  std::ptrdiff_t others,
-                                  WorkerLossReason reason) {
-  const auto& member = JobBook::MemberOf(unit, index);
-  const auto& job = *unit.step->job;
-  const jobs::TaskName task{job.job->name, unit.step->occurrence,
-                            unit.step->number, index};
-  const auto run_time = member.confirmed == TimePoint{}
-                            ? base::Duration(0)
-                            : ports_.loop.Now() - member.confirmed;
-  base::Log(base::events::kTaskLost, {{"request", task.job},
-                                      {"task", TextOf(task)},
-                                      {"run", unit.last_run},
-                                      {"worker", member.worker},
-                                      {"reason", base::NameOf(reason)},
-                                      {"ran_ms", run_time.count()},
-                                      {"others", others},
-                                      {"failures", unit.failures}});
-  if (ports_.metrics == nullptr) return;
-  ports_.metrics->Count("lapishatch_tasks_lost_total",
-                        {{"reason", std::string(base::NameOf(reason))}});
-}
-
-/// Reports and ends `members`, all of which were on the same worker.
-void OwnedService::EndLostMembers(const Members& members,
-                                  WorkerLossReason reason) {
-  for (const auto& [unit, index] : members) {
-    const auto others = std::count_if(
-        members.begin(), members.end(),
-        [lost = unit](const auto& it) { return it.first != lost; });
-    ReportLostTask(*unit, index, others, reason);
-  }
-  for (const auto& [unit, index] : members) {
-    book_.OnLost(*unit, index, ports_.loop.Now());
-  }
-}
-
-void OwnedService::EndAllOn(const base::WorkerName& name,
-                            WorkerLossReason reason) {
-  const auto members = book_.MembersOn(name);
-  base::Log(base::events::kWorkerGone, {{"service", service_.str()},
-                                        {"worker", name},
-                                        {"tasks", members.size()},
-                                        {"reason", base::NameOf(reason)}});
-  EndLostMembers(members, reason);
-  Pump();
-}
-
 /// Ends what was on workers whose leases have certainly run out, and forgets
 /// those that are not registered any more.
 void OwnedService::CheckLapsed() {
@@ -442,7 +395,7 @@
     }
   }
   for (const auto& [name, members] : lost) {
-    EndLostMembers(members, WorkerLossReason::kUnregistered);
+    EndLostMembers(name, members, WorkerLossReason::kUnregistered);
   }
 }
 
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -35,7 +36,10 @@
 bool IsAllowed(const FleetWorker& worker, const PlaceRequest& request) {
   const auto& label = request.step->required_label;
   if (!label.empty() && !worker.HasLabel(label)) return false;
-  if (request.avoids_suspects && worker.is_suspect) return false;
+  if (request.avoids_suspects && worker.IsRisky()) return false;
+  const bool is_unfit_for_suspects =
+      worker.suspect_tasks > 0 || worker.has_recent_crash;
+  if (request.is_suspect && is_unfit_for_suspects) return false;
   return request.avoid == nullptr || !request.avoid->contains(worker.name);
 }
 
@@ -70,12 +74,20 @@
                   it.worker->name);
 }
 
-/// Puts all tasks on `candidates`, best fit first; nothing where they do not
-/// fit. Each candidate is filled before the next, so only as many are sorted as
-/// are taken.
+/// Orders the emptiest worker first, so that a crash affects the fewest other
+/// tasks.
+auto EmptiestFirst(const Candidate& it) {
+  return std::tuple(-it.room.accelerators, -it.room.cpu_millis,
+                    std::string_view(it.worker->name.str()));
+}
+
+/// Puts all tasks on `candidates`, best fit first, or emptiest first for
+/// suspect tasks; nothing where they do not fit. Each candidate is filled
+/// before the next, so only as many are sorted as are taken.
 std::optional<Places> Fill(Candidates candidates, const PlaceRequest& request) {
   const auto needs = CountedNeeds(*request.step);
-  const auto is_worse = [](const Candidate& a, const Candidate& b) {
+  const auto is_worse = [&request](const Candidate& a, const Candidate& b) {
+    if (request.is_suspect) return EmptiestFirst(b) < EmptiestFirst(a);
     return Leftover(b) < Leftover(a);
   };
   std::make_heap(candidates.begin(), candidates.end(), is_worse);
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -21,8 +21,11 @@
   const std::map<base::WorkerName, int>* on_worker = nullptr;
   /// Workers that are not to be taken; null for none.
   const std::set<base::WorkerName>* avoid = nullptr;
-  /// Whether workers that lately failed a task are left out.
+  /// Whether to exclude workers that lately failed a task or run a suspect one.
   bool avoids_suspects = false;
+  /// Whether the unit is suspected of crashing workers. It is placed on the
+  /// emptiest worker that has no other suspect task and no recent crash.
+  bool is_suspect = false;
   /// Whether a rack other than the wanted one will do.
   bool accepts_slow = false;
 };
--- a/src/dispatch/reclaim.cc
+++ b/src/dispatch/reclaim.cc
@@ -59,7 +59,7 @@
 
   void AddSite(const ReclaimBoard& board, const FleetWorker& worker) {
     // Nothing is stopped for a place where the unit may well fail.
-    if (worker.is_suspect) return;
+    if (worker.IsRisky()) return;
     const auto& step = *run_.step;
     const auto& label = step.required_label;
     if (!label.empty() && !worker.HasLabel(label)) return;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "dispatch/internal/crash_policy.h"
 #include "dispatch/internal/reclaim.h"
 #include "dispatch/placer.h"
 
@@ -262,6 +263,8 @@
         options_.slow_place_after *
         static_cast<double>(run.step->estimate.count())));
     auto request = RequestFor(run, waited >= patience);
+    const bool is_suspect = IsSuspect(unit.losses);
+    request.is_suspect = is_suspect && waited < options_.suspect_wait;
     if (is_urgent && is_late) request.accepts_slow = true;
     if (is_guaranteed && waited >= options_.guaranteed_slow_after) {
       request.accepts_slow = true;
@@ -286,10 +289,13 @@
         is_starved && FitsOffRack(unit, request, is_starved);
     const bool may_reclaim =
         is_guaranteed || (is_urgent && !is_late) || is_off_rack_only;
-    if (may_reclaim && TryReclaim(unit, is_guaranteed, now, out)) continue;
+    if (may_reclaim && !is_suspect &&
+        TryReclaim(unit, is_guaranteed, now, out)) {
+      continue;
+    }
     // What one task of the step does not get, its others do not get either,
     // unless it asks for more than they do.
-    if (!IsLastAttempt(unit)) return;
+    if (!IsLastAttempt(unit) && !is_suspect) return;
   }
 }
 
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -103,7 +103,8 @@
 
 /// Positional, since a row has one for each task that has begun and holds 64
 /// KB: occurrence, step, index, phase, last run, failures, last failed run,
-/// checkpoint, workers.
+/// checkpoint, workers, and, if there are any, worker losses as member, count
+/// and suspicion for each task.
 json::array EncodeUnit(const UnitRecord& unit) {
   json::array out{unit.occurrence, unit.step,
                   unit.index,      static_cast<int>(unit.phase),
@@ -113,6 +114,14 @@
   json::array workers;
   for (const auto& it : unit.workers) workers.emplace_back(it.str());
   out.emplace_back(std::move(workers));
+  if (unit.losses.empty()) return out;
+  json::array losses;
+  for (const auto& it : unit.losses) {
+    losses.emplace_back(it.member);
+    losses.emplace_back(it.count);
+    losses.emplace_back(it.suspicion);
+  }
+  out.emplace_back(std::move(losses));
   return out;
 }
 
@@ -184,6 +193,14 @@
   for (const auto& it : fields.at(8).as_array()) {
     out.workers.emplace_back(Text(it.as_string()));
   }
+  if (fields.size() == kWithWorkers) return out;
+  const auto& losses = fields.at(kWithWorkers).as_array();
+  constexpr std::size_t kFieldsPerTask = 3;
+  for (std::size_t i = 0; i < losses.size(); i += kFieldsPerTask) {
+    out.losses.push_back({losses.at(i).to_number<int>(),
+                          losses.at(i + 1).to_number<int>(),
+                          losses.at(i + 2).to_number<int>()});
+  }
   return out;
 }
 
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -20,6 +20,18 @@
   kDone,
 };
 
+/// Workers that were lost while running one task of a unit, over all its runs.
+struct TaskLosses {
+  /// Position of the task among those of the unit.
+  int member = 0;
+  /// Includes unsuccessful runs that the owner counts as losses.
+  int count = 0;
+  /// How strongly the losses indicate that the task caused them.
+  int suspicion = 0;
+
+  friend bool operator==(const TaskLosses&, const TaskLosses&) = default;
+};
+
 /// What is recorded of a unit. A unit without a record waits for its first run;
 /// of one that is done only its name and phase are recorded.
 struct UnitRecord {
@@ -39,6 +51,8 @@
   std::string checkpoint;
   /// Where the started run was sent, one worker a task.
   std::vector<base::WorkerName> workers;
+  /// One entry for each task that lost a worker.
+  std::vector<TaskLosses> losses;
 
   friend bool operator==(const UnitRecord&, const UnitRecord&) = default;
 };
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -75,14 +75,17 @@
     for (const auto& [name, owner] : owners_) owner->PutWorker(entry);
   }
 
-  /// From now on a crashed worker is back after `down`, with another name, at
-  /// its address or at another one.
-  void RestartCrashed(base::Duration down, bool moves = false) {
-    workers_.on_crash = [this, down, moves](const base::WorkerName& name) {
+  /// Makes each worker that crashes restart after `downtime` under another
+  /// name, at the same address or, with `changes_address`, at another one.
+  void RestartCrashed(base::Duration downtime, bool changes_address = false) {
+    workers_.on_crash = [this, downtime,
+                         changes_address](const base::WorkerName& name) {
       const auto entry = entries_.at(name);
-      time_.After(down, [this, entry, moves] { Restart(entry, moves); });
-      constexpr base::Duration kRegistration{4'500};
-      time_.After(kRegistration, [this, name] { Unlist(name); });
+      time_.After(downtime, [this, entry, changes_address] {
+        Restart(entry, changes_address);
+      });
+      constexpr base::Duration kRegistrationExpiry{4'500};
+      time_.After(kRegistrationExpiry, [this, name] { Unlist(name); });
     };
   }
 
@@ -233,14 +236,14 @@
     bool is_frozen = false;
   };
 
-  void Restart(WorkerEntry entry, bool moves) {
+  void Restart(WorkerEntry entry, bool changes_address) {
     const auto name = entry.name;
     entry.name = base::WorkerName(name.str() + "'");
     entry.is_draining = false;
     entry.stays.reset();
-    constexpr std::uint16_t kOtherPort = 1'000;
-    if (moves) entry.endpoint.port += kOtherPort;
-    if (!moves) workers_.Supersede(name);
+    constexpr std::uint16_t kPortOffset = 1'000;
+    if (changes_address) entry.endpoint.port += kPortOffset;
+    if (!changes_address) workers_.Supersede(name);
     entries_[entry.name] = entry;
     workers_.Add(entry);
     for (const auto& [unused, owner] : owners_) owner->PutWorker(entry);
--- a/test/dispatch/placer_test.cc
+++ b/test/dispatch/placer_test.cc
@@ -44,6 +44,34 @@
   return {names.begin(), names.end()};
 }
 
+TEST_CASE("a suspect task goes to the emptiest suitable worker") {
+  auto fleet = MakeFleet(5, 5);
+  Take(fleet, "w0", 2);
+  Take(fleet, "w1", 1);
+  Take(fleet, "w4", 3);
+  fleet.AddSuspectTasks(base::WorkerName("w2"), 1);
+  fleet.Find(base::WorkerName("w3"))->has_recent_crash = true;
+  OpenWorkers open(fleet);
+  const auto step = MakeStep(1, 1);
+  auto request = RequestFor(step);
+  request.is_suspect = true;
+  CHECK(FindPlaces(open, request) == Called({"w1"}));
+}
+
+TEST_CASE(
+    "other tasks avoid a worker with a suspect task while others have room") {
+  auto fleet = MakeFleet(2, 2);
+  Take(fleet, "w0", 7);
+  fleet.AddSuspectTasks(base::WorkerName("w0"), 1);
+  OpenWorkers open(fleet);
+  const auto step = MakeStep(1, 1);
+  auto request = RequestFor(step);
+  request.avoids_suspects = true;
+  CHECK(FindPlaces(open, request) == Called({"w1"}));
+  request.avoids_suspects = false;
+  CHECK(FindPlaces(open, request) == Called({"w0"}));
+}
+
 TEST_CASE("a task goes where the fewest accelerators are left over") {
   auto fleet = MakeFleet(3, 3);
   Take(fleet, "w1", 4);
--- a/test/jobs/jobs_test.cc
+++ b/test/jobs/jobs_test.cc
@@ -70,6 +70,17 @@
   CHECK(DecodeProgress(text) == progress);
 }
 
+TEST_CASE("worker losses of the tasks of a unit are stored in its row") {
+  JobProgress progress;
+  UnitRecord unit;
+  unit.last_run = 4;
+  unit.losses = {{0, 2, 3}, {5, 1, 0}};
+  progress.units.push_back(unit);
+  CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
+  CHECK_FALSE(DecodeProgress(
+      R"({"state":1,"units":[[0,0,0,0,1,0,0,"",[],[0,1]]],"done":[]})"));
+}
+
 TEST_CASE("ranges of units that make no sense give nothing") {
   for (const auto* text : {
            R"({"state":1,"units":[],"done":[[0,0,1]]})",
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -148,9 +148,9 @@
 void FakeTaskWorkers::Crash(const WorkerName& name) {
   auto* worker = Find(name);
   if (!std::exchange(worker->is_alive, false)) return;
-  constexpr int kThird = 3;
+  constexpr int kThirdCrash = 3;
   for (const auto& it : std::exchange(worker->running, {})) {
-    if (++crashes_[it.task] != kThird) continue;
+    if (++crashes_[it.task] != kThirdCrash) continue;
     starts_at_third_crash_[it.task] = starts_[it.task];
   }
   if (on_crash) on_crash(name);
@@ -224,10 +224,10 @@
   if (crash) {
     time_.After(*crash, [this, name = worker.entry.name, id = run.id] {
       const auto& running = Find(name)->running;
-      const bool is_there =
+      const bool is_still_running =
           std::any_of(running.begin(), running.end(),
                       [id](const Run& it) { return it.id == id; });
-      if (is_there) Crash(name);
+      if (is_still_running) Crash(name);
     });
   }
   return dispatch::Started{};
@@ -251,10 +251,10 @@
 
 void FakeTaskWorkers::CheckRestarts(const TaskName& task) {
   const auto it = starts_at_third_crash_.find(task);
-  const bool crashes = crash_after && crash_after(task);
-  if (!crashes || it == starts_at_third_crash_.end()) return;
-  constexpr int kTooMany = 3;
-  if (starts_[task] - it->second != kTooMany) return;
+  const bool may_crash = crash_after && crash_after(task);
+  if (!may_crash || it == starts_at_third_crash_.end()) return;
+  constexpr int kExcessRestarts = 3;
+  if (starts_[task] - it->second != kExcessRestarts) return;
   Violate("restarted after three crashes: " + TextOf(task));
 }
 
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -27,13 +27,13 @@
   /// How tasks behave; the defaults run 2 s and end well.
   std::function<base::Duration(const jobs::TaskName&)> run_time;
   std::function<dispatch::EndKind(const jobs::TaskName&, int run)> outcome;
-  /// How long after its start a task crashes its worker; nothing for one that
+  /// Time from the start of a task until it crashes its worker; nothing if it
   /// does not.
   std::function<std::optional<base::Duration>(const jobs::TaskName&)>
       crash_after;
-  /// Called when a task starts at a worker.
+  /// Called when a task starts on a worker.
   std::function<void(const base::WorkerName&)> on_start;
-  /// Called after the crash of a worker.
+  /// Called after a worker has crashed.
   std::function<void(const base::WorkerName&)> on_crash;
   /// What a task takes; without it nothing is checked of capacity.
   std::function<jobs::Room(const jobs::TaskName&)> needs;
@@ -45,7 +45,8 @@
   /// The worker's process dies with all that it ran, and does not come back.
   void Crash(const base::WorkerName& name);
 
-  /// Another life answers at the address of a crashed worker.
+  /// Makes calls to a crashed worker report that another life answers at its
+  /// address.
   void Supersede(const base::WorkerName& name);
 
   /// Orders and answers between `owner` and the worker are lost until Join.
@@ -76,7 +77,7 @@
   /// Where it runs, or an empty name.
   base::WorkerName WhereRuns(const jobs::TaskName& task) const;
   int starts(const jobs::TaskName& task) const;
-  /// Workers that crashed while the task ran there.
+  /// Number of workers that crashed while running the task.
   int crashes(const jobs::TaskName& task) const;
   /// Ends that are listed and not acknowledged, on workers that live.
   std::size_t unacknowledged() const;
@@ -107,6 +108,7 @@
   void BeginWork(Worker& worker, const Run& run);
   void Work(const base::WorkerName& name, const Run& run, base::Duration left);
   void NoteStart(Worker& worker, const Run& run);
+  /// Detects a task that crashes its workers and is restarted without limit.
   void CheckRestarts(const jobs::TaskName& task);
   dispatch::WorkerClock ClockOf(const Worker& worker) const;
   void Violate(std::string what) { violations_.push_back(std::move(what)); }
@@ -117,7 +119,7 @@
   std::set<std::pair<std::string, base::WorkerName>> cuts_;
   std::map<jobs::TaskName, int> starts_;
   std::map<jobs::TaskName, int> crashes_;
-  /// Starts of a task when the third worker crashed under it.
+  /// Number of starts of each task at its third crash.
   std::map<jobs::TaskName, int> starts_at_third_crash_;
   /// Ends "done" that were acknowledged.
   std::set<jobs::TaskName> done_;
