Keep starts within the capacity that workers report

A worker's capacity may shrink and grow while it runs, and its registration shows it. Callers see tasks fail or run very slowly when a worker that does not enforce its capacity is told to start more than it has left.

Cause: a start was checked against the capacity known when it was planned. It was sent as planned even if a smaller capacity was read while the start was being recorded, it was sent again when it got no answer, and it was planned by an owner whose feed of registrations had gone silent. Reservations on a worker whose capacity was reduced waited for room that does not become available. A negative number of free accelerators on one worker lowered the total counted as free elsewhere.

Change: an order is checked again when it is sent. A planned start that exceeds the capacity returns to waiting; an unanswered one is stopped instead of being sent again, also at a worker that is gone. A capacity reduction drops the reservations on the worker. Event E659 records each change of capacity.

Why it works: tasks are counted from the plan until their end, including those that run, may run or are being stopped. The check at the time of sending therefore sees all of them and the newest report.

The drop of reservations and the sum of free accelerators have no test that fails without them.

--- a/src/dispatch/bounds.cc
+++ b/src/dispatch/bounds.cc
@@ -23,6 +23,9 @@
 /// What an order may be late at its worker beyond its own time limit.
 constexpr Duration kOrderSlack{500};
 
+/// Registrations are polled: a lower limit would block starts between polls.
+constexpr Duration kLeastRegistrationsAge{1'000};
+
 /// A lease as long as workers allow might be cut short by a rounding of theirs.
 constexpr Duration kLeaseSlack{100};
 
@@ -36,7 +39,7 @@
 }  // namespace
 
 std::optional<std::string> ProblemOf(const Bounds& bounds) {
-  const std::array<std::pair<std::string_view, Duration>, 8> times{{
+  const std::array<std::pair<std::string_view, Duration>, 9> times{{
       {"the time to stop a task", bounds.stop_timeout},
       {"the longest lease", bounds.longest_lease},
       {"the wait of a gang", bounds.gang_timeout},
@@ -44,6 +47,7 @@
       {"the delay of a drain", bounds.drain_delay},
       {"the delay of a configuration", bounds.configuration_delay},
       {"the delay of an evacuation", bounds.evacuation_delay},
+      {"the delay of a capacity reduction", bounds.capacity_delay},
       {"the time that states are kept", bounds.state_kept},
   }};
   for (const auto& [name, time] : times) {
@@ -67,6 +71,8 @@
   const auto in_flight = out.start_window + kOrderSlack;
   out.evacuations_age =
       std::max(bounds.evacuation_delay - in_flight, kOrderSlack);
+  out.registrations_age =
+      std::max(bounds.capacity_delay - in_flight, kLeastRegistrationsAge);
   out.keep_ended = bounds.state_kept + bounds.state_kept / 2;
   return out;
 }
--- a/src/dispatch/bounds.h
+++ b/src/dispatch/bounds.h
@@ -27,6 +27,9 @@
   base::Duration configuration_delay{2'000};
   /// From the request to evacuate a domain until nothing may start there.
   base::Duration evacuation_delay{5'000};
+  /// From when a worker reports a reduced capacity until no start may exceed
+  /// it.
+  base::Duration capacity_delay{3'000};
   /// How long callers may ask for the state of a job that has ended.
   base::Duration state_kept{120'000};
   /// A task takes so many times as long off its rack.
--- a/src/dispatch/internal/job_book.h
+++ b/src/dispatch/internal/job_book.h
@@ -133,6 +133,8 @@
 
   /// Gives up the room that a waiting unit was promised.
   void DropReservation(Unit& unit);
+  /// Drops the reservations of all waiting units that include `worker`.
+  void DropReservationsOn(const base::WorkerName& worker);
   void SetReservation(Unit& unit, std::vector<base::WorkerName> places);
 
  private:
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -88,9 +88,18 @@
   /// Whether the evacuations are known as of the taking of this service, and
   /// were confirmed lately: an owner whose feed lags behind starts nothing.
   bool KnowsEvacuations() const;
-  bool MayStart() const { return rights_.may_start() && KnowsEvacuations(); }
+  /// Whether the workers' registrations were read recently enough to rely on
+  /// their capacities for a start.
+  bool HasFreshRegistrations() const;
+  bool MayStart() const {
+    return rights_.may_start() && KnowsEvacuations() && HasFreshRegistrations();
+  }
+  /// Whether what is planned, runs, may run or is being stopped on a worker
+  /// fits its capacity.
+  bool IsWithinCapacity(const base::WorkerName& name);
   void NoteEvacuations();
   void NoteDeparture(const WorkerEntry& entry);
+  void NoteCapacity(const WorkerEntry& entry);
   void DrainWorkers();
   void OnNews(const base::WorkerName& name, const WorkerNews& news,
               base::TimePoint sent);
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -496,6 +496,16 @@
   unit.reserved.clear();
 }
 
+void JobBook::DropReservationsOn(const base::WorkerName& worker) {
+  for (auto* run : ready_) {
+    for (auto& unit : run->units) {
+      const auto it =
+          std::find(unit.reserved.begin(), unit.reserved.end(), worker);
+      if (it != unit.reserved.end()) DropReservation(unit);
+    }
+  }
+}
+
 void JobBook::SetReservation(Unit& unit, std::vector<base::WorkerName> places) {
   DropReservation(unit);
   const auto needs = CountedNeeds(*unit.step->step);
--- a/src/dispatch/open_workers.cc
+++ b/src/dispatch/open_workers.cc
@@ -1,5 +1,6 @@
 #include "dispatch/open_workers.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace lapishatch::dispatch {
@@ -15,7 +16,8 @@
     if (is_new) free_on_rack_.push_back(0);
     worker.rack_index = it->second;
     racks_[worker.rack].push_back(&worker);
-    const auto free = worker.Free().accelerators;
+    // Negative if the capacity was reduced below what tasks use there.
+    const auto free = std::max<std::int64_t>(worker.Free().accelerators, 0);
     free_on_rack_[worker.rack_index] += free;
     by_free_[LevelOf(free)].push_back(&worker);
     accelerators_ += worker.capacity.accelerators;
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -141,12 +141,16 @@
   const bool may_send = worker != nullptr && worker->session->is_heard() &&
                         !IsEvacuated(*worker) && !unit->is_stopping &&
                         MayStart();
-  if (!may_send) {
+  const bool fits = IsWithinCapacity(member.worker);
+  if (!may_send || !fits) {
     if (member.state == MemberState::kPlanned) {
       book_.OnRefused(*unit, task.index, ports_.loop.Now());
-      Pump();
+    } else if (!fits) {
+      // The worker may still carry out an order that was sent before, so the
+      // unit is stopped rather than returned to waiting.
+      book_.Stop(*unit);
     }
-    return;
+    return Pump();
   }
   auto& session = *worker->session;
   StartOrder order{task,
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -20,6 +20,7 @@
   const bool is_known =
       worker.session && worker.is_listed && worker.session->entry() == entry;
   if (is_known) return;
+  NoteCapacity(entry);
   fleet_.Put(entry);
   worker.is_listed = true;
   if (!worker.session) {
@@ -31,6 +32,23 @@
   Pump();
 }
 
+/// Logs a change of capacity. A reduction drops the reservations on the worker:
+/// the tasks being stopped for them may no longer free enough room.
+void OwnedService::NoteCapacity(const WorkerEntry& entry) {
+  const auto* place = fleet_.Find(entry.name);
+  if (place == nullptr || !place->is_known) return;
+  if (place->capacity == entry.capacity) return;
+  const bool has_shrunk = !entry.capacity.Holds(place->capacity);
+  base::Log(base::events::kCapacityChanged,
+            {{"service", service_.str()},
+             {"worker", entry.name},
+             {"cpu_millis", entry.capacity.cpu_millis},
+             {"memory_mb", entry.capacity.memory_mb},
+             {"accelerators", entry.capacity.accelerators},
+             {"tasks", book_.MembersOn(entry.name).size()}});
+  if (has_shrunk) book_.DropReservationsOn(entry.name);
+}
+
 /// A worker that leaves says how long it stays at least. Its entry may be as
 /// old as the feed's spacing, so the earliest time that was told counts.
 void OwnedService::NoteDeparture(const WorkerEntry& entry) {
@@ -109,6 +127,21 @@
          ports_.loop.Now() - known.confirmed < options_.evacuations_age;
 }
 
+bool OwnedService::HasFreshRegistrations() const {
+  if (!ports_.registrations_read) return true;
+  return ports_.loop.Now() - ports_.registrations_read() <
+         options_.registrations_age;
+}
+
+bool OwnedService::IsWithinCapacity(const base::WorkerName& name) {
+  const auto* place = fleet_.Find(name);
+  if (place == nullptr) return false;
+  auto room = place->capacity;
+  room -= place->used;
+  room -= place->strays;
+  return room.Holds({});
+}
+
 /// Logs what has changed of the evacuations, and has it decided upon.
 void OwnedService::NoteEvacuations() {
   if (!ports_.evacuations) return;
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -33,6 +33,9 @@
   /// What is being evacuated, as it is known now. Empty where operators have no
   /// way to ask for it.
   std::function<const Evacuations&()> evacuations = nullptr;
+  /// When the workers' registrations were last read in full. Empty where they
+  /// are always current.
+  std::function<base::TimePoint()> registrations_read = nullptr;
 };
 
 struct ServiceOwnerOptions {
@@ -53,6 +56,9 @@
   /// Nothing starts once the evacuations were confirmed longer ago: an order
   /// sent later could reach a domain after its evacuation is in force.
   base::Duration evacuations_age{3'000};
+  /// Nothing starts if the workers' registrations were last read longer ago
+  /// than this: their capacities may have been reduced since.
+  base::Duration registrations_age{1'000};
   base::Duration stop_timeout{600};
   /// A stop is sent again until its end is listed.
   base::Duration stop_again{500};
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -42,6 +42,11 @@
 
   void Add(const dispatch::WorkerEntry& entry);
 
+  /// Changes the worker's capacity. Starts that exceed a reduced one but fit
+  /// the former one are violations only after `grace`.
+  void SetCapacity(const base::WorkerName& name, const jobs::Room& capacity,
+                   base::Duration grace);
+
   /// The worker's process dies with all that it ran, and does not come back.
   void Crash(const base::WorkerName& name);
 
