Name the text that orders suspects' places, for the linter

Cause: the linter took a conversion to string_view within a call for a cast. Change: the name is a local of its own; no change of behaviour.

--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -77,8 +77,8 @@
 /// Orders the emptiest worker first, so that a crash affects the fewest other
 /// tasks.
 auto EmptiestFirst(const Candidate& it) {
-  return std::tuple(-it.room.accelerators, -it.room.cpu_millis,
-                    std::string_view(it.worker->name.str()));
+  const std::string_view name = it.worker->name.str();
+  return std::tuple(-it.room.accelerators, -it.room.cpu_millis, name);
 }
 
 /// Puts all tasks on `candidates`, best fit first, or emptiest first for
