--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -113,6 +113,9 @@
   void BeginWork(Worker& worker, const Run& run);
   void Work(const base::WorkerName& name, const Run& run, base::Duration left);
   void NoteStart(Worker& worker, const Run& run);
+  /// Limit on starts, per dimension: the largest of the worker's capacity and
+  /// the former capacities whose grace period has not ended.
+  jobs::Room CapacityLimit(const Worker& worker) const;
   /// Detects a task that crashes its workers and is restarted without limit.
   void CheckRestarts(const jobs::TaskName& task);
   dispatch::WorkerClock ClockOf(const Worker& worker) const;
