--- /dev/null
+++ b/test/site/entry_world.h
@@ -0,0 +1,121 @@
+#ifndef LAPISHATCH_TEST_SITE_ENTRY_WORLD_H_
+#define LAPISHATCH_TEST_SITE_ENTRY_WORLD_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakes/fake_row_store.h"
+#include "fakes/virtual_time.h"
+#include "http/http.h"
+#include "jobs/jobs.h"
+#include "platform/job_http_handler.h"
+#include "platform/operator_feed.h"
+#include "store/store_health.h"
+
+namespace lapishatch::platform {
+
+/// Keeps the response to one request.
+class RecordedExchange final : public http::Exchange {
+ public:
+  explicit RecordedExchange(http::Request request)
+      : request_(std::move(request)) {}
+
+  const http::Request& request() const override { return request_; }
+  void Respond(http::Response response) override {
+    response_ = std::move(response);
+  }
+  void StartStream(http::Response head) override { Respond(std::move(head)); }
+  bool Write(std::string bytes) override { return !bytes.empty(); }
+  void End() override {}
+  void OnGone(std::function<void()> gone) override { gone_ = std::move(gone); }
+
+  const std::optional<http::Response>& response() const { return response_; }
+
+ private:
+  const http::Request request_;
+  std::function<void()> gone_;
+  std::optional<http::Response> response_;
+};
+
+/// A configuration whose routes and API keys are given by their numbers.
+struct TestConfiguration {
+  std::uint64_t version = 0;
+  std::set<int> routes;
+  std::set<int> keys;
+
+  static std::string PrefixOf(int route) {
+    return "/route" + std::to_string(route) + "/";
+  }
+  static std::string KeyOf(int key) { return "key" + std::to_string(key); }
+
+  std::string Encode() const {
+    std::string routes_json;
+    for (const int it : routes) {
+      if (!routes_json.empty()) routes_json += ',';
+      routes_json += R"({"name":"q)" + std::to_string(it) +
+                     R"(","host":"h","service":"s","prefix":")" + PrefixOf(it) +
+                     R"("})";
+    }
+    std::string keys_json;
+    for (const int it : keys) {
+      if (!keys_json.empty()) keys_json += ',';
+      keys_json += '"' + KeyOf(it) + '"';
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
+           routes_json + R"(],"tenants":[{"name":"o","api-keys":[)" +
+           keys_json + "]}]}";
+  }
+};
+
+/// Simulates one process that serves callers' requests, and its store, in
+/// virtual time.
+class EntryWorld {
+ public:
+  static constexpr const char* kVm = "vm";
+
+  EntryWorld() { store_health.Start(); }
+
+  /// Writes the configuration as an operator does.
+  void Put(const TestConfiguration& configuration) {
+    store.Put("op", "", "config", configuration.Encode());
+  }
+
+  void RunFor(int ms) { time.RunFor(base::Duration(ms)); }
+
+  /// Counts the waiting jobs of a route with an API key, and returns the status
+  /// of the response. Runs the simulation until the response, at most 3 s.
+  int Ask(int route, int key) {
+    http::Request request;
+    request.target = TestConfiguration::PrefixOf(route);
+    request.headers.Set("Host", "h");
+    request.headers.Set("Authorization",
+                        "Bearer " + TestConfiguration::KeyOf(key));
+    const auto exchange = std::make_shared<RecordedExchange>(request);
+    handler.Handle(exchange);
+    time.RunUntil([&exchange] { return exchange->response().has_value(); },
+                  base::Duration(3'000));
+    return exchange->response() ? exchange->response()->status : 0;
+  }
+
+  fakes::VirtualTime time;
+  fakes::FakeRowStore store{time};
+  store::MonitoredStore store_health{time, store.For(kVm), {}};
+  base::MetricRegistry metrics;
+  const dispatch::Bounds bounds;
+  OperatorFeed feed{time, store_health, bounds,
+                    [](const jobs::QueueConfiguration&) {}};
+  jobs::JobService jobs{store_health};
+  JobHttpHandler handler{
+      {jobs, [this] { return store_health.IsOut(); }, metrics,
+       [this] { return feed.queue_table(); },
+       [this] { return time.Now().time_since_epoch().count(); }}};
+};
+
+}  // namespace lapishatch::platform
+
+#endif  // LAPISHATCH_TEST_SITE_ENTRY_WORLD_H_
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -69,6 +69,7 @@
 
   void Read(store::RowRange range,
             std::function<void(RowsReadResult)> done) override {
+    ++store_.reads_;
     if (Fault() != StoreFault::kNone) {
       return After(
           Fault() == StoreFault::kBusy ? store_.delay : kReadTimeout,
@@ -98,8 +99,9 @@
 
   void Feed(std::string table, RowVersion after, base::Duration wait,
             std::function<void(RowsFeedResult)> done) override {
-    if (Fault() != StoreFault::kNone) {
-      const auto when = Fault() == StoreFault::kBusy
+    ++store_.reads_;
+    if (FeedFault() != StoreFault::kNone) {
+      const auto when = FeedFault() == StoreFault::kBusy
                             ? store_.delay
                             : wait + kFeedTimeoutMargin;
       return After(when, [done = std::move(done)] {
@@ -111,7 +113,7 @@
     feed->after = after;
     // A feed that waits when a fault begins is not answered either.
     feed->done = [this, wait, done = std::move(done)](RowsFeedResult result) {
-      if (Fault() != StoreFault::kNone) {
+      if (FeedFault() != StoreFault::kNone) {
         return After(wait + kFeedTimeoutMargin,
                      [done] { done(store::ReadFailed{"no answer"}); });
       }
@@ -131,6 +133,11 @@
     return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
   }
 
+  StoreFault FeedFault() const {
+    const auto feed_fault = store_.fault_for_feeds_;
+    return feed_fault != StoreFault::kNone ? feed_fault : Fault();
+  }
+
   StoreFault TransactionFault() const {
     const auto transaction_fault = store_.fault_for_transactions_;
     return transaction_fault != StoreFault::kNone ? transaction_fault : Fault();
@@ -163,6 +170,10 @@
   fault_for_transactions_ = fault;
 }
 
+void FakeRowStore::SetFaultForFeeds(StoreFault fault) {
+  fault_for_feeds_ = fault;
+}
+
 void FakeRowStore::Put(const std::string& table, const std::string& part,
                        const std::string& key, const std::string& value) {
   Apply({part, {}, {{table, key, value}}, {}});
@@ -212,6 +223,7 @@
   }
   if (!holds) return conflict;
   ++version_;
+  applied_at_[version_] = time_.Now();
   for (const auto& it : transaction.puts) {
     const store::RowAddress address{it.table, transaction.part, it.key};
     rows_[address] = {address, it.value, version_};
@@ -228,10 +240,35 @@
 }
 
 RowsRead FakeRowStore::Scan(const store::RowRange& range) const {
-  RowsRead out;
+  if (read_lag > base::Duration(0)) return ScanPast(range);
+  auto out = ScanRows(rows_, range);
   out.as_of = version_;
-  for (auto it = rows_.lower_bound({range.table, range.part, range.from});
-       it != rows_.end(); ++it) {
+  return out;
+}
+
+/// Returns the rows as they were `read_lag` ago.
+RowsRead FakeRowStore::ScanPast(const store::RowRange& range) const {
+  RowVersion as_of = kFirstVersion;
+  for (const auto& [version, time] : applied_at_) {
+    if (time <= time_.Now() - read_lag) as_of = version;
+  }
+  std::map<store::RowAddress, store::StoredRow> rows;
+  for (const auto& it : history_) {
+    if (it.version > as_of) break;
+    rows.erase(it.address);
+    if (!it.is_deleted) rows[it.address] = it;
+  }
+  auto out = ScanRows(rows, range);
+  out.as_of = as_of;
+  return out;
+}
+
+RowsRead FakeRowStore::ScanRows(
+    const std::map<store::RowAddress, store::StoredRow>& rows,
+    const store::RowRange& range) {
+  RowsRead out;
+  for (auto it = rows.lower_bound({range.table, range.part, range.from});
+       it != rows.end(); ++it) {
     const auto& address = it->first;
     if (address.table != range.table || address.part != range.part) break;
     if (!range.until.empty() && address.key >= range.until) break;
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -45,6 +45,8 @@
   void SetFaultForAll(StoreFault fault);
   /// Applies to the transactions of all callers; reads and feeds work.
   void SetFaultForTransactions(StoreFault fault);
+  /// Applies to the feeds of all callers; transactions and reads work.
+  void SetFaultForFeeds(StoreFault fault);
 
   /// Discards the change history: feeds from an earlier version fail with
   /// HistoryGone.
@@ -68,6 +70,8 @@
   /// Number of transactions that were executed, including those that
   /// conflicted.
   int transactions() const { return transactions_; }
+  /// Number of reads and feeds that were received.
+  int reads() const { return reads_; }
 
   /// One-way network delay between a caller and the store.
   base::Duration delay{1};
@@ -79,11 +83,16 @@
   /// must not be split between answers, so a test that reaches the limit must
   /// write each row in its own transaction.
   std::size_t feed_limit = 500;
+  /// Age of the state that reads return. Transactions and feeds are not
+  /// affected.
+  base::Duration read_lag{0};
   /// Whether transactions on the same part execute one after another and are
   /// refused when the queue of their part exceeds 1 s.
   bool has_part_queues = false;
 
  private:
+  static constexpr store::RowVersion kFirstVersion = 1;
+
   class Caller;
   friend class Caller;
 
@@ -97,6 +106,10 @@
   std::optional<base::Duration> ReserveCommitTime(const std::string& part);
   store::RowsResult Apply(const store::RowTransaction& transaction);
   store::RowsRead Scan(const store::RowRange& range) const;
+  store::RowsRead ScanPast(const store::RowRange& range) const;
+  static store::RowsRead ScanRows(
+      const std::map<store::RowAddress, store::StoredRow>& rows,
+      const store::RowRange& range);
   store::RowsFeedResult ChangesOf(const std::string& table,
                                   store::RowVersion after) const;
   void AnswerFeeds(const std::string& table);
@@ -104,11 +117,15 @@
   base::EventLoop& time_;
   std::map<store::RowAddress, store::StoredRow> rows_;
   std::vector<store::StoredRow> history_;
-  store::RowVersion version_ = 1;
+  /// Time of each transaction that took effect.
+  std::map<store::RowVersion, base::TimePoint> applied_at_;
+  store::RowVersion version_ = kFirstVersion;
   store::RowVersion oldest_ = 0;
   int transactions_ = 0;
+  int reads_ = 0;
   std::map<std::string, base::TimePoint> part_free_at_;
   StoreFault fault_for_transactions_ = StoreFault::kNone;
+  StoreFault fault_for_feeds_ = StoreFault::kNone;
   StoreFault fault_for_all_ = StoreFault::kNone;
   std::map<std::string, std::unique_ptr<Caller>> callers_;
   std::list<std::shared_ptr<WaitingFeed>> feeds_;
