Show how old the configuration of a process is

Callers saw: requests refused by an outdated configuration, of which neither the process that refused nor its log knew. Cause of the gap: E500 tells when a version was applied, not whether the store still confirms it; 401 and 404 left no line and no count. Change: a feed keeps the time at which the store certainly was as told: the end of the wait for an empty answer, the call for one with rows, never a read.

--- a/src/dispatch/bounds.cc
+++ b/src/dispatch/bounds.cc
@@ -54,6 +54,9 @@
   for (const auto& [name, time] : times) {
     if (time <= Duration(0)) return std::string(name) + " must be above 0";
   }
+  if (bounds.configuration_extension < Duration(0)) {
+    return "the extension of the delay of a configuration must not be negative";
+  }
   if (bounds.remote_factor < 1) {
     return "the factor for work outside its rack must be at least 1";
   }
--- a/src/dispatch/bounds.h
+++ b/src/dispatch/bounds.h
@@ -25,6 +25,8 @@
   base::Duration drain_delay{2'000};
   /// From a change of the configuration until it is in force.
   base::Duration configuration_delay{2'000};
+  /// Extension of `configuration_delay` while the store is impaired.
+  base::Duration configuration_extension{5'000};
   /// From the request to evacuate a domain until no task may start there.
   base::Duration evacuation_delay{5'000};
   /// From when a worker reports a reduced capacity until no start may exceed
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -5,6 +5,7 @@
 /// queues that accept them, their rows in the store, and the service that
 /// accepts and cancels jobs and reads their state.
 
+#include "jobs/configuration_view.h"
 #include "jobs/job.h"
 #include "jobs/job_rows.h"
 #include "jobs/job_service.h"
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -20,10 +20,12 @@
         store_(store),
         table_(std::move(table)),
         parts_(std::move(parts)),
-        options_(options),
+        options_(std::move(options)),
         events_(std::move(events)),
         random_(std::hash<std::string>()(base::MakeUniqueText(table_))),
-        backoff_(options.retry_first, options.retry_limit) {}
+        backoff_(options_.retry_first, options_.retry_limit) {}
+
+  base::TimePoint confirmed_at() const { return confirmed_at_; }
 
   void ReadAll() {
     collected_.clear();
@@ -92,10 +94,24 @@
   }
 
   void Follow() {
-    store_.Feed(table_, as_of_, options_.wait, Guarded(&Impl::OnFeed));
+    store_.Feed(table_, as_of_, options_.wait,
+                Guarded(&Impl::OnFeed, ClockNow()));
+  }
+
+  base::TimePoint ClockNow() const {
+    return options_.clock ? options_.clock() : loop_.Now();
   }
 
-  void OnFeed(RowsFeedResult result) {
+  /// An answer without rows was given at the end of the wait, one with rows at
+  /// any time since the call. A full answer may not hold the latest rows.
+  void Confirm(const RowsChanged& changes, base::TimePoint sent) {
+    if (changes.rows.size() >= kPageRows) return;
+    const auto waited_until = sent + options_.wait;
+    const bool has_waited = changes.rows.empty() && ClockNow() >= waited_until;
+    confirmed_at_ = std::max(confirmed_at_, has_waited ? waited_until : sent);
+  }
+
+  void OnFeed(base::TimePoint sent, RowsFeedResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
       return Retry(failed->detail, &Impl::Follow);
     }
@@ -105,6 +121,7 @@
     // An answer that lags behind what was told already is never told.
     if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = changes.as_of;
+    Confirm(changes, sent);
     const bool has_more = changes.rows.size() >= kPageRows;
     std::erase_if(changes.rows, [this](const StoredRow& row) {
       return std::find(parts_.begin(), parts_.end(), row.address.part) ==
@@ -149,6 +166,7 @@
   base::Random random_;
   base::Backoff backoff_;
   RowVersion as_of_ = kAbsent;
+  base::TimePoint confirmed_at_{};
   std::vector<StoredRow> collected_;
   /// Of the present reading: parts of which reading has begun, and ended.
   std::size_t parts_begun_ = 0;
@@ -164,7 +182,7 @@
                            std::string table, std::vector<std::string> parts,
                            FollowerOptions options, FollowerEvents events)
     : impl_(std::make_shared<Impl>(loop, store, std::move(table),
-                                   std::move(parts), options,
+                                   std::move(parts), std::move(options),
                                    std::move(events))) {}
 
 FeedFollower::~FeedFollower() = default;
@@ -173,4 +191,8 @@
 
 void FeedFollower::Reload() { impl_->ReadAll(); }
 
+base::TimePoint FeedFollower::confirmed_at() const {
+  return impl_->confirmed_at();
+}
+
 }  // namespace lapishatch::store
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -21,6 +21,8 @@
   /// Between a failed call and the next; with jitter.
   base::Duration retry_first{100};
   base::Duration retry_limit{400};
+  /// Clock of confirmed_at; the event loop's if empty.
+  std::function<base::TimePoint()> clock;
 };
 
 /// What a follower tells. All are called on the loop.
@@ -53,6 +55,11 @@
   /// Reads all parts whole again.
   void Reload();
 
+  /// Returns a time at which the store's rows were certainly as last told; the
+  /// epoch before the first answer of the feed. Only the feed confirms: reads
+  /// may lag behind.
+  base::TimePoint confirmed_at() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/store/row_feed.cc
+++ b/src/store/row_feed.cc
@@ -48,8 +48,8 @@
 }  // namespace
 
 RowFeed::RowFeed(base::EventLoop& loop, RowStore& store, std::string table,
-                 const FollowerOptions& options, RowFeedEvents events)
-    : follower_(loop, store, std::move(table), {""}, options,
+                 FollowerOptions options, RowFeedEvents events)
+    : follower_(loop, store, std::move(table), {""}, std::move(options),
                 FollowerEventsFor(std::move(events))) {}
 
 }  // namespace lapishatch::store
--- a/src/store/row_feed.h
+++ b/src/store/row_feed.h
@@ -23,13 +23,16 @@
 class RowFeed {
  public:
   RowFeed(base::EventLoop& loop, RowStore& store, std::string table,
-          const FollowerOptions& options, RowFeedEvents events);
+          FollowerOptions options, RowFeedEvents events);
 
   void Start() { follower_.Start(); }
 
   /// Reads all rows again and passes them once more.
   void Reload() { follower_.Reload(); }
 
+  /// See FeedFollower.
+  base::TimePoint confirmed_at() const { return follower_.confirmed_at(); }
+
  private:
   FeedFollower follower_;
 };
--- a/test/site/entry_world.h
+++ b/test/site/entry_world.h
@@ -108,11 +108,12 @@
   base::MetricRegistry metrics;
   const dispatch::Bounds bounds;
   OperatorFeed feed{time, store_health, bounds,
+                    [] { return base::Duration(0); },
                     [](const jobs::QueueConfiguration&) {}};
   jobs::JobService jobs{store_health};
   JobHttpHandler handler{
       {jobs, [this] { return store_health.IsOut(); }, metrics,
-       [this] { return feed.queue_table(); },
+       [this] { return feed.Configuration(); },
        [this] { return time.Now().time_since_epoch().count(); }}};
 };
 
