--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -88,14 +88,17 @@
   void OnAllRead() {
     if (oldest_ < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = oldest_;
+    has_answered_ = false;
     const auto weak = weak_from_this();
     events_.on_all(std::exchange(collected_, {}), as_of_);
     if (const auto self = weak.lock()) Follow();
   }
 
+  /// The first call after a snapshot or a failure does not wait: it shows
+  /// whether changes were missed.
   void Follow() {
-    store_.Feed(table_, as_of_, options_.wait,
-                Guarded(&Impl::OnFeed, ClockNow()));
+    const auto wait = has_answered_ ? options_.wait : base::Duration(0);
+    store_.Feed(table_, as_of_, wait, Guarded(&Impl::OnFeed, ClockNow(), wait));
   }
 
   base::TimePoint ClockNow() const {
@@ -104,15 +107,18 @@
 
   /// An answer without rows was given at the end of the wait, one with rows at
   /// any time since the call. A full answer may not hold the latest rows.
-  void Confirm(const RowsChanged& changes, base::TimePoint sent) {
+  void Confirm(const RowsChanged& changes, base::TimePoint sent,
+               base::Duration wait) {
     if (changes.rows.size() >= kPageRows) return;
-    const auto waited_until = sent + options_.wait;
+    const auto waited_until = sent + wait;
     const bool has_waited = changes.rows.empty() && ClockNow() >= waited_until;
     confirmed_at_ = std::max(confirmed_at_, has_waited ? waited_until : sent);
   }
 
-  void OnFeed(base::TimePoint sent, RowsFeedResult result) {
+  void OnFeed(base::TimePoint sent, base::Duration wait,
+              RowsFeedResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+      has_answered_ = false;
       return Retry(failed->detail, &Impl::Follow);
     }
     backoff_.Reset();
@@ -121,7 +127,8 @@
     // An answer that lags behind what was told already is never told.
     if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = changes.as_of;
-    Confirm(changes, sent);
+    Confirm(changes, sent, wait);
+    has_answered_ = true;
     const bool has_more = changes.rows.size() >= kPageRows;
     std::erase_if(changes.rows, [this](const StoredRow& row) {
       return std::find(parts_.begin(), parts_.end(), row.address.part) ==
@@ -167,6 +174,8 @@
   base::Backoff backoff_;
   RowVersion as_of_ = kAbsent;
   base::TimePoint confirmed_at_{};
+  /// Whether the feed has answered since the last snapshot or failure.
+  bool has_answered_ = false;
   std::vector<StoredRow> collected_;
   /// Of the present reading: parts of which reading has begun, and ended.
   std::size_t parts_begun_ = 0;
--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -42,5 +42,32 @@
   CHECK(world.Ask(1, 1) == kUnavailable);
 }
 
+TEST_CASE("an added route and key are not refused from an outdated table") {
+  const auto fault = GENERATE(StoreFault::kSilent, StoreFault::kBusy);
+  const int outage_ms = GENERATE(2'100, 4'000, 9'000, 30'000);
+  ServingWorld world;
+  world.store.SetFault(EntryWorld::kVm, fault);
+  world.Put({2, {1, 2}, {1, 2}});
+  world.RunFor(outage_ms);
+  CHECK(world.Ask(2, 1) == kUnavailable);
+  CHECK(world.Ask(1, 2) == kUnavailable);
+  world.store.SetFault(EntryWorld::kVm, StoreFault::kNone);
+  world.RunFor(3'000);
+  CHECK(world.Ask(2, 2) == kOk);
+  CHECK(world.Ask(3, 1) == kNotFound);
+  CHECK(world.Ask(1, 3) == kUnauthorized);
+}
+
+TEST_CASE("a table is outdated when only the feed of the store fails") {
+  const auto fault = GENERATE(StoreFault::kSilent, StoreFault::kBusy);
+  ServingWorld world;
+  world.store.SetFaultForFeeds(fault);
+  world.Put({2, {1, 2}, {2}});
+  world.RunFor(2'100);
+  REQUIRE(!world.store_health.IsOut());
+  CHECK(world.Ask(2, 1) == kUnavailable);
+  CHECK(world.Ask(1, 2) == kUnavailable);
+}
+
 }  // namespace
 }  // namespace lapishatch::platform
