Wait between reads of a store whose reads lag behind its history

Callers saw: possibly 429 for calls of all kinds; found while looking for the cause of requests refused by an outdated configuration, not reported.

--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -71,7 +71,6 @@
       ++generation_;
       return Retry(failed->detail, &Impl::ReadAll);
     }
-    backoff_.Reset();
     window_.OnRead(loop_.Now() - sent);
     auto& page = std::get<RowsRead>(result);
     oldest_ = std::min(oldest_, page.as_of);
@@ -89,6 +88,7 @@
     if (oldest_ < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = oldest_;
     has_answered_ = false;
+    is_snapshot_unconfirmed_ = true;
     const auto weak = weak_from_this();
     events_.on_all(std::exchange(collected_, {}), as_of_);
     if (const auto self = weak.lock()) Follow();
@@ -121,14 +121,19 @@
       has_answered_ = false;
       return Retry(failed->detail, &Impl::Follow);
     }
+    if (std::holds_alternative<HistoryGone>(result)) {
+      if (!is_snapshot_unconfirmed_) return ReadAll();
+      // Reads lag behind: another one at once would give the same answer.
+      return Retry("snapshot older than the history", &Impl::ReadAll);
+    }
     backoff_.Reset();
-    if (std::holds_alternative<HistoryGone>(result)) return ReadAll();
     auto& changes = std::get<RowsChanged>(result);
     // An answer that lags behind what was told already is never told.
     if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
     as_of_ = changes.as_of;
     Confirm(changes, sent, wait);
     has_answered_ = true;
+    is_snapshot_unconfirmed_ = false;
     const bool has_more = changes.rows.size() >= kPageRows;
     std::erase_if(changes.rows, [this](const StoredRow& row) {
       return std::find(parts_.begin(), parts_.end(), row.address.part) ==
@@ -176,6 +181,8 @@
   base::TimePoint confirmed_at_{};
   /// Whether the feed has answered since the last snapshot or failure.
   bool has_answered_ = false;
+  /// Whether the feed has not answered since the last snapshot.
+  bool is_snapshot_unconfirmed_ = false;
   std::vector<StoredRow> collected_;
   /// Of the present reading: parts of which reading has begun, and ended.
   std::size_t parts_begun_ = 0;
--- a/test/store/feed_follower_test.cc
+++ b/test/store/feed_follower_test.cc
@@ -124,5 +124,24 @@
   CHECK(world.news <= 12);
 }
 
+TEST_CASE("a lagging store is not read in a tight loop") {
+  World world;
+  world.store.Put("t", "p", "a", "1");
+  world.follower.Start();
+  world.RunFor(2'000);
+  world.store.SetFault("vm", StoreFault::kBusy);
+  world.RunFor(100);
+  world.store.Put("t", "p", "a", "2");
+  world.RunFor(100);
+  world.store.DropHistory();
+  world.store.read_lag = base::Duration(5'000);
+  world.store.SetFault("vm", StoreFault::kNone);
+  const int before = world.store.reads();
+  world.RunFor(4'000);
+  CHECK(world.store.reads() - before <= 100);
+  world.RunFor(2'000);
+  CHECK(world.copy["a"] == "2");
+}
+
 }  // namespace
 }  // namespace lapishatch::store
