--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -85,7 +85,11 @@
   }
 
   void OnAllRead() {
-    if (oldest_ < as_of_) return Retry("stale", &Impl::ReadAll);
+    if (oldest_ < as_of_) {
+      // Reads lag behind, the feed may not.
+      has_answered_ = false;
+      return Retry("stale snapshot", &Impl::Follow);
+    }
     as_of_ = oldest_;
     has_answered_ = false;
     is_snapshot_unconfirmed_ = true;
@@ -129,7 +133,7 @@
     backoff_.Reset();
     auto& changes = std::get<RowsChanged>(result);
     // An answer that lags behind what was told already is never told.
-    if (changes.as_of < as_of_) return Retry("stale", &Impl::ReadAll);
+    if (changes.as_of < as_of_) return Retry("stale feed", &Impl::ReadAll);
     as_of_ = changes.as_of;
     Confirm(changes, sent, wait);
     has_answered_ = true;
--- a/test/store/feed_follower_test.cc
+++ b/test/store/feed_follower_test.cc
@@ -143,5 +143,20 @@
   CHECK(world.copy["a"] == "2");
 }
 
+TEST_CASE("a reload from a lagging store does not stop the feed") {
+  World world;
+  world.store.Put("t", "p", "a", "1");
+  world.follower.Start();
+  world.RunFor(2'000);
+  world.store.read_lag = base::Duration(5'000);
+  world.store.Put("t", "p", "a", "2");
+  world.RunFor(100);
+  world.follower.Reload();
+  world.RunFor(100);
+  world.store.Put("t", "p", "a", "3");
+  world.RunFor(1'000);
+  CHECK(world.copy["a"] == "3");
+}
+
 }  // namespace
 }  // namespace lapishatch::store
