--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -69,5 +69,17 @@
   CHECK(world.Ask(1, 2) == kUnavailable);
 }
 
+TEST_CASE("evacuations are not confirmed by the arrival of a late answer") {
+  ServingWorld world;
+  const base::Duration delay(1'500);
+  world.store.delay = delay;
+  world.RunFor(10'000);
+  for (int i = 0; i < 50; ++i) {
+    world.RunFor(100);
+    const auto age = world.time.Now() - world.feed.evacuations().confirmed_at;
+    CHECK(age >= delay);
+  }
+}
+
 }  // namespace
 }  // namespace lapishatch::platform
