Log urgent tasks whose first start is delayed

Callers saw: an urgent job within its guarantee that began late, or not at all. Cause of the gap: E634 gives the wait of a start once it is made; nothing told that an urgent task waits, what for, or how the organisation stands to its guarantee. Change: E663 once a task, at half of the bound: permission, start-limit, plan or preemption, with needs and guarantee. Decisions are unchanged.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -144,6 +144,8 @@
   // Starts and stops.
   void ScheduleDecisionRound();
   void RunDecisionRound();
+  /// Logs each urgent unit once that has waited for long for its first start.
+  void LogDelayedStarts(bool is_permitted);
   /// Calls `done` once the present progress of `jobs` is recorded in the store.
   void WhenRecorded(const std::set<base::JobName>& jobs,
                     const std::function<void()>& done);
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -112,6 +112,14 @@
   /// Sets the number of accelerators that each organisation is guaranteed.
   void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
 
+  /// Accelerators that the urgent jobs of an organisation needed in the last
+  /// call of Decide, and those that it is guaranteed.
+  struct GuaranteeUse {
+    std::int64_t needed = 0;
+    std::int64_t guaranteed = 0;
+  };
+  GuaranteeUse GuaranteeUseOf(const base::OrganisationName& organisation) const;
+
   /// Plans the units that can start now, until the number of tasks reaches
   /// `max_starts`. The last unit may exceed it, since a gang starts as a whole.
   PlannerDecisions Decide(base::TimePoint now,
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -49,6 +49,18 @@
   kUnregistered,
 };
 
+/// What a unit that should start waits for.
+enum class StartObstacle : std::uint8_t {
+  /// The owner may not start tasks now.
+  kPermission,
+  /// Too many starts are in flight.
+  kStartLimit,
+  /// No suitable workers are free or can be freed.
+  kPlan,
+  /// Its reserved workers are not free yet.
+  kPreemption,
+};
+
 /// One task of a unit's current run.
 struct Member {
   base::WorkerName worker;
@@ -103,6 +115,8 @@
   base::TimePoint started_at{};
   /// When the last search for units to preempt found nothing.
   base::TimePoint reclaim_failed_at{};
+  /// Whether it was logged that its first start is delayed.
+  bool is_delay_logged = false;
 
   bool IsActive() const { return !members.empty(); }
 };
@@ -177,6 +191,11 @@
       "other-life", "lapsed", "unregistered"};
 };
 template <>
+struct EnumNames<dispatch::internal::StartObstacle> {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "permission", "start-limit", "plan", "preemption"};
+};
+template <>
 struct EnumNames<dispatch::internal::JobFailure> {
   static constexpr std::array<std::string_view, 3> kNames = {"none", "attempts",
                                                              "worker-losses"};
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -50,12 +50,14 @@
   const auto began = dependencies_.loop.Now();
   UpdateWorkerStates();
   PlannerDecisions decisions;
-  if (MayStart()) {
+  const bool is_permitted = MayStart();
+  if (is_permitted) {
     const int under_way = tracker_.CountPendingStarts();
     decisions = planner_.Decide(began, start_window_.size() - under_way);
     start_window_.RecordInFlight(under_way + CountTasks(decisions.starts));
   }
   is_limited_by_start_window_ = decisions.reached_start_limit;
+  LogDelayedStarts(is_permitted);
   for (const auto& it : decisions.preemptions) LogPreemption(it);
   SendStops();
   if (!decisions.starts.empty()) SendStartsWhenRecorded(decisions.starts);
@@ -72,6 +74,34 @@
                        options_.decision_pause_factor * (ended - began));
 }
 
+void OwnedService::LogDelayedStarts(bool is_permitted) {
+  const auto now = dependencies_.loop.Now();
+  const auto limit = options_.bounds.guaranteed_start_delay / 2;
+  for (auto* run : tracker_.ready()) {
+    const auto& job = *run->job;
+    if (job.job->priority != kUrgentPriority) continue;
+    for (auto& unit : run->units) {
+      const bool waits = unit.phase == jobs::UnitPhase::kWaiting &&
+                         unit.last_run == 0 &&
+                         now - unit.waiting_since >= limit;
+      if (!waits || std::exchange(unit.is_delay_logged, true)) continue;
+      auto obstacle = StartObstacle::kPlan;
+      if (is_limited_by_start_window_) obstacle = StartObstacle::kStartLimit;
+      if (!unit.reserved.empty()) obstacle = StartObstacle::kPreemption;
+      if (!is_permitted) obstacle = StartObstacle::kPermission;
+      const auto use = planner_.GuaranteeUseOf(job.job->organisation);
+      base::Log(base::events::kUrgentStartDelayed,
+                {{"request", job.job->name},
+                 {"task", TextOf(JobTracker::NameOf(unit, 0))},
+                 {"organisation", job.job->organisation},
+                 {"waited_ms", (now - unit.waiting_since).count()},
+                 {"obstacle", base::NameOf(obstacle)},
+                 {"needs", use.needed},
+                 {"guaranteed", use.guaranteed}});
+    }
+  }
+}
+
 void OwnedService::WhenRecorded(const std::set<base::JobName>& jobs,
                                 const std::function<void()>& done) {
   std::map<int, std::vector<base::JobName>> by_partition;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -65,6 +65,16 @@
   guarantees_ = std::move(guarantees);
 }
 
+TaskPlanner::GuaranteeUse TaskPlanner::GuaranteeUseOf(
+    const base::OrganisationName& organisation) const {
+  GuaranteeUse out;
+  const auto needs = urgent_needs_.find(organisation);
+  if (needs != urgent_needs_.end()) out.needed = needs->second;
+  const auto guarantee = guarantees_.find(organisation);
+  if (guarantee != guarantees_.end()) out.guaranteed = guarantee->second;
+  return out;
+}
+
 PlannerDecisions TaskPlanner::Decide(base::TimePoint now, int max_starts) {
   PlannerDecisions out;
   workers_.emplace(fleet_);
