Visit jobs, steps and units by name instead of by address

Change: NameOrder for the sets of steps, units, members and unrecorded jobs. Result: test_dispatch passes with the new case.

--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -104,13 +104,13 @@
   jobs::WaitingJobCounts CountWaitingJobs() const;
 
   /// Steps with units that may be started now.
-  const std::set<StepRun*>& ready() const { return ready_; }
+  const std::set<StepRun*, NameOrder>& ready() const { return ready_; }
 
   /// Units whose current run must be stopped, until it has ended.
-  const std::set<Unit*>& to_stop() const { return to_stop_; }
+  const std::set<Unit*, NameOrder>& to_stop() const { return to_stop_; }
 
   /// Units with a current run.
-  const std::set<Unit*>& active() const { return active_; }
+  const std::set<Unit*, NameOrder>& active() const { return active_; }
 
   /// Returns the number of tasks whose start requests are about to be sent, or
   /// were sent by this owner and are unanswered.
@@ -123,13 +123,15 @@
 
   /// Jobs of a partition whose progress has changed since it was recorded, and
   /// the time by which to record it. The partition's recorder empties it.
-  using DirtyJobs = std::map<JobEntry*, base::TimePoint>;
+  using DirtyJobs = std::map<JobEntry*, base::TimePoint, NameOrder>;
   DirtyJobs& dirty(int partition_index) {
     return dirty_[static_cast<std::size_t>(partition_index)];
   }
 
   /// Jobs that have not ended.
-  const std::set<const JobEntry*>& unfinished() const { return unfinished_; }
+  const std::set<const JobEntry*, NameOrder>& unfinished() const {
+    return unfinished_;
+  }
 
   /// Returns the jobs that have ended since the last call.
   std::vector<base::JobName> TakeEnded() { return std::exchange(ended_, {}); }
@@ -160,14 +162,15 @@
   Fleet& fleet_;
   std::map<base::JobName, std::unique_ptr<JobEntry>> jobs_;
   std::multimap<std::int64_t, StepRun*> not_due_;
-  std::set<StepRun*> ready_;
-  std::set<Unit*> to_stop_;
-  std::set<Unit*> active_;
+  std::set<StepRun*, NameOrder> ready_;
+  std::set<Unit*, NameOrder> to_stop_;
+  std::set<Unit*, NameOrder> active_;
   /// Index for MembersOn, which every worker report uses.
-  std::unordered_map<base::WorkerName, std::set<std::pair<Unit*, int>>>
+  std::unordered_map<base::WorkerName,
+                     std::set<std::pair<Unit*, int>, NameOrder>>
       members_on_;
   std::array<DirtyJobs, jobs::kProgressPartitionCount> dirty_;
-  std::set<const JobEntry*> unfinished_;
+  std::set<const JobEntry*, NameOrder> unfinished_;
   std::vector<base::JobName> ended_;
 };
 
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -9,6 +9,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -182,6 +184,29 @@
   std::uint64_t row_version = 0;
 };
 
+/// Orders jobs, steps and units by name, so that decisions which visit them in
+/// turn do not depend on their addresses.
+struct NameOrder {
+  bool operator()(const JobEntry* a, const JobEntry* b) const {
+    return a->job->name < b->job->name;
+  }
+  bool operator()(const StepRun* a, const StepRun* b) const {
+    if (a->job != b->job) return (*this)(a->job, b->job);
+    return std::tie(a->occurrence, a->number) <
+           std::tie(b->occurrence, b->number);
+  }
+  bool operator()(const Unit* a, const Unit* b) const {
+    if (a->step_run != b->step_run) return (*this)(a->step_run, b->step_run);
+    return a->first_index < b->first_index;
+  }
+  /// Tasks of a unit, by their index.
+  bool operator()(const std::pair<Unit*, int>& a,
+                  const std::pair<Unit*, int>& b) const {
+    if (a.first != b.first) return (*this)(a.first, b.first);
+    return a.second < b.second;
+  }
+};
+
 }  // namespace lapishatch::dispatch::internal
 
 namespace lapishatch::base {
--- a/src/dispatch/recorder.cc
+++ b/src/dispatch/recorder.cc
@@ -78,7 +78,8 @@
 
   bool IsRecorded(const base::JobName& name) const {
     auto* job = tracker_.Find(name);
-    return !dirty_.contains(job) && !writing_.contains(name);
+    const bool is_dirty = job != nullptr && dirty_.contains(job);
+    return !is_dirty && !writing_.contains(name);
   }
 
  private:
--- a/test/dispatch/job_tracker_test.cc
+++ b/test/dispatch/job_tracker_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/internal/job_tracker.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "owner_world.h"
@@ -102,5 +103,29 @@
   CHECK(job->state == jobs::JobState::kCompleted);
 }
 
+TEST_CASE("steps and units are visited by name, not by address") {
+  Fleet fleet;
+  JobTracker tracker(fleet);
+  std::vector<std::string> names;
+  for (int i = 0; i < 40; ++i) names.push_back(std::to_string(10 + i * 7 % 40));
+  for (const auto& it : names) {
+    auto* job = tracker.Add(Shared(OwnerWorld::MakeJob(it, 2, 1)), nullptr, 0,
+                            base::Duration(0), kNow);
+    auto& units = job->runs[0][0].units;
+    tracker.Plan(units[1], {base::WorkerName("w")}, kNow);
+  }
+  std::vector<std::string> ready;
+  for (const auto* it : tracker.ready()) {
+    ready.push_back(it->job->job->name.str());
+  }
+  std::vector<std::string> active;
+  for (const auto* it : tracker.active()) {
+    active.push_back(it->step_run->job->job->name.str());
+  }
+  std::sort(names.begin(), names.end());
+  CHECK(ready == names);
+  CHECK(active == names);
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
