Decide guarantees job by job in order of acceptance

Cause: the guarantee was all or nothing. It counted all tasks of all unfinished jobs of the organisation, also those done and those whose turn had not come; one job too many took it from every other, and from running ones. When that job ended within the time of another, what was left of the bound was too short. Change: jobs are taken in order of acceptance, each that fits beside those before it is guaranteed; only what runs or could run counts.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <unordered_set>
 #include <vector>
 
 #include "base/base.h"
@@ -138,8 +139,11 @@
   bool TryReclaim(Unit& unit, bool is_guaranteed, base::TimePoint now,
                   PlannerDecisions& out);
   bool CouldFit(StepRun& run, base::TimePoint now) const;
-  bool IsGuaranteed(const JobEntry& job) const;
-  std::map<base::OrganisationName, std::int64_t> UrgentNeeds() const;
+  /// Whether the job is urgent and within its organisation's guarantee.
+  bool IsGuaranteed(const JobEntry& job) const {
+    return guaranteed_jobs_.contains(&job);
+  }
+  void UpdateGuaranteedJobs();
   std::vector<Victim> FindVictims(bool is_guaranteed,
                                   base::TimePoint now) const;
   ReclaimCandidates& Candidates(bool is_guaranteed, base::TimePoint now);
@@ -178,7 +182,9 @@
     }
   };
   CandidateSets candidate_sets_;
+  /// Accelerators that the urgent jobs of each organisation use or wait for.
   std::map<base::OrganisationName, std::int64_t> urgent_needs_;
+  std::unordered_set<const JobEntry*> guaranteed_jobs_;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -58,6 +58,20 @@
          unit.step_run->TasksPerUnit();
 }
 
+/// Returns the accelerators that the tasks of a job use or wait for, without
+/// those that are done and those whose turn has not come.
+std::int64_t RemainingAccelerators(const JobEntry& job) {
+  std::int64_t out = 0;
+  for (const auto& runs : job.runs) {
+    for (const auto& it : runs) {
+      if (it.pending_dependencies > 0 || !it.is_due) continue;
+      const auto units = static_cast<int>(it.units.size()) - it.units_done;
+      out += units * it.TasksPerUnit() * it.step->needs.accelerators;
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 void TaskPlanner::SetGuarantees(
@@ -82,7 +96,7 @@
   starts_left_ = max_starts;
   non_urgent_starts_left_ =
       max_starts - static_cast<int>(options_.urgent_start_share * max_starts);
-  urgent_needs_ = UrgentNeeds();
+  UpdateGuaranteedJobs();
   UpdateHeadroom(now);
   StartReserved(now, out);
   for (auto* it : SortedReadySteps(now)) {
@@ -186,20 +200,33 @@
                                                     : DeadlineStatus::kInTime;
 }
 
-/// Returns the accelerators that all urgent jobs of each organisation need
-/// together, including running ones.
-std::map<base::OrganisationName, std::int64_t> TaskPlanner::UrgentNeeds()
-    const {
-  std::map<base::OrganisationName, std::int64_t> out;
-  for (const auto* entry : tracker_.unfinished()) {
-    if (entry->job->priority != kUrgentPriority) continue;
-    std::int64_t needs = 0;
-    for (const auto& it : entry->job->steps) {
-      needs += it.tasks * it.needs.accelerators;
-    }
-    out[entry->job->organisation] += needs;
+/// Determines which urgent jobs are within the guarantee of their organisation:
+/// in order of acceptance, each job that fits beside those before it. A job
+/// beyond the guarantee does not affect the others.
+void TaskPlanner::UpdateGuaranteedJobs() {
+  urgent_needs_.clear();
+  guaranteed_jobs_.clear();
+  std::vector<const JobEntry*> urgent;
+  for (const auto* it : tracker_.unfinished()) {
+    if (it->job->priority == kUrgentPriority) urgent.push_back(it);
+  }
+  // Jobs accepted at the same time stay in order of name.
+  std::stable_sort(urgent.begin(), urgent.end(),
+                   [](const JobEntry* a, const JobEntry* b) {
+                     return a->accepted_at < b->accepted_at;
+                   });
+  std::map<base::OrganisationName, std::int64_t> used;
+  for (const auto* it : urgent) {
+    const auto& organisation = it->job->organisation;
+    const auto needed = RemainingAccelerators(*it);
+    urgent_needs_[organisation] += needed;
+    const auto guarantee = guarantees_.find(organisation);
+    if (guarantee == guarantees_.end()) continue;
+    auto& sum = used[organisation];
+    if (sum + needed > guarantee->second) continue;
+    sum += needed;
+    guaranteed_jobs_.insert(it);
   }
-  return out;
 }
 
 /// Whether waiting for the preferred rack can succeed.
@@ -214,15 +241,6 @@
   return run.fits_when_empty;
 }
 
-bool TaskPlanner::IsGuaranteed(const JobEntry& job) const {
-  if (job.job->priority != kUrgentPriority) return false;
-  const auto& organisation = job.job->organisation;
-  const auto guarantee = guarantees_.find(organisation);
-  const auto needs = urgent_needs_.find(organisation);
-  return guarantee != guarantees_.end() && needs != urgent_needs_.end() &&
-         needs->second <= guarantee->second;
-}
-
 ReservationState TaskPlanner::GetReservationState(
     const std::vector<base::WorkerName>& placement, const Resources& needs) {
   std::map<base::WorkerName, Resources> wanted;
--- /dev/null
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -0,0 +1,106 @@
+#include <catch2/catch.hpp>
+
+#include "planner_fixture.h"
+
+namespace lapishatch::dispatch::internal {
+namespace {
+
+using base::Duration;
+
+constexpr const char* kOrganisation = "crews";
+
+/// Four workers that are filled by quiet tasks, so much of whose work would be
+/// lost that only guaranteed work may preempt them.
+struct FullFixture : PlannerFixture {
+  explicit FullFixture(int guaranteed = 8,
+                       const jobs::Step& quiet_step = WholeWorkers(4)) {
+    planner.SetGuarantees(
+        {{base::OrganisationName(kOrganisation), guaranteed}});
+    MakeAllSchedulable();
+    quiet = &Add("quiet", 2, 3, quiet_step);
+    planner.Decide(now);
+    now += Duration(60'000);
+  }
+
+  static jobs::Job UrgentJob(const char* name, const jobs::Step& step) {
+    jobs::Job out;
+    out.name = base::JobName(name);
+    out.organisation = base::OrganisationName(kOrganisation);
+    out.max_attempts = 3;
+    out.steps.push_back(step);
+    return out;
+  }
+
+  Unit& AddUrgent(const char* name, const jobs::Step& step = WholeWorkers(1)) {
+    return Add(UrgentJob(name, step)).runs.front().front().units.front();
+  }
+
+  /// Ends the tasks that are being stopped.
+  void EndStopped() {
+    const std::vector<Unit*> stopped(tracker.to_stop().begin(),
+                                     tracker.to_stop().end());
+    for (auto* it : stopped) {
+      tracker.OnEnded(*it, it->first_index, TaskOutcome::kStopped, "", now);
+    }
+  }
+
+  void Wait(int ms) { now += Duration(ms); }
+
+  JobEntry* quiet = nullptr;
+};
+
+TEST_CASE("an urgent job within the guarantee preempts other work") {
+  FullFixture fixture;
+  auto& unit = fixture.AddUrgent("a");
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.size() == 1);
+  fixture.Wait(400);
+  fixture.EndStopped();
+  const auto decisions = fixture.planner.Decide(fixture.now);
+  REQUIRE(decisions.starts.size() == 1);
+  CHECK(decisions.starts.front() == &unit);
+}
+
+TEST_CASE("a job beyond the guarantee does not take it from earlier jobs") {
+  FullFixture fixture(8);
+  auto& first = fixture.AddUrgent("b");
+  fixture.Wait(10);
+  auto& second = fixture.AddUrgent("a");
+  const auto decisions = fixture.planner.Decide(fixture.now);
+  REQUIRE(decisions.preemptions.size() == 1);
+  CHECK(decisions.preemptions.front().beneficiary == &first);
+  CHECK(second.reserved.empty());
+}
+
+TEST_CASE("a job too large for the guarantee does not take it from others") {
+  FullFixture fixture(8);
+  auto& large = fixture.AddUrgent("large", WholeWorkers(2));
+  fixture.Wait(10);
+  auto& unit = fixture.AddUrgent("unit");
+  const auto decisions = fixture.planner.Decide(fixture.now);
+  REQUIRE(decisions.preemptions.size() == 1);
+  CHECK(decisions.preemptions.front().beneficiary == &unit);
+  CHECK(large.reserved.empty());
+}
+
+TEST_CASE("steps that wait for others do not use up the guarantee") {
+  FullFixture fixture(8);
+  auto job = FullFixture::UrgentJob("chain", WholeWorkers(1));
+  job.steps.push_back(WholeWorkers(1));
+  job.steps.back().depends_on = {0};
+  fixture.Add(job);
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.size() == 1);
+}
+
+TEST_CASE("jobs are not guaranteed more than their organisation's share") {
+  FullFixture fixture(16);
+  for (const auto* it : {"a", "b", "c", "d"}) {
+    fixture.AddUrgent(it);
+    fixture.Wait(1);
+  }
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.size() == 2);
+  fixture.Wait(2'000);
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.size() <= 2);
+}
+
+}  // namespace
+}  // namespace lapishatch::dispatch::internal
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -4,70 +4,13 @@
 #include <set>
 #include <string>
 
+#include "planner_fixture.h"
+
 namespace lapishatch::dispatch::internal {
 namespace {
 
 using base::Duration;
 
-/// A step of `tasks` tasks of a whole worker each.
-jobs::Step WholeWorkers(int tasks) {
-  jobs::Step out;
-  out.tasks = tasks;
-  out.needs = {1'000, 1'000, 8};
-  out.run_time_estimate = Duration(4'000);
-  return out;
-}
-
-/// Four workers with eight accelerators each on two racks, and the jobs that
-/// run on them.
-struct PlannerFixture {
-  Fleet fleet;
-  JobTracker tracker{fleet};
-  TaskPlanner planner{tracker, fleet, {}};
-  base::TimePoint now{Duration(100'000)};
-
-  PlannerFixture() {
-    for (const auto* name : {"a0", "a1", "b0", "b1"}) {
-      WorkerRegistration registration;
-      registration.name = base::WorkerName(name);
-      registration.rack = base::RackName(std::string(1, name[0]));
-      registration.capacity = {64'000, 262'144, 8};
-      fleet.Put(registration);
-    }
-  }
-
-  void MakeAllSchedulable() {
-    for (auto& [name, worker] : fleet.workers()) worker.is_schedulable = true;
-  }
-
-  void Fill(const char* worker, std::int64_t accelerators = 8) {
-    fleet.Allocate(base::WorkerName(worker), {64'000, 1'000, accelerators});
-  }
-
-  /// Adds a gang of two whole workers that prefers a single rack.
-  Unit& AddRackGang(const char* name, Duration age = Duration(0)) {
-    auto step = WholeWorkers(2);
-    step.is_gang = true;
-    step.prefers_single_rack = true;
-    auto& entry = Add(name, 1, 1, step, age);
-    return entry.runs.front().front().units.front();
-  }
-
-  JobEntry& Add(const char* name, int priority, int attempts,
-                const jobs::Step& step, Duration age = Duration(0)) {
-    jobs::Job job;
-    job.name = base::JobName(name);
-    job.priority = priority;
-    job.max_attempts = attempts;
-    // Urgent jobs have time to spare, since only jobs that are in time may
-    // preempt others.
-    if (priority == 0) job.slack_factor = 3;
-    job.steps.push_back(step);
-    return *tracker.Add(std::make_shared<const jobs::Job>(job), nullptr,
-                        store::kAbsent, age, now);
-  }
-};
-
 /// Adds a job of `tasks` single tasks, each of a whole worker, that may run
 /// `attempts` times.
 JobEntry& AddTasks(PlannerFixture& fixture, const char* name, int tasks,
@@ -246,13 +189,6 @@
   CHECK(quiet.is_stopping);
 }
 
-/// Tasks of one accelerator each.
-jobs::Step SmallTasks(int tasks) {
-  auto out = WholeWorkers(tasks);
-  out.needs.accelerators = 1;
-  return out;
-}
-
 TEST_CASE("no more tasks start at once than the limit allows") {
   PlannerFixture fixture;
   fixture.MakeAllSchedulable();
