Reserve other workers when a preemption does not end in time

Callers saw: an urgent job within its organisation's guarantee that did not begin in time (rule RECLAIM). Cause: a reservation stood until its workers were free, however long that took. A preempted task whose start or stop had no answer holds its worker until the start expires or the lease runs out, 1.5 to 6 s, while the bound is 2.9 s and other workers could be freed in 0.4 s. Change: after the time that a preemption may take, a guaranteed unit looks for other workers, not counting what is stuck; its reservation stays while there are none.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -131,6 +131,7 @@
   ReservationState GetReservationState(
       const std::vector<base::WorkerName>& places,
       const jobs::Resources& needs);
+  bool IsPreemptionOverdue(const Unit& unit, base::TimePoint now) const;
   void StartReady(StepRun& run, base::TimePoint now, PlannerDecisions& out);
   std::optional<Placement> FindPreferredPlacement(const Unit& unit,
                                                   PlacementRequest request,
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -113,8 +113,13 @@
   /// Workers reserved for this unit while other tasks are being stopped there;
   /// empty for none.
   std::vector<base::WorkerName> reserved;
+  /// When they were reserved.
+  base::TimePoint reserved_at{};
   base::TimePoint waiting_since{};
   base::TimePoint started_at{};
+  /// When its resources were last reserved for another unit; earlier than
+  /// `started_at` if that was in an earlier run.
+  base::TimePoint preempted_at{};
   /// When the last search for units to preempt found nothing.
   base::TimePoint reclaim_failed_at{};
   /// Whether it was logged that its first start is delayed.
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -276,7 +276,10 @@
             FindPreferredPlacement(unit, RequestFor(*run, false), false);
       }
       if (!placement) {
-        tracker_.SetReservation(unit, reserved);
+        const bool has_new_reservation = IsGuaranteed(*run->job) &&
+                                         IsPreemptionOverdue(unit, now) &&
+                                         TryReclaim(unit, true, now, out);
+        if (!has_new_reservation) tracker_.SetReservation(unit, reserved);
         continue;
       }
       tracker_.Plan(unit, *placement, now);
@@ -286,6 +289,12 @@
   }
 }
 
+/// Whether the units that were preempted for `unit` should have ended.
+bool TaskPlanner::IsPreemptionOverdue(const Unit& unit,
+                                      base::TimePoint now) const {
+  return now - unit.reserved_at > options_.max_preemption_time;
+}
+
 void TaskPlanner::StartReady(StepRun& run, base::TimePoint now,
                              PlannerDecisions& out) {
   const bool is_guaranteed = IsGuaranteed(*run.job);
@@ -397,6 +406,11 @@
   for (auto* it : tracker_.active()) {
     const auto& job = *it->step_run->job;
     if (it->phase == UnitPhase::kDone) continue;
+    // Its worker may not have received the stop: others are freed sooner.
+    const bool is_stuck = it->is_stopping &&
+                          it->preempted_at >= it->started_at &&
+                          now - it->preempted_at > options_.max_preemption_time;
+    if (is_stuck) continue;
     const bool is_urgent = job.job->priority == kUrgentPriority;
     if (is_urgent && (!is_guaranteed || IsGuaranteed(job))) continue;
     // Urgent work is preempted for other urgent work only as a last resort.
@@ -454,6 +468,7 @@
     return false;
   }
   for (auto* it : best->victims) {
+    if (it->preempted_at < it->started_at) it->preempted_at = now;
     if (it->is_stopping) continue;
     out.preemptions.push_back({it, &unit, is_guaranteed, LostWork(*it, now)});
     tracker_.Stop(*it);
@@ -463,6 +478,7 @@
     if (*it) (*it)->MarkStopped(*best);
   }
   tracker_.SetReservation(unit, best->placement);
+  unit.reserved_at = now;
   return true;
 }
 
--- a/test/dispatch/guaranteed_start_test.cc
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -102,5 +102,34 @@
   CHECK(fixture.planner.Decide(fixture.now).preemptions.size() <= 2);
 }
 
+TEST_CASE("a guaranteed job does not wait for a preemption that does not end") {
+  FullFixture fixture;
+  auto& unit = fixture.AddUrgent("a");
+  const auto first = fixture.planner.Decide(fixture.now);
+  REQUIRE(first.preemptions.size() == 1);
+  fixture.Wait(900);
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.empty());
+  fixture.Wait(200);
+  const auto second = fixture.planner.Decide(fixture.now);
+  REQUIRE(second.preemptions.size() == 1);
+  CHECK(second.preemptions.front().unit != first.preemptions.front().unit);
+  CHECK(unit.reserved.front() ==
+        second.preemptions.front().unit->members.front().worker);
+}
+
+TEST_CASE("a reservation is kept while no other worker can be freed") {
+  FullFixture fixture;
+  for (auto& [name, worker] : fixture.fleet.workers()) {
+    worker.is_schedulable = name.str() == "b1";
+  }
+  auto& unit = fixture.AddUrgent("a");
+  REQUIRE(fixture.planner.Decide(fixture.now).preemptions.size() == 1);
+  fixture.Wait(1'500);
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.empty());
+  CHECK(unit.reserved == Placement{base::WorkerName("b1")});
+  fixture.EndStopped();
+  CHECK(fixture.planner.Decide(fixture.now).starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
