Pass the clock of a feed follower beside its options

Cause: a std::function among the options made them costly to copy, which the linter rejects wherever options are passed by value. Change: FeedFollower and RowFeed take the clock as a last argument. Result: test_store and test_site pass.

--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -15,15 +15,16 @@
  public:
   Impl(base::EventLoop& loop, RowStore& store, std::string table,
        std::vector<std::string> parts, FollowerOptions options,
-       FollowerEvents events)
+       FollowerEvents events, std::function<base::TimePoint()> clock)
       : loop_(loop),
         store_(store),
         table_(std::move(table)),
         parts_(std::move(parts)),
-        options_(std::move(options)),
+        options_(options),
         events_(std::move(events)),
+        clock_(std::move(clock)),
         random_(std::hash<std::string>()(base::MakeUniqueText(table_))),
-        backoff_(options_.retry_first, options_.retry_limit) {}
+        backoff_(options.retry_first, options.retry_limit) {}
 
   base::TimePoint confirmed_at() const { return confirmed_at_; }
 
@@ -105,9 +106,7 @@
     store_.Feed(table_, as_of_, wait, Guarded(&Impl::OnFeed, ClockNow(), wait));
   }
 
-  base::TimePoint ClockNow() const {
-    return options_.clock ? options_.clock() : loop_.Now();
-  }
+  base::TimePoint ClockNow() const { return clock_ ? clock_() : loop_.Now(); }
 
   /// An answer without rows was given at the end of the wait, one with rows at
   /// any time since the call. A full answer may not hold the latest rows.
@@ -179,6 +178,7 @@
   const std::vector<std::string> parts_;
   const FollowerOptions options_;
   const FollowerEvents events_;
+  const std::function<base::TimePoint()> clock_;
   base::Random random_;
   base::Backoff backoff_;
   RowVersion as_of_ = kAbsent;
@@ -200,10 +200,11 @@
 
 FeedFollower::FeedFollower(base::EventLoop& loop, RowStore& store,
                            std::string table, std::vector<std::string> parts,
-                           FollowerOptions options, FollowerEvents events)
+                           FollowerOptions options, FollowerEvents events,
+                           std::function<base::TimePoint()> clock)
     : impl_(std::make_shared<Impl>(loop, store, std::move(table),
-                                   std::move(parts), std::move(options),
-                                   std::move(events))) {}
+                                   std::move(parts), options, std::move(events),
+                                   std::move(clock))) {}
 
 FeedFollower::~FeedFollower() = default;
 
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -21,8 +21,6 @@
   /// Between a failed call and the next; with jitter.
   base::Duration retry_first{100};
   base::Duration retry_limit{400};
-  /// Clock of confirmed_at; the event loop's if empty.
-  std::function<base::TimePoint()> clock;
 };
 
 /// What a follower tells. All are called on the loop.
@@ -43,9 +41,11 @@
 /// told last stays true until something newer is told.
 class FeedFollower {
  public:
+  /// `clock` is that of confirmed_at; the event loop's if empty.
   FeedFollower(base::EventLoop& loop, RowStore& store, std::string table,
                std::vector<std::string> parts, FollowerOptions options,
-               FollowerEvents events);
+               FollowerEvents events,
+               std::function<base::TimePoint()> clock = nullptr);
   ~FeedFollower();
   FeedFollower(const FeedFollower&) = delete;
   FeedFollower& operator=(const FeedFollower&) = delete;
--- a/src/store/row_feed.cc
+++ b/src/store/row_feed.cc
@@ -48,8 +48,9 @@
 }  // namespace
 
 RowFeed::RowFeed(base::EventLoop& loop, RowStore& store, std::string table,
-                 FollowerOptions options, RowFeedEvents events)
-    : follower_(loop, store, std::move(table), {""}, std::move(options),
-                FollowerEventsFor(std::move(events))) {}
+                 FollowerOptions options, RowFeedEvents events,
+                 std::function<base::TimePoint()> clock)
+    : follower_(loop, store, std::move(table), {""}, options,
+                FollowerEventsFor(std::move(events)), std::move(clock)) {}
 
 }  // namespace lapishatch::store
--- a/src/store/row_feed.h
+++ b/src/store/row_feed.h
@@ -22,8 +22,10 @@
 /// disappeared while changes were missed is passed as deleted.
 class RowFeed {
  public:
+  /// `clock` is that of confirmed_at; the event loop's if empty.
   RowFeed(base::EventLoop& loop, RowStore& store, std::string table,
-          FollowerOptions options, RowFeedEvents events);
+          FollowerOptions options, RowFeedEvents events,
+          std::function<base::TimePoint()> clock = nullptr);
 
   void Start() { follower_.Start(); }
 
