Preempt on suspect workers for guaranteed work if no others remain

Cause: nothing is preempted on a worker where a task failed or crashed lately, or a suspect task runs, also not for guaranteed work. A failure leaves that mark for 8 s, crashes for up to 60 s, longer than the bound, and after whatever caused them. Change: a guaranteed unit without a plan on safe workers searches all of them.

--- a/src/dispatch/internal/reclaim.h
+++ b/src/dispatch/internal/reclaim.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_RECLAIM_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_RECLAIM_H_
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,13 @@
   double cost = 0;
 };
 
+/// The workers that a search may use.
+enum class ReclaimScope : std::uint8_t {
+  /// No risky ones: the new unit may well fail there.
+  kSafeWorkers,
+  kAllWorkers,
+};
+
 /// The units that may be preempted on each schedulable worker. Built once for
 /// all searches of a scheduling round, since rebuilding it for each unit and
 /// rack would visit all workers and running units each time. A unit that is
@@ -40,12 +48,15 @@
   /// worker with the lowest preemption cost, and on a worker the cheapest units
   /// first. Never preempts units of the same job. Visits every worker for each
   /// task.
-  std::optional<ReclaimPlan> FindAnywhere(const StepRun& run) const;
+  std::optional<ReclaimPlan> FindAnywhere(const StepRun& run,
+                                          ReclaimScope scope) const;
   std::optional<ReclaimPlan> FindOnRack(const StepRun& run,
-                                        const base::RackName& rack) const;
+                                        const base::RackName& rack,
+                                        ReclaimScope scope) const;
 
   /// Returns the cheapest such placement on a single rack.
-  std::optional<ReclaimPlan> FindOnOneRack(const StepRun& run) const;
+  std::optional<ReclaimPlan> FindOnOneRack(const StepRun& run,
+                                           ReclaimScope scope) const;
 
   /// Updates the index after the victims of `plan` were marked as stopping.
   void MarkStopped(const ReclaimPlan& plan);
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -137,6 +137,9 @@
                                                   PlacementRequest request,
                                                   bool is_starved);
   bool FitsOffRack(const Unit& unit, PlacementRequest request, bool is_starved);
+  std::optional<ReclaimPlan> FindReclaim(const Unit& unit, bool is_guaranteed,
+                                         ReclaimScope scope,
+                                         base::TimePoint now);
   bool TryReclaim(Unit& unit, bool is_guaranteed, base::TimePoint now,
                   PlannerDecisions& out);
   bool CouldFit(StepRun& run, base::TimePoint now) const;
--- a/src/dispatch/reclaim.cc
+++ b/src/dispatch/reclaim.cc
@@ -20,8 +20,8 @@
 class ReclaimCandidates::Search {
  public:
   Search(const ReclaimCandidates& candidates, const StepRun& run,
-         const SchedulableWorkers::List& workers)
-      : run_(run), needs_(ResourcesPerTask(*run.step)) {
+         const SchedulableWorkers::List& workers, ReclaimScope scope)
+      : run_(run), scope_(scope), needs_(ResourcesPerTask(*run.step)) {
     hosts_.reserve(workers.size());
     for (const auto* it : workers) AddHost(candidates, *it);
     for (auto& it : hosts_) UpdateNextStops(it);
@@ -58,8 +58,7 @@
   };
 
   void AddHost(const ReclaimCandidates& candidates, const FleetWorker& worker) {
-    // No unit is stopped for a worker on which the new unit may well fail.
-    if (worker.IsRisky()) return;
+    if (scope_ == ReclaimScope::kSafeWorkers && worker.IsRisky()) return;
     const auto& step = *run_.step;
     const auto& label = step.required_label;
     if (!label.empty() && !worker.HasLabel(label)) return;
@@ -120,6 +119,7 @@
   }
 
   const StepRun& run_;
+  const ReclaimScope scope_;
   const Resources needs_;
   std::vector<Host> hosts_;
   std::set<const Unit*> stopped_;
@@ -141,22 +141,22 @@
 }
 
 std::optional<ReclaimPlan> ReclaimCandidates::FindAnywhere(
-    const StepRun& run) const {
-  return Search(*this, run, workers_.all()).Run();
+    const StepRun& run, ReclaimScope scope) const {
+  return Search(*this, run, workers_.all(), scope).Run();
 }
 
 std::optional<ReclaimPlan> ReclaimCandidates::FindOnRack(
-    const StepRun& run, const base::RackName& rack) const {
+    const StepRun& run, const base::RackName& rack, ReclaimScope scope) const {
   const auto it = workers_.racks().find(rack);
   if (it == workers_.racks().end()) return std::nullopt;
-  return Search(*this, run, it->second).Run();
+  return Search(*this, run, it->second, scope).Run();
 }
 
 std::optional<ReclaimPlan> ReclaimCandidates::FindOnOneRack(
-    const StepRun& run) const {
+    const StepRun& run, ReclaimScope scope) const {
   std::optional<ReclaimPlan> best;
   for (const auto& [rack, workers] : workers_.racks()) {
-    auto plan = Search(*this, run, workers).Run();
+    auto plan = Search(*this, run, workers, scope).Run();
     if (plan && (!best || plan->cost < best->cost)) best = std::move(plan);
   }
   return best;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -65,7 +65,8 @@
   for (const auto& runs : job.runs) {
     for (const auto& it : runs) {
       if (it.pending_dependencies > 0 || !it.is_due) continue;
-      const auto units = static_cast<int>(it.units.size()) - it.units_done;
+      const auto units =
+          static_cast<std::int64_t>(it.units.size()) - it.units_done;
       out += units * it.TasksPerUnit() * it.step->needs.accelerators;
     }
   }
@@ -438,30 +439,44 @@
   return *out;
 }
 
-/// Finds the cheapest placement for `unit`, on one rack if it prefers one,
-/// stops the units in the way and reserves the workers.
-bool TaskPlanner::TryReclaim(Unit& unit, bool is_guaranteed,
-                             base::TimePoint now, PlannerDecisions& out) {
-  const bool is_too_soon =
-      unit.reclaim_failed_at != base::TimePoint{} &&
-      now - unit.reclaim_failed_at < options_.reclaim_retry_interval;
-  if (is_too_soon) return false;
-  const auto& step = *unit.step_run->step;
+/// Finds the cheapest placement for `unit` on the workers of `scope`, on one
+/// rack if it prefers one.
+std::optional<ReclaimPlan> TaskPlanner::FindReclaim(const Unit& unit,
+                                                    bool is_guaranteed,
+                                                    ReclaimScope scope,
+                                                    base::TimePoint now) {
+  auto& run = *unit.step_run;
+  const auto& step = *run.step;
   const bool allows_other_racks =
       (is_guaranteed &&
        now - unit.waiting_since >= options_.guaranteed_rack_wait) ||
-      !CouldFit(*unit.step_run, now);
+      !CouldFit(run, now);
   const auto& candidates = Candidates(is_guaranteed, now);
-  std::optional<ReclaimPlan> best;
+  std::optional<ReclaimPlan> out;
   if (!step.preferred_rack.empty()) {
-    best = candidates.FindOnRack(*unit.step_run, step.preferred_rack);
+    out = candidates.FindOnRack(run, step.preferred_rack, scope);
   } else if (step.is_gang && step.prefers_single_rack) {
-    best = candidates.FindOnOneRack(*unit.step_run);
+    out = candidates.FindOnOneRack(run, scope);
   } else {
-    best = candidates.FindAnywhere(*unit.step_run);
+    out = candidates.FindAnywhere(run, scope);
   }
-  if (!best && allows_other_racks && PrefersRack(step)) {
-    best = candidates.FindAnywhere(*unit.step_run);
+  if (!out && allows_other_racks && PrefersRack(step)) {
+    out = candidates.FindAnywhere(run, scope);
+  }
+  return out;
+}
+
+/// Finds the cheapest placement for `unit`, stops the units in the way and
+/// reserves the workers.
+bool TaskPlanner::TryReclaim(Unit& unit, bool is_guaranteed,
+                             base::TimePoint now, PlannerDecisions& out) {
+  const bool is_too_soon =
+      unit.reclaim_failed_at != base::TimePoint{} &&
+      now - unit.reclaim_failed_at < options_.reclaim_retry_interval;
+  if (is_too_soon) return false;
+  auto best = FindReclaim(unit, is_guaranteed, ReclaimScope::kSafeWorkers, now);
+  if (!best && is_guaranteed && workers_->has_risky()) {
+    best = FindReclaim(unit, is_guaranteed, ReclaimScope::kAllWorkers, now);
   }
   if (!best || WastesTooMuch(*best, unit, is_guaranteed, now)) {
     unit.reclaim_failed_at = now;
--- a/test/dispatch/guaranteed_start_test.cc
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "planner_fixture.h"
 
@@ -131,5 +133,17 @@
   CHECK(fixture.planner.Decide(fixture.now).starts.size() == 1);
 }
 
+TEST_CASE("a guaranteed job preempts on suspect workers if no other remains") {
+  FullFixture fixture;
+  for (auto& [name, worker] : fixture.fleet.workers()) worker.is_suspect = true;
+  const bool has_sound_worker = GENERATE(false, true);
+  auto& sound = *fixture.fleet.Find(base::WorkerName("b0"));
+  sound.is_suspect = !has_sound_worker;
+  auto& unit = fixture.AddUrgent("a");
+  CHECK(fixture.planner.Decide(fixture.now).preemptions.size() == 1);
+  REQUIRE(unit.reserved.size() == 1);
+  if (has_sound_worker) CHECK(unit.reserved.front() == sound.name);
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
