Let guaranteed work take workers that are reserved for other jobs

Cause: reserved resources are neither free nor preemptible until the unit that they are reserved for has started. Urgent jobs without a guarantee that came first kept a guaranteed one waiting for their preemption, their start and a second preemption. Evidence: the new case, four such jobs on four workers, found no plan. Change: without another plan a guaranteed unit takes such workers; the other reservations stay.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -137,6 +137,13 @@
                                                   PlacementRequest request,
                                                   bool is_starved);
   bool FitsOffRack(const Unit& unit, PlacementRequest request, bool is_starved);
+  struct DroppedReservation {
+    Unit* unit = nullptr;
+    Placement workers;
+  };
+  std::vector<DroppedReservation> DropUnguaranteedReservations();
+  void RestoreReservations(const std::vector<DroppedReservation>& dropped,
+                           const Placement& taken);
   std::optional<ReclaimPlan> FindReclaim(const Unit& unit, bool is_guaranteed,
                                          ReclaimScope scope,
                                          base::TimePoint now);
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -466,6 +466,32 @@
   return out;
 }
 
+/// Drops the reservations of units that no guarantee protects.
+std::vector<TaskPlanner::DroppedReservation>
+TaskPlanner::DropUnguaranteedReservations() {
+  std::vector<DroppedReservation> out;
+  for (auto* run : tracker_.ready()) {
+    if (IsGuaranteed(*run->job)) continue;
+    for (auto& unit : run->units) {
+      if (unit.reserved.empty()) continue;
+      out.push_back({&unit, unit.reserved});
+      tracker_.DropReservation(unit);
+    }
+  }
+  return out;
+}
+
+/// Restores the reservations that share no worker with `taken`.
+void TaskPlanner::RestoreReservations(
+    const std::vector<DroppedReservation>& dropped, const Placement& taken) {
+  for (const auto& it : dropped) {
+    const bool is_taken =
+        std::find_first_of(it.workers.begin(), it.workers.end(), taken.begin(),
+                           taken.end()) != it.workers.end();
+    if (!is_taken) tracker_.SetReservation(*it.unit, it.workers);
+  }
+}
+
 /// Finds the cheapest placement for `unit`, stops the units in the way and
 /// reserves the workers.
 bool TaskPlanner::TryReclaim(Unit& unit, bool is_guaranteed,
@@ -475,9 +501,15 @@
       now - unit.reclaim_failed_at < options_.reclaim_retry_interval;
   if (is_too_soon) return false;
   auto best = FindReclaim(unit, is_guaranteed, ReclaimScope::kSafeWorkers, now);
+  std::vector<DroppedReservation> dropped;
+  if (!best && is_guaranteed) {
+    dropped = DropUnguaranteedReservations();
+    best = FindReclaim(unit, is_guaranteed, ReclaimScope::kSafeWorkers, now);
+  }
   if (!best && is_guaranteed && workers_->has_risky()) {
     best = FindReclaim(unit, is_guaranteed, ReclaimScope::kAllWorkers, now);
   }
+  RestoreReservations(dropped, best ? best->placement : Placement{});
   if (!best || WastesTooMuch(*best, unit, is_guaranteed, now)) {
     unit.reclaim_failed_at = now;
     return false;
--- a/test/dispatch/guaranteed_start_test.cc
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -145,5 +145,35 @@
   if (has_sound_worker) CHECK(unit.reserved.front() == sound.name);
 }
 
+TEST_CASE("a guaranteed job does not wait for reservations of other jobs") {
+  FullFixture fixture(8, SmallTasks(32));
+  // Urgent work in time may preempt tasks that have just started.
+  auto& recent = fixture.Add("recent", 2, 3, WholeWorkers(4));
+  fixture.tracker.Cancel(*fixture.quiet);
+  fixture.EndStopped();
+  REQUIRE(fixture.planner.Decide(fixture.now).starts.size() == 4);
+  fixture.Wait(100);
+  std::vector<Unit*> others;
+  for (const auto* name : {"1", "2", "3", "4"}) {
+    auto& job = fixture.Add(name, 0, 3, WholeWorkers(1));
+    others.push_back(&job.runs.front().front().units.front());
+  }
+  REQUIRE(fixture.planner.Decide(fixture.now).preemptions.size() == 4);
+  fixture.Wait(50);
+  auto& unit = fixture.AddUrgent("a");
+  fixture.planner.Decide(fixture.now);
+  REQUIRE(unit.reserved.size() == 1);
+  CHECK(std::count_if(others.begin(), others.end(), [](const Unit* it) {
+          return !it->reserved.empty();
+        }) == 3);
+  fixture.Wait(350);
+  for (auto& it : recent.runs.front().front().units) {
+    fixture.tracker.OnEnded(it, it.first_index, TaskOutcome::kStopped, "",
+                            fixture.now);
+  }
+  fixture.planner.Decide(fixture.now);
+  CHECK(unit.phase == jobs::UnitPhase::kStarted);
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
