Keep suspects from the address of a recent crash after their wait

Callers saw: nothing reported; a job that crashes nothing was given up in a test. Cause: after 2 s a suspect might go anywhere. The preference for workers without suspects then led it to the one that everyone avoided: the worker at the address that had just crashed, back under another name. Evidence: the planner's case starts the suspect there; of 48 variants (bad worker, time to crash, tasks a job) of a fleet of four, one gave up a sound job. Change: the wait ends only the rule of one suspect a worker. If every free worker is at the address of a recent crash, the one that crashed longest ago is taken.

--- a/src/dispatch/crash_history.cc
+++ b/src/dispatch/crash_history.cc
@@ -9,10 +9,12 @@
   it.last = now;
 }
 
-bool CrashHistory::HasRecentCrash(const http::Endpoint& address,
-                                  base::TimePoint now) const {
+base::TimePoint CrashHistory::LastRecentCrash(const http::Endpoint& address,
+                                              base::TimePoint now) const {
   const auto* it = Find(address);
-  return it != nullptr && now - it->last < options_.recent_crash_window;
+  const bool is_recent =
+      it != nullptr && now - it->last < options_.recent_crash_window;
+  return is_recent ? it->last : base::TimePoint{};
 }
 
 bool CrashHistory::IsUnreliable(const http::Endpoint& address,
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -36,9 +36,10 @@
   /// Number of tasks there that are suspected of crashing workers. Other
   /// suspect tasks are kept apart, and other tasks prefer another worker.
   int suspect_tasks = 0;
-  /// Whether a worker at its address crashed recently: a further crash under a
-  /// suspect task could be due to either the task or the machine.
-  bool has_recent_crash = false;
+  /// When a worker at its address crashed, if that was recently, otherwise the
+  /// epoch. A further crash under a suspect task could be due to either the
+  /// task or the machine.
+  base::TimePoint last_crash_at{};
   /// Index of its rack among the racks with schedulable workers; set by
   /// SchedulableWorkers.
   std::size_t rack_index = 0;
@@ -56,6 +57,8 @@
 
   bool HasLabel(const std::string& label) const;
 
+  bool HasRecentCrash() const { return last_crash_at != base::TimePoint{}; }
+
   /// Whether tasks should start here only if no other worker is available.
   bool IsRisky() const { return is_suspect || suspect_tasks > 0; }
 };
--- a/src/dispatch/internal/crash_history.h
+++ b/src/dispatch/internal/crash_history.h
@@ -26,7 +26,10 @@
   /// Records the crash of a worker that ran no suspect task.
   void Add(const http::Endpoint& address, base::TimePoint now);
 
-  bool HasRecentCrash(const http::Endpoint& address, base::TimePoint now) const;
+  /// Returns when a worker at the address last crashed, or the epoch if that
+  /// was not recently.
+  base::TimePoint LastRecentCrash(const http::Endpoint& address,
+                                  base::TimePoint now) const;
 
   /// Whether workers at the address crash repeatedly without suspect tasks.
   bool IsUnreliable(const http::Endpoint& address, base::TimePoint now) const;
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -229,7 +229,7 @@
     const auto& address = session.registration().endpoint;
     fleet_worker.is_suspect = worker_health_.IsSuspect(name, now) ||
                               crash_history_.IsUnreliable(address, now);
-    fleet_worker.has_recent_crash = crash_history_.HasRecentCrash(address, now);
+    fleet_worker.last_crash_at = crash_history_.LastRecentCrash(address, now);
   }
 }
 
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -37,9 +37,11 @@
   const auto& label = request.step->required_label;
   if (!label.empty() && !worker.HasLabel(label)) return false;
   if (request.excludes_risky_workers && worker.IsRisky()) return false;
-  const bool is_unfit_for_suspects =
-      worker.suspect_tasks > 0 || worker.has_recent_crash;
-  if (request.is_suspect && is_unfit_for_suspects) return false;
+  const bool is_isolated = request.suspect == SuspectPlacement::kIsolated;
+  if (is_isolated && worker.suspect_tasks > 0) return false;
+  const bool avoids_crashes =
+      is_isolated || request.suspect == SuspectPlacement::kAwayFromCrashes;
+  if (avoids_crashes && worker.HasRecentCrash()) return false;
   return request.excluded_workers == nullptr ||
          !request.excluded_workers->contains(worker.name);
 }
@@ -82,11 +84,12 @@
                   it.free_resources.cpu_millis, it.worker->name);
 }
 
-/// Sort key that puts the emptiest worker first, so that a crash affects the
-/// fewest other tasks.
-auto EmptiestFirstKey(const Candidate& it) {
+/// Sort key for suspect tasks: workers without a recent crash first, then the
+/// one whose crash is longest ago, then the emptiest, so that a crash affects
+/// the fewest other tasks.
+auto SuspectKey(const Candidate& it) {
   const std::string_view name = it.worker->name.str();
-  return std::tuple(-it.free_resources.accelerators,
+  return std::tuple(it.worker->last_crash_at, -it.free_resources.accelerators,
                     -it.free_resources.cpu_millis, name);
 }
 
@@ -97,7 +100,9 @@
                               const PlacementRequest& request) {
   const auto needs = ResourcesPerTask(*request.step);
   const auto is_worse = [&request](const Candidate& a, const Candidate& b) {
-    if (request.is_suspect) return EmptiestFirstKey(b) < EmptiestFirstKey(a);
+    if (request.suspect != SuspectPlacement::kNotSuspect) {
+      return SuspectKey(b) < SuspectKey(a);
+    }
     return BestFitKey(b) < BestFitKey(a);
   };
   std::make_heap(candidates.begin(), candidates.end(), is_worse);
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_DISPATCH_PLACER_H_
 #define LAPISHATCH_DISPATCH_PLACER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +14,19 @@
 
 namespace lapishatch::dispatch {
 
+/// Where a unit that is suspected of crashing workers may be placed. A suspect
+/// is placed on the emptiest worker.
+enum class SuspectPlacement : std::uint8_t {
+  /// The unit is not suspect.
+  kNotSuspect,
+  /// On workers without another suspect task and without a recent crash.
+  kIsolated,
+  /// On workers without a recent crash.
+  kAwayFromCrashes,
+  /// On any worker; those whose last crash is longest ago are preferred.
+  kAnywhere,
+};
+
 /// Constraints on where a unit (a single task, or all tasks of a gang) may be
 /// placed.
 struct PlacementRequest {
@@ -26,9 +40,7 @@
   /// Whether to exclude workers where a task failed recently or a suspect task
   /// runs.
   bool excludes_risky_workers = false;
-  /// Whether the unit is suspected of crashing workers. It is placed on the
-  /// emptiest worker that has no other suspect task and no recent crash.
-  bool is_suspect = false;
+  SuspectPlacement suspect = SuspectPlacement::kNotSuspect;
   /// Whether racks other than the preferred one are allowed, where the unit may
   /// run slower.
   bool allows_other_racks = false;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -317,7 +317,11 @@
         static_cast<double>(run.step->run_time_estimate.count())));
     auto request = RequestFor(run, waited >= max_rack_wait);
     const bool is_suspect = IsSuspect(unit.losses);
-    request.is_suspect = is_suspect && waited < options_.max_suspect_wait;
+    if (is_suspect) {
+      request.suspect = waited < options_.max_suspect_wait
+                            ? SuspectPlacement::kIsolated
+                            : SuspectPlacement::kAwayFromCrashes;
+    }
     if (is_urgent && is_late) request.allows_other_racks = true;
     if (is_guaranteed && waited >= options_.guaranteed_rack_wait) {
       request.allows_other_racks = true;
@@ -327,6 +331,10 @@
         waited >= options_.rack_wait_limit + options_.max_preemption_time;
     if (gives_up_rack) request.allows_other_racks = true;
     auto placement = FindPreferredPlacement(unit, request, is_starved);
+    if (!placement && request.suspect == SuspectPlacement::kAwayFromCrashes) {
+      request.suspect = SuspectPlacement::kAnywhere;
+      placement = FindPreferredPlacement(unit, request, is_starved);
+    }
     if (!placement && !request.allows_other_racks && !CouldFit(run, now)) {
       request.allows_other_racks = true;
       placement = FindPreferredPlacement(unit, request, is_starved);
--- a/test/dispatch/crash_policy_test.cc
+++ b/test/dispatch/crash_policy_test.cc
@@ -86,9 +86,10 @@
   CrashHistory history({});
   const http::Endpoint address{"10.0.0.1", 1};
   history.Add(address, kNow);
-  CHECK(history.HasRecentCrash(address, kNow + Duration(9'999)));
-  CHECK_FALSE(history.HasRecentCrash(address, kNow + Duration(10'000)));
-  CHECK_FALSE(history.HasRecentCrash({"10.0.0.1", 2}, kNow));
+  CHECK(history.LastRecentCrash(address, kNow + Duration(9'999)) == kNow);
+  CHECK(history.LastRecentCrash(address, kNow + Duration(10'000)) ==
+        base::TimePoint{});
+  CHECK(history.LastRecentCrash({"10.0.0.1", 2}, kNow) == base::TimePoint{});
   CHECK_FALSE(history.IsUnreliable(address, kNow));
   history.Add(address, kNow + Duration(30'000));
   CHECK(history.IsUnreliable(address, kNow + Duration(60'000)));
--- a/test/dispatch/placer_test.cc
+++ b/test/dispatch/placer_test.cc
@@ -51,11 +51,12 @@
   Allocate(fleet, "w1", 1);
   Allocate(fleet, "w4", 3);
   fleet.AddSuspectTasks(base::WorkerName("w2"), 1);
-  fleet.Find(base::WorkerName("w3"))->has_recent_crash = true;
+  fleet.Find(base::WorkerName("w3"))->last_crash_at =
+      base::TimePoint(base::Duration(1));
   SchedulableWorkers workers(fleet);
   const auto step = MakeStep(1, 1);
   auto request = RequestFor(step);
-  request.is_suspect = true;
+  request.suspect = SuspectPlacement::kIsolated;
   CHECK(FindPlacement(workers, request) == WorkerNames({"w1"}));
 }
 
--- a/test/dispatch/task_crash_test.cc
+++ b/test/dispatch/task_crash_test.cc
@@ -417,6 +417,24 @@
   world.CheckSoundJobsCompleted();
 }
 
+TEST_CASE("a suspect does not return to the address that has just crashed") {
+  const std::string bad_worker = GENERATE("w0", "w1", "w2", "w3");
+  const Duration crash_delay(GENERATE(300, 800, 1'100));
+  const int tasks = GENERATE(1, 2, 3, 4);
+  CrashWorld world(1, 4);
+  world.workers().on_start = [&](const base::WorkerName& worker) {
+    if (!worker.str().starts_with(bad_worker)) return;
+    world.time().After(crash_delay,
+                       [&world, worker] { world.workers().Crash(worker); });
+  };
+  for (int i = 0; i < 15; ++i) {
+    world.SubmitSoundJobs(tasks, 2);
+    world.RunFor(1'000);
+  }
+  world.RunFor(60'000);
+  world.CheckSoundJobsCompleted();
+}
+
 TEST_CASE("urgent jobs start in time beside tasks that crash their workers") {
   CrashWorld world(1, 12);
   world.SetGuarantee("crews", 64);
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "dispatch/internal/crash_policy.h"
 #include "planner_fixture.h"
 
 namespace lapishatch::dispatch::internal {
@@ -237,5 +238,40 @@
   CHECK(stopped.size() == 2);
 }
 
+/// Adds a job of one task that is suspected of crashing workers.
+JobEntry& AddSuspect(PlannerFixture& fixture, Duration age) {
+  auto& out = fixture.Add("suspect", 2, 3, SmallTasks(1), age);
+  AddLoss(out.runs[0][0].units[0].losses, 0, 1);
+  return out;
+}
+
+TEST_CASE("where all workers have crashed a suspect avoids the latest crash") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  int age_ms = 0;
+  for (const auto* it : {"b0", "a0", "b1", "a1"}) {
+    auto& worker = *fixture.fleet.Find(base::WorkerName(it));
+    worker.last_crash_at = fixture.now - Duration(age_ms += 1'000);
+  }
+  AddSuspect(fixture, Duration(2'000));
+  CHECK(WorkersOf(fixture.planner.Decide(fixture.now)) ==
+        std::set<std::string>{"a1"});
+}
+
+TEST_CASE("a suspect prefers another suspect's worker to a recent crash") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  for (auto& [name, worker] : fixture.fleet.workers()) {
+    if (name.str() == "a0") worker.last_crash_at = fixture.now;
+    worker.suspect_tasks = worker.HasRecentCrash() ? 0 : 1;
+  }
+  AddSuspect(fixture, Duration(1'900));
+  CHECK(fixture.planner.Decide(fixture.now).starts.empty());
+  fixture.now += Duration(100);
+  const auto decisions = fixture.planner.Decide(fixture.now);
+  REQUIRE(decisions.starts.size() == 1);
+  CHECK(WorkersOf(decisions) != std::set<std::string>{"a0"});
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
