Serve reservations in the order of the queue

Callers saw: nothing reported; found beside late guaranteed starts. Cause: units with a reservation were tried in the order of the tracker's set, so a worker that became free early went to any of them, not to the most urgent. Evidence: the new case gives it to the job that was accepted later. Change: reservations are served in the sorted order that the queue uses.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -127,7 +127,8 @@
                           int max_starts = std::numeric_limits<int>::max());
 
  private:
-  void StartReserved(base::TimePoint now, PlannerDecisions& out);
+  void StartReserved(const std::vector<StepRun*>& steps, base::TimePoint now,
+                     PlannerDecisions& out);
   ReservationState GetReservationState(
       const std::vector<base::WorkerName>& places,
       const jobs::Resources& needs);
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -99,8 +99,9 @@
       max_starts - static_cast<int>(options_.urgent_start_share * max_starts);
   UpdateGuaranteedJobs();
   UpdateHeadroom(now);
-  StartReserved(now, out);
-  for (auto* it : SortedReadySteps(now)) {
+  const auto steps = SortedReadySteps(now);
+  StartReserved(steps, now, out);
+  for (auto* it : steps) {
     if (starts_left_ <= 0) {
       out.reached_start_limit = true;
       break;
@@ -260,10 +261,9 @@
 /// Starts units whose reserved workers have become free, or for which other
 /// workers have become free: stopping preempted units takes time, and other
 /// tasks end meanwhile.
-void TaskPlanner::StartReserved(base::TimePoint now, PlannerDecisions& out) {
-  const std::vector<StepRun*> ready(tracker_.ready().begin(),
-                                    tracker_.ready().end());
-  for (auto* run : ready) {
+void TaskPlanner::StartReserved(const std::vector<StepRun*>& steps,
+                                base::TimePoint now, PlannerDecisions& out) {
+  for (auto* run : steps) {
     const auto needs = ResourcesPerTask(*run->step);
     for (auto& unit : run->units) {
       if (unit.reserved.empty()) continue;
--- a/test/dispatch/guaranteed_start_test.cc
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -175,5 +175,24 @@
   CHECK(unit.phase == jobs::UnitPhase::kStarted);
 }
 
+TEST_CASE("free workers go to the reserved unit that is first in the queue") {
+  FullFixture fixture(16);
+  auto& first = fixture.AddUrgent("b");
+  fixture.Wait(10);
+  auto& second = fixture.AddUrgent("a");
+  REQUIRE(fixture.planner.Decide(fixture.now).preemptions.size() == 2);
+  // A task ends by itself on a worker that is reserved for neither.
+  for (auto& it : fixture.quiet->runs.front().front().units) {
+    if (it.is_stopping) continue;
+    fixture.tracker.OnEnded(it, it.first_index, TaskOutcome::kDone, "",
+                            fixture.now);
+    break;
+  }
+  const auto decisions = fixture.planner.Decide(fixture.now);
+  REQUIRE(decisions.starts.size() == 1);
+  CHECK(decisions.starts.front() == &first);
+  CHECK(second.reserved.size() == 1);
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
