--- a/test/dispatch/job_tracker_test.cc
+++ b/test/dispatch/job_tracker_test.cc
@@ -106,8 +106,12 @@
 TEST_CASE("steps and units are visited by name, not by address") {
   Fleet fleet;
   JobTracker tracker(fleet);
+  constexpr int kJobs = 40;
   std::vector<std::string> names;
-  for (int i = 0; i < 40; ++i) names.push_back(std::to_string(10 + i * 7 % 40));
+  names.reserve(kJobs);
+  for (int i = 0; i < kJobs; ++i) {
+    names.push_back(std::to_string(10 + i * 7 % kJobs));
+  }
   for (const auto& it : names) {
     auto* job = tracker.Add(Shared(OwnerWorld::MakeJob(it, 2, 1)), nullptr, 0,
                             base::Duration(0), kNow);
