--- a/test/dispatch/bounds_test.cc
+++ b/test/dispatch/bounds_test.cc
@@ -22,6 +22,10 @@
   bounds.remote_factor = 0.5;
   CHECK(ValidateBounds(bounds) ==
         "the factor for work outside its rack must be at least 1");
+  bounds = Bounds{};
+  bounds.configuration_extension = base::Duration(-1);
+  CHECK(ValidateBounds(bounds) ==
+        "the extension of the delay of a configuration must not be negative");
 }
 
 /// Covers 100 ms to 3 s to stop a task and 1 s to 10 s to start guaranteed
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -28,6 +28,7 @@
 stop-timeout-ms = 900
 status_s = 90
 reclaim-ms = 3400
+max-stretch-ms = 4500
 [platform]
 address = "10.9.0.1:8524"
 )";
@@ -45,6 +46,7 @@
   CHECK(settings.bounds.stop_timeout == base::Duration(900));
   CHECK(settings.bounds.state_retention == base::Duration(90'000));
   CHECK(settings.bounds.guaranteed_start_delay == base::Duration(3'400));
+  CHECK(settings.bounds.configuration_extension == base::Duration(4'500));
   // A field that is not in the file keeps its default.
   CHECK(settings.bounds.max_lease == dispatch::Bounds{}.max_lease);
 }
--- a/test/site/entry_world.h
+++ b/test/site/entry_world.h
@@ -106,9 +106,10 @@
   fakes::FakeRowStore store{time};
   store::MonitoredStore store_health{time, store.For(kVm), {}};
   base::MetricRegistry metrics;
+  /// Total time for which the VM has been suspended.
+  base::Duration suspended{0};
   const dispatch::Bounds bounds;
-  OperatorFeed feed{time, store_health, bounds,
-                    [] { return base::Duration(0); },
+  OperatorFeed feed{time, store_health, bounds, [this] { return suspended; },
                     [](const jobs::QueueConfiguration&) {}};
   jobs::JobService jobs{store_health};
   JobHttpHandler handler{
--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -69,6 +69,16 @@
   CHECK(world.Ask(1, 2) == kUnavailable);
 }
 
+TEST_CASE("a table is outdated when the VM has been suspended") {
+  ServingWorld world;
+  world.suspended = base::Duration(60'000);
+  CHECK(world.Ask(2, 1) == kUnavailable);
+  CHECK(world.Ask(1, 1) == kUnavailable);
+  world.RunFor(2'500);
+  CHECK(world.Ask(2, 1) == kNotFound);
+  CHECK(world.Ask(1, 1) == kOk);
+}
+
 TEST_CASE("evacuations are not confirmed by the arrival of a late answer") {
   ServingWorld world;
   const base::Duration delay(1'500);
