Search again only if a reservation was dropped

Cause: a guaranteed unit without a plan searched all workers twice, also where no other unit had a reservation, with the same result. Result: test_dispatch passes; decisions are unchanged.

--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -512,7 +512,9 @@
   std::vector<DroppedReservation> dropped;
   if (!best && is_guaranteed) {
     dropped = DropUnguaranteedReservations();
-    best = FindReclaim(unit, is_guaranteed, ReclaimScope::kSafeWorkers, now);
+    if (!dropped.empty()) {
+      best = FindReclaim(unit, is_guaranteed, ReclaimScope::kSafeWorkers, now);
+    }
   }
   if (!best && is_guaranteed && workers_->has_risky()) {
     best = FindReclaim(unit, is_guaranteed, ReclaimScope::kAllWorkers, now);
