--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -9,8 +9,8 @@
 
 namespace lapishatch::store {
 
-/// Callbacks hold a weak pointer, so that an answer that comes after the
-/// follower is gone finds nobody.
+/// Callbacks hold a weak pointer, so that answers which arrive after the
+/// follower was destroyed have no effect.
 class FeedFollower::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(base::EventLoop& loop, RowStore& store, std::string table,
@@ -38,8 +38,8 @@
   }
 
  private:
-  /// Calls `method` with the result, unless the follower is gone or has begun
-  /// to read anew.
+  /// Calls `method` with the result, unless the follower was destroyed or has
+  /// begun to read another snapshot.
   template <typename Method, typename... Arguments>
   auto Guarded(Method method, Arguments... arguments) {
     return [weak = weak_from_this(), method, generation = generation_,
@@ -50,7 +50,7 @@
     };
   }
 
-  /// Begins to read as many parts as may be read at once.
+  /// Starts reading as many parts as may be read concurrently.
   void ReadParts() {
     while (parts_begun_ < parts_.size() &&
            parts_begun_ - parts_read_ <
@@ -64,8 +64,8 @@
                 Guarded(&Impl::OnPage, part, loop_.Now()));
   }
 
-  /// Pages are of different moments. Following from the oldest one tells again
-  /// what changed between them, so nothing is missed.
+  /// Pages are of different versions. The feed continues from the oldest one,
+  /// so changes between them are passed again and none is missed.
   void OnPage(const std::string& part, base::TimePoint sent,
               RowsReadResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
@@ -131,7 +131,7 @@
     }
     backoff_.Reset();
     auto& changes = std::get<RowsChanged>(result);
-    // An answer that lags behind what was told already is never told.
+    // Versions passed on must not decrease.
     if (changes.as_of < as_of_) return Retry("stale feed", &Impl::ReadAll);
     as_of_ = changes.as_of;
     Confirm(changes, sent, wait);
@@ -143,12 +143,12 @@
              parts_.end();
     });
     const auto weak = weak_from_this();
-    const bool had_news = !changes.rows.empty();
+    const bool has_changes = !changes.rows.empty();
     events_.on_changes(std::move(changes.rows), as_of_);
     const auto self = weak.lock();
     if (!self) return;
     // Spacing out full answers would fall behind a table that changes faster.
-    const bool may_wait = had_news && !has_more;
+    const bool may_wait = has_changes && !has_more;
     if (!may_wait || options_.spacing.count() == 0) return Follow();
     loop_.After(options_.spacing, [weak, generation = generation_] {
       const auto held = weak.lock();
@@ -188,13 +188,13 @@
   /// Whether the feed has not answered since the last snapshot.
   bool is_snapshot_unconfirmed_ = false;
   std::vector<StoredRow> collected_;
-  /// Of the present reading: parts of which reading has begun, and ended.
+  /// Number of parts of the current snapshot whose reading has begun or ended.
   std::size_t parts_begun_ = 0;
   std::size_t parts_read_ = 0;
   ReadWindow window_;
-  /// Version of the oldest page of the present reading.
+  /// Version of the oldest page of the current snapshot.
   RowVersion oldest_ = kAbsent;
-  /// Counts the reloads; answers of an earlier one are dropped.
+  /// Counts the snapshots; answers that belong to an earlier one are dropped.
   int generation_ = 0;
 };
 
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -12,33 +12,33 @@
 namespace lapishatch::store {
 
 struct FollowerOptions {
-  /// How long one call waits for news. A connection that fell silent is noticed
-  /// after this and the store client's own timeout.
+  /// How long one call waits for changes. A dead connection is detected after
+  /// this and the store client's own timeout.
   base::Duration wait{1'000};
-  /// Between an answer with news and the next call: news that need not be heard
-  /// at once are so gathered into fewer calls.
+  /// Pause between an answer with changes and the next call. Gathers changes
+  /// that are not urgent into fewer calls.
   base::Duration spacing{0};
-  /// Between a failed call and the next; with jitter.
+  /// Pause between a failed call and the next, with jitter.
   base::Duration retry_first{100};
   base::Duration retry_limit{400};
 };
 
-/// What a follower tells. All are called on the loop.
+/// Callbacks of a follower, called on the event loop.
 struct FollowerEvents {
-  /// The parts as a whole, at the start and whenever changes were missed. Rows
-  /// that are not in it are gone.
+  /// A snapshot of the parts, at the start and whenever changes were missed.
+  /// Rows that are not in it do not exist.
   std::function<void(std::vector<StoredRow> rows, RowVersion as_of)> on_all;
-  /// Rows that changed since, in order, with deletions. May be empty: the
-  /// follower heard from the store and nothing has changed.
+  /// Rows that changed since, in order, with deletions. Empty if the store has
+  /// answered and nothing has changed.
   std::function<void(std::vector<StoredRow> rows, RowVersion as_of)> on_changes;
-  /// A call failed; may be left empty.
+  /// A call failed. May be null.
   std::function<void(const std::string& detail)> on_failure;
 };
 
-/// Keeps up with some parts of a table: reads them whole, at once, then follows
-/// their changes by one feed. After a failure it goes on where it was; when the
-/// store has dropped the history in between, it reads all again. What was
-/// told last stays true until something newer is told.
+/// Follows some parts of a table: reads a snapshot of them, then their changes
+/// from one feed. After a failure it continues from the last version; if the
+/// store has dropped the history since then, it reads a snapshot again.
+/// Versions passed to the callbacks never decrease.
 class FeedFollower {
  public:
   /// `clock` is that of confirmed_at; the event loop's if empty.
@@ -52,12 +52,12 @@
 
   void Start();
 
-  /// Reads all parts whole again.
+  /// Reads a snapshot again.
   void Reload();
 
-  /// Returns a time at which the store's rows were certainly as last told; the
-  /// epoch before the first answer of the feed. Only the feed confirms: reads
-  /// may lag behind.
+  /// Returns a time at which the rows in the store were certainly as last
+  /// passed on, or the epoch before the first answer of the feed. Snapshots do
+  /// not count, since reads may lag behind.
   base::TimePoint confirmed_at() const;
 
  private:
