Start guaranteed work first and outside the window of starts

Callers saw: an urgent job within its organisation's guarantee that had not begun in time, with what its organisation holds named (rule RECLAIM). Cause: the window that bounds starts in flight shrinks when workers answer late, and was given out in order of latest start. In a burst, urgent jobs beyond their guarantee took each place, and guaranteed ones were not considered. The new case started none of the guaranteed tasks. Change: guaranteed steps are first in the queue, and the limit does not hold for them; they count in it, so others wait instead.

--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -122,7 +122,8 @@
   GuaranteeUse GuaranteeUseOf(const base::OrganisationName& organisation) const;
 
   /// Plans the units that can start now, until the number of tasks reaches
-  /// `max_starts`. The last unit may exceed it, since a gang starts as a whole.
+  /// `max_starts`. The last unit may exceed it, since a gang starts as a whole,
+  /// and so may guaranteed units, which must start in time.
   PlannerDecisions Decide(base::TimePoint now,
                           int max_starts = std::numeric_limits<int>::max());
 
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -102,7 +102,7 @@
   const auto steps = SortedReadySteps(now);
   StartReserved(steps, now, out);
   for (auto* it : steps) {
-    if (starts_left_ <= 0) {
+    if (starts_left_ <= 0 && !IsGuaranteed(*it->job)) {
       out.reached_start_limit = true;
       break;
     }
@@ -113,9 +113,10 @@
   return out;
 }
 
-/// Sorts steps that can be in time before those that cannot, urgent steps
-/// before others, and then by latest start time. Late urgent steps still go
-/// before non-urgent ones, since they are short.
+/// Sorts guaranteed steps before all others, since only a limited number of
+/// tasks may start at once. Then come steps that can be in time before those
+/// that cannot, urgent steps before others, and by latest start time. Late
+/// urgent steps still go before non-urgent ones, since they are short.
 std::vector<StepRun*> TaskPlanner::SortedReadySteps(base::TimePoint now) const {
   const auto key = [&](StepRun* it) {
     const auto& job = *it->job;
@@ -124,7 +125,7 @@
     const auto latest =
         job.accepted_at + job.latency_objective - it->critical_path;
     const std::string_view name = job.job->name.str();
-    return std::tuple(status == DeadlineStatus::kExpired,
+    return std::tuple(!IsGuaranteed(job), status == DeadlineStatus::kExpired,
                       status == DeadlineStatus::kLate && !is_urgent,
                       job.job->priority, status, latest, name, it->occurrence,
                       it->number, it);
@@ -305,7 +306,8 @@
     if (unit.phase != UnitPhase::kWaiting || !unit.reserved.empty()) continue;
     // More start requests than workers answer in time would queue up behind
     // each other.
-    if ((is_urgent ? starts_left_ : non_urgent_starts_left_) <= 0) {
+    const int left = is_urgent ? starts_left_ : non_urgent_starts_left_;
+    if (left <= 0 && !is_guaranteed) {
       out.reached_start_limit = true;
       return;
     }
--- a/test/dispatch/guaranteed_start_test.cc
+++ b/test/dispatch/guaranteed_start_test.cc
@@ -194,5 +194,23 @@
   CHECK(second.reserved.size() == 1);
 }
 
+TEST_CASE("urgent work beyond guarantees does not use up a guaranteed start") {
+  PlannerFixture fixture;
+  fixture.planner.SetGuarantees({{base::OrganisationName(kOrganisation), 8}});
+  fixture.MakeAllSchedulable();
+  fixture.Add("burst", 0, 3, SmallTasks(20), Duration(1'000));
+  auto urgent = FullFixture::UrgentJob("a", SmallTasks(2));
+  urgent.slack_factor = 10;
+  auto& job = fixture.Add(urgent);
+  const int limit = GENERATE(8, 1, 0, -5);
+  const auto decisions = fixture.planner.Decide(fixture.now, limit);
+  CHECK(decisions.starts.size() ==
+        static_cast<std::size_t>(std::max(limit, 2)));
+  CHECK(decisions.reached_start_limit);
+  for (const auto& it : job.runs.front().front().units) {
+    CHECK(it.phase == jobs::UnitPhase::kStarted);
+  }
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
