Draw identifiers and jitter of tests from a seed that a failure prints

What callers saw: nothing; a failing test in virtual time could not be replayed. Generators of the feed follower, the owner's lease and the read-back are seeded from MakeUniqueText, which drew from std::random_device, so the entry of the known failures had no seed.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -118,13 +118,15 @@
 endfunction()
 
 # test/<package>/*.cc become one Catch2 program per package, run by ctest. Cases that KNOWN-RED.txt lists are
-# left out of it and make a test of their own, with the label known-red. RapidCheck draws its histories from one
-# seed, so that a run of ctest has the same verdict every time; a program run by itself draws anew, and so does
-# scripts/test --seeds.
-set(LAPISHATCH_PROPERTY_SEED 20261202)
+# left out of it and make a test of their own, with the label known-red. RapidCheck draws its histories, and the code
+# under test its identifiers and jitter, from one seed, so that a run of ctest has the same verdict every time; a
+# program run by itself draws anew and prints the seed of a failure, and so does scripts/test --seeds.
+set(LAPISHATCH_SEED 20261202)
+set(LAPISHATCH_SEED_ENVIRONMENT RC_PARAMS=seed=${LAPISHATCH_SEED} LAPISHATCH_TEST_SEED=${LAPISHATCH_SEED})
 
 function(lapishatch_tests)
   add_library(lapishatch_catch_main OBJECT ${CMAKE_SOURCE_DIR}/test/catch_main.cc)
+  target_include_directories(lapishatch_catch_main PRIVATE ${CMAKE_SOURCE_DIR}/src)
   target_link_libraries(lapishatch_catch_main PUBLIC Catch2::Catch2)
   if(LAPISHATCH_SANITIZE)
     target_compile_options(lapishatch_catch_main PRIVATE -fsanitize=${LAPISHATCH_SANITIZE})
@@ -153,10 +155,11 @@
     endforeach()
     add_test(NAME ${name} COMMAND ${target} ${all_but_red})
     set_tests_properties(${name} PROPERTIES TIMEOUT ${LAPISHATCH_TEST_LIMIT_S}
-                         ENVIRONMENT RC_PARAMS=seed=${LAPISHATCH_PROPERTY_SEED})
+                         ENVIRONMENT "${LAPISHATCH_SEED_ENVIRONMENT}")
     foreach(case ${red_cases})
       add_test(NAME "${name}: ${case}" COMMAND ${target} ${case})
-      set_tests_properties("${name}: ${case}" PROPERTIES TIMEOUT ${LAPISHATCH_TEST_LIMIT_S} LABELS known-red)
+      set_tests_properties("${name}: ${case}" PROPERTIES TIMEOUT ${LAPISHATCH_TEST_LIMIT_S} LABELS known-red
+                           ENVIRONMENT "${LAPISHATCH_SEED_ENVIRONMENT}")
     endforeach()
   endforeach()
 endfunction()
--- a/src/base/ids.cc
+++ b/src/base/ids.cc
@@ -17,6 +17,11 @@
   return std::mt19937_64(seed);
 }
 
+std::mt19937_64& ThreadEngine() {
+  thread_local std::mt19937_64 engine = SeededEngine();
+  return engine;
+}
+
 void AppendHex(std::uint64_t word, std::string& out) {
   static constexpr std::array<char, 17> kDigits{"0123456789abcdef"};
   for (int i = kHexDigitsPerWord - 1; i >= 0; --i) {
@@ -27,11 +32,13 @@
 }  // namespace
 
 std::string MakeUniqueText(const std::string& prefix) {
-  thread_local std::mt19937_64 engine = SeededEngine();
+  auto& engine = ThreadEngine();
   std::string out = prefix;
   AppendHex(engine(), out);
   AppendHex(engine(), out);
   return out;
 }
 
+void SeedUniqueText(std::uint64_t seed) { ThreadEngine().seed(seed); }
+
 }  // namespace lapishatch::base
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_BASE_IDS_H_
 
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -57,6 +58,11 @@
 /// in front. Safe from several threads.
 std::string MakeUniqueText(const std::string& prefix);
 
+/// Makes the identifiers that the calling thread draws from now on, and every
+/// generator seeded from one, follow from `seed`. For simulations that must be
+/// repeatable; identifiers of other threads and processes may then collide.
+void SeedUniqueText(std::uint64_t seed);
+
 }  // namespace lapishatch::base
 
 template <typename Tag>
--- a/test/base/base_test.cc
+++ b/test/base/base_test.cc
@@ -57,5 +57,17 @@
   CHECK(backoff.Next(random) >= Duration(500));
 }
 
+TEST_CASE("identifiers and jitter follow from the seed") {
+  SeedUniqueText(7);
+  const auto first = MakeUniqueText("vm-");
+  const auto second = MakeUniqueText("vm-");
+  CHECK(first != second);
+  SeedUniqueText(7);
+  CHECK(MakeUniqueText("vm-") == first);
+  CHECK(MakeUniqueText("vm-") == second);
+  SeedUniqueText(8);
+  CHECK(MakeUniqueText("vm-") != first);
+}
+
 }  // namespace
 }  // namespace lapishatch::base
