Stop tasks before their leaving worker can take their ends with it

Cause: tasks ran into the departure of their worker. A worker that leaves ends its process with the ends that its owner has not received. The owner counted the announced time from when it read the registration, up to 0.3 s late and more while the store is silent, and let tasks run on for 0.3 s after that. A task that succeeded in the last milliseconds was lost with its worker and started again when the worker's lease had expired.

Silent connections are not the cause; they only delay the reading. Ruled out: an end that is received and dropped, and one acknowledged before it is recorded: the owner never received these.

Change: a departure counts from the earliest time at which its announcement may have been written, and a task must end, by its progress, as long before it as a stop and the report of its end take; otherwise it is stopped.

--- a/src/dispatch/bounds.cc
+++ b/src/dispatch/bounds.cc
@@ -102,5 +102,9 @@
   return out;
 }
 
+DrainOptions DrainOptionsFor(const Bounds& bounds) {
+  return {bounds.stop_timeout + kEndReportDelay};
+}
+
 }  // namespace internal
 }  // namespace lapishatch::dispatch
--- a/src/dispatch/internal/crash_history.h
+++ b/src/dispatch/internal/crash_history.h
@@ -1,7 +1,10 @@
 #ifndef LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
 #define LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
 
+#include <array>
+#include <cstdint>
 #include <map>
+#include <string_view>
 
 #include "base/base.h"
 #include "http/message.h"
@@ -17,6 +20,18 @@
   base::Duration retention{60'000};
 };
 
+/// What the loss of a worker says of its address.
+enum class CrashRecord : std::uint8_t {
+  /// The worker crashed, and none of its tasks is suspected of it.
+  kRecorded,
+  /// The worker does not answer; whether it crashed is unknown.
+  kNoCrash,
+  /// It had announced that it leaves.
+  kAnnounced,
+  /// A suspect task ran on it and may be the cause.
+  kSuspect,
+};
+
 /// Crashes by address, since a worker that restarts after a crash registers
 /// under another name. Has no clock and does no I/O.
 class CrashHistory {
@@ -51,4 +66,12 @@
 
 }  // namespace lapishatch::dispatch::internal
 
+namespace lapishatch::base {
+template <>
+struct EnumNames<dispatch::internal::CrashRecord> {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "recorded", "no-crash", "announced", "suspect"};
+};
+}  // namespace lapishatch::base
+
 #endif  // LAPISHATCH_DISPATCH_INTERNAL_CRASH_HISTORY_H_
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -124,6 +124,8 @@
                           const WorkerReport& report, base::TimePoint sent);
   /// Tasks as pairs of unit and task index; see JobTracker::MembersOn.
   using Members = std::vector<std::pair<Unit*, int>>;
+  void LogWorkerGone(const base::WorkerName& name, std::size_t tasks,
+                     WorkerLossReason reason, CrashRecord crash);
   void EndAllTasksOn(const base::WorkerName& name, WorkerLossReason reason);
   void EndLostMembers(const base::WorkerName& name, const Members& members,
                       WorkerLossReason reason);
@@ -135,7 +137,10 @@
   /// Workers that crashed recently or do not answer, and on which no suspect
   /// task runs that may be the cause.
   DownWorkers FindDownWorkers() const;
-  void RecordCrash(const base::WorkerName& name);
+  /// Records the crash of a worker for its address, unless the worker was
+  /// draining or a suspect task on it may be the cause.
+  CrashRecord RecordCrash(const base::WorkerName& name,
+                          WorkerLossReason reason);
   void UpdateWorkerStates();
   void UpdateSilentDomains();
   void HandleExpiredLeases();
@@ -186,6 +191,7 @@
   JobTracker tracker_;
   TaskPlanner planner_;
   const SessionOptions session_options_;
+  const DrainOptions drain_options_;
   ServiceLoader loader_;
   /// By partition; empty before the service is loaded.
   std::vector<std::unique_ptr<Recorder>> recorders_;
--- a/src/dispatch/internal/worker_drain.h
+++ b/src/dispatch/internal/worker_drain.h
@@ -10,14 +10,15 @@
 namespace lapishatch::dispatch::internal {
 
 struct DrainOptions {
-  /// A task whose estimated end is at most this long after the departure of its
-  /// worker is not stopped: workers stay slightly longer than announced, and
-  /// estimates are rough.
-  base::Duration grace{300};
+  /// Least time from the end of a task to the departure of its worker. The
+  /// worker takes ends that its owner has not received with it, so a task that
+  /// has succeeded would run again. Covers stopping the task and reporting its
+  /// end.
+  base::Duration end_margin{1'000};
 };
 
-/// The time after which each leaving worker may be gone, on the clock of this
-/// process.
+/// The earliest time at which each leaving worker may be gone, on the clock of
+/// this process.
 using Departures = std::map<base::WorkerName, base::TimePoint>;
 
 /// Returns the estimated remaining run time of a member, based on its progress,
@@ -25,10 +26,11 @@
 base::Duration RemainingWork(const Unit& unit, const Member& member,
                              base::TimePoint now);
 
-/// Returns the units to stop because one of their workers leaves before they
-/// can end. A unit that is stopped in time is reported as ended and restarts
+/// Returns the units to stop because one of their workers may leave before they
+/// have ended and been reported. A unit that is stopped in time restarts
 /// elsewhere at once, whereas one that is lost with its worker restarts only
-/// after the worker's lease expires. Visits all members of active units.
+/// after the worker's lease expires, although it may have succeeded. Visits all
+/// members of active units.
 std::vector<Unit*> FindUnitsToDrain(const JobTracker& tracker,
                                     const Departures& departures,
                                     const DrainOptions& options,
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -77,6 +77,10 @@
   /// outstanding.
   base::TimePoint AnswerDueTime() const;
 
+  /// How the first poll since the last answer failed, for logs; empty if none
+  /// has.
+  const std::string& first_failure() const;
+
   /// Called when an order had no answer: the worker counts as unreachable until
   /// it answers.
   void MarkUnreachable();
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -6,6 +6,7 @@
 
 namespace lapishatch::dispatch::internal {
 
+using base::Duration;
 using base::TimePoint;
 
 namespace {
@@ -89,12 +90,13 @@
   return out;
 }
 
-/// Records the crash of a worker, unless it was draining or a suspect task on
-/// it may be the cause.
-void OwnedService::RecordCrash(const base::WorkerName& name) {
+CrashRecord OwnedService::RecordCrash(const base::WorkerName& name,
+                                      WorkerLossReason reason) {
+  if (reason != WorkerLossReason::kRestarted) return CrashRecord::kNoCrash;
   const auto* worker = FindWorker(name);
-  if (worker == nullptr || departures_.contains(name)) return;
-  if (RunsSuspect(name)) return;
+  if (worker == nullptr) return CrashRecord::kNoCrash;
+  if (departures_.contains(name)) return CrashRecord::kAnnounced;
+  if (RunsSuspect(name)) return CrashRecord::kSuspect;
   const auto now = dependencies_.loop.Now();
   std::erase_if(recent_crashes_, [now](const auto& it) {
     return now - it.second.at >= kCommonCauseWindow;
@@ -102,6 +104,7 @@
   const auto& registration = worker->session->registration();
   recent_crashes_[name] = {{registration.rack, TasksOn(name)}, now};
   crash_history_.Add(registration.endpoint, now);
+  return CrashRecord::kRecorded;
 }
 
 /// Reports and ends `members`, which were all on the lost worker. Losses are
@@ -135,14 +138,39 @@
   for (const auto& [unit, index] : members) tracker_.OnLost(*unit, index, now);
 }
 
+/// Logs the loss of a worker: when it last answered, how the next poll failed,
+/// when it could leave if it had announced that, and what its crash says of its
+/// address.
+void OwnedService::LogWorkerGone(const base::WorkerName& name,
+                                 std::size_t tasks, WorkerLossReason reason,
+                                 CrashRecord crash) {
+  const auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  const auto now = dependencies_.loop.Now();
+  const auto& session = *worker->session;
+  const auto silent_for =
+      session.has_answered() ? now - session.LastAnswerTime() : Duration(0);
+  const auto departure = departures_.find(name);
+  const bool is_leaving = departure != departures_.end();
+  const auto departed_for = is_leaving ? now - departure->second : Duration(0);
+  base::Log(base::events::kWorkerGone,
+            {{"service", service_.str()},
+             {"worker", name},
+             {"address", http::TextOf(session.registration().endpoint)},
+             {"tasks", tasks},
+             {"reason", base::NameOf(reason)},
+             {"crash", base::NameOf(crash)},
+             {"silent_ms", silent_for.count()},
+             {"failure", session.first_failure()},
+             {"leaving", is_leaving},
+             {"departed_ms", departed_for.count()}});
+}
+
 void OwnedService::EndAllTasksOn(const base::WorkerName& name,
                                  WorkerLossReason reason) {
   const auto members = tracker_.MembersOn(name);
-  base::Log(base::events::kWorkerGone, {{"service", service_.str()},
-                                        {"worker", name},
-                                        {"tasks", members.size()},
-                                        {"reason", base::NameOf(reason)}});
-  if (reason == WorkerLossReason::kRestarted) RecordCrash(name);
+  const auto crash = RecordCrash(name, reason);
+  LogWorkerGone(name, members.size(), reason, crash);
   EndLostMembers(name, members, reason);
   ScheduleDecisionRound();
 }
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -35,6 +35,7 @@
       tracker_(fleet_),
       planner_(tracker_, fleet_, PlannerOptionsFor(options.bounds)),
       session_options_(SessionOptionsFor(options.bounds)),
+      drain_options_(DrainOptionsFor(options.bounds)),
       loader_(
           dependencies.loop, dependencies.store, service_, epoch,
           [this](LoadedService loaded) { OnLoaded(std::move(loaded)); },
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -51,13 +51,12 @@
   if (is_reduction) tracker_.DropReservationsOn(registration.name);
 }
 
-/// Records when a draining worker may leave. Its registration states the least
-/// time for which it stays, and may be as old as the interval between two feed
-/// reads, so the earliest of the resulting times is kept.
+/// Records when a draining worker may leave: the earliest time that follows
+/// from any of its registrations.
 void OwnedService::RecordDeparture(const WorkerRegistration& registration) {
   if (!registration.is_draining || !registration.remaining_time) return;
-  const auto departs_at =
-      dependencies_.loop.Now() + *registration.remaining_time;
+  const auto stays = *registration.remaining_time - registration.max_age;
+  const auto departs_at = dependencies_.loop.Now() + stays;
   const auto [it, is_new] =
       departures_.try_emplace(registration.name, departs_at);
   it->second = std::min(it->second, departs_at);
@@ -66,13 +65,14 @@
             {{"service", service_.str()},
              {"worker", registration.name},
              {"tasks", tracker_.MembersOn(registration.name).size()},
-             {"stays_ms", registration.remaining_time->count()}});
+             {"stays_ms", stays.count()}});
 }
 
 /// Stops the units that would be lost when a draining worker leaves.
 void OwnedService::StopUnitsOnDrainingWorkers() {
   const auto now = dependencies_.loop.Now();
-  for (auto* unit : FindUnitsToDrain(tracker_, departures_, {}, now)) {
+  for (auto* unit :
+       FindUnitsToDrain(tracker_, departures_, drain_options_, now)) {
     const auto task = JobTracker::NameOf(*unit, 0);
     base::Log(
         base::events::kUnitDrained,
--- a/src/dispatch/worker_client.h
+++ b/src/dispatch/worker_client.h
@@ -36,8 +36,10 @@
   /// The worker is about to leave: running tasks may continue for a while, and
   /// no new task starts.
   bool is_draining = false;
-  /// Least time until a draining worker leaves.
+  /// Least time until a draining worker leaves, when it wrote this.
   std::optional<base::Duration> remaining_time;
+  /// How long before it was read a draining worker may have written this.
+  base::Duration max_age{0};
 
   friend bool operator==(const WorkerRegistration&,
                          const WorkerRegistration&) = default;
--- a/src/dispatch/worker_drain.cc
+++ b/src/dispatch/worker_drain.cc
@@ -22,7 +22,7 @@
                        // A service task never ends by itself.
                        if (unit.step_run->step->is_service) return true;
                        const auto end = now + RemainingWork(unit, it, now);
-                       return end > departure->second + options.grace;
+                       return end + options.end_margin > departure->second;
                      });
 }
 
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -4,6 +4,16 @@
 #include <utility>
 
 namespace lapishatch::dispatch::internal {
+namespace {
+
+/// Why a poll failed, for logs.
+std::string FailureText(const PollResult& result) {
+  if (const auto* it = std::get_if<NoAnswer>(&result)) return it->detail;
+  if (const auto* it = std::get_if<NotSent>(&result)) return it->detail;
+  return "refused";
+}
+
+}  // namespace
 
 class WorkerSession::Impl : public std::enable_shared_from_this<Impl> {
  public:
@@ -95,6 +105,7 @@
       }
     }
     is_reachable_ = false;
+    if (first_failure_.empty()) first_failure_ = FailureText(result);
     ArmPoll(options_.retry_delay);
   }
 
@@ -109,6 +120,7 @@
     is_reachable_ = true;
     reported_worker_time_ = report.worker_time;
     last_answer_at_ = loop_.Now();
+    first_failure_.clear();
     answer_due_ = base::TimePoint::max();
     std::erase_if(report.ended, [this](const EndedTask& it) {
       return it.sequence_number <= last_received_end_;
@@ -148,6 +160,8 @@
   WorkerTime reported_worker_time_ = 0;
   base::TimePoint last_answer_at_{};
   base::TimePoint answer_due_ = base::TimePoint::max();
+  /// How the first poll after the last answer failed; empty if none has.
+  std::string first_failure_;
   WorkerTime lease_expires_at_ = 0;
   std::uint64_t last_received_end_ = 0;
   std::uint64_t last_recorded_end_ = 0;
@@ -192,6 +206,10 @@
 
 void WorkerSession::MarkUnreachable() { impl_->is_reachable_ = false; }
 
+const std::string& WorkerSession::first_failure() const {
+  return impl_->first_failure_;
+}
+
 WorkerTime WorkerSession::EstimatedWorkerTime() const {
   return impl_->EstimatedWorkerTime();
 }
--- a/test/catch_main.cc
+++ b/test/catch_main.cc
@@ -7,12 +7,16 @@
 #include <string>
 
 #include "base/ids.h"
+#include "base/log.h"
 
 namespace lapishatch {
 namespace {
 
 constexpr const char* kSeedVariable = "LAPISHATCH_TEST_SEED";
 
+/// If set, the log events of the code under test are printed.
+constexpr const char* kLogVariable = "LAPISHATCH_TEST_LOG";
+
 /// The seed of this program's draws: that of the environment if it is set, so
 /// that a failure can be repeated, or another one in each run.
 std::uint64_t SeedOfProgram() {
@@ -27,6 +31,12 @@
  public:
   using TestEventListenerBase::TestEventListenerBase;
 
+  void testRunStarting(const Catch::TestRunInfo& info) override {
+    TestEventListenerBase::testRunStarting(info);
+    if (std::getenv(kLogVariable) == nullptr) return;
+    base::StartLog("test", base::Severity::kInfo);
+  }
+
   void testCaseStarting(const Catch::TestCaseInfo& info) override {
     TestEventListenerBase::testCaseStarting(info);
     name_ = info.name;
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -98,11 +98,14 @@
     return it == current_names_.end() ? WorkerNameAt(i) : it->second;
   }
 
-  /// The worker announces that it leaves, after `stays` at the earliest.
-  void Drain(const base::WorkerName& name, base::Duration stays) {
+  /// The worker announces that it leaves, after `stays` at the earliest, in a
+  /// registration that may be as old as `max_age` when owners read it.
+  void Drain(const base::WorkerName& name, base::Duration stays,
+             base::Duration max_age = base::Duration(0)) {
     auto& registration = registrations_.at(name);
     registration.is_draining = true;
     registration.remaining_time = stays;
+    registration.max_age = max_age;
     for (const auto& [unused, owner] : owners_) owner->PutWorker(registration);
   }
 
--- a/test/dispatch/worker_drain_test.cc
+++ b/test/dispatch/worker_drain_test.cc
@@ -1,6 +1,11 @@
 #include "dispatch/internal/worker_drain.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+#include "owner_world.h"
 
 namespace lapishatch::dispatch::internal {
 namespace {
@@ -56,5 +61,45 @@
   CHECK(it.RemainingAfter(800) == Duration(3'000));
 }
 
+/// A worker announces that it leaves, which its owner reads later, and leaves
+/// at the announced time. One of its tasks ends in each millisecond around it.
+TEST_CASE("a task that ends as its worker leaves is not started again") {
+  const Duration age(GENERATE(0, 250, 2'000));
+  constexpr Duration kStays{5'000};
+  constexpr Duration kRunTime{10'000};
+  constexpr int kTasks = 40;
+  OwnerWorld world(1, 1);
+  world.RunFor(1'000);
+  const auto leaves_at = world.time().Now() + kRunTime;
+  std::map<jobs::TaskName, Duration> run_times;
+  world.workers().run_time = [&](const jobs::TaskName& task) {
+    const Duration offset(std::stoi(task.job.str()) - kTasks / 2);
+    const auto end = std::max(leaves_at + offset, world.time().Now());
+    return run_times.try_emplace(task, end - world.time().Now()).first->second;
+  };
+  for (int i = 0; i < kTasks; ++i) {
+    auto job = OwnerWorld::MakeJob(std::to_string(i), 1, 0);
+    job.steps[0].run_time_estimate = kRunTime;
+    world.Submit(job);
+  }
+  world.RunFor(1'000);
+  REQUIRE(world.workers().running() == kTasks);
+  world.AddWorker(1);
+  const auto leaving = OwnerWorld::WorkerNameAt(0);
+  const auto announced_in = leaves_at - kStays - world.time().Now();
+  world.time().After(announced_in + age, [&world, leaving, age] {
+    world.Drain(leaving, kStays, age);
+  });
+  world.time().After(announced_in + kStays, [&world, leaving] {
+    world.workers().Leave(leaving);
+    world.Deregister(leaving);
+  });
+  world.RunFor(40'000);
+  for (int i = 0; i < kTasks; ++i) {
+    CHECK(world.StateOf(std::to_string(i)) == jobs::JobState::kCompleted);
+  }
+  CHECK(world.workers().violations().empty());
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -40,6 +40,7 @@
 struct FakeTaskWorkers::Worker {
   dispatch::WorkerRegistration registration;
   bool is_alive = true;
+  bool has_left = false;
   struct FormerCapacity {
     jobs::Resources capacity;
     /// End of the grace period in which owners may still rely on it.
@@ -129,8 +130,11 @@
       if (!worker->is_alive) return;
       execute(*worker, [this, name, finish](Result result) {
         if (workers_.IsDisconnected(owner_, name)) return;
-        workers_.time_.After(
-            kDelay, [finish, result = std::move(result)] { finish(result); });
+        workers_.time_.After(kDelay,
+                             [this, name, finish, result = std::move(result)] {
+                               if (!workers_.Find(name)->has_left)
+                                 finish(result);
+                             });
       });
     });
   }
@@ -183,6 +187,16 @@
   if (on_crash) on_crash(name);
 }
 
+void FakeTaskWorkers::Leave(const WorkerName& name) {
+  auto* worker = Find(name);
+  if (!std::exchange(worker->is_alive, false)) return;
+  worker->has_left = true;
+  worker->running.clear();
+  for (const auto& it : worker->ended) {
+    if (it.outcome == TaskOutcome::kDone) done_.insert(it.task);
+  }
+}
+
 void FakeTaskWorkers::Supersede(const WorkerName& name) {
   Find(name)->is_superseded = true;
 }
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -51,6 +51,10 @@
   /// Terminates the worker's process with all its tasks; it does not restart.
   void Crash(const base::WorkerName& name);
 
+  /// Ends the worker's process as announced, with all its tasks. Answers that
+  /// have not arrived are lost; an end in one of them counts as acknowledged.
+  void Leave(const base::WorkerName& name);
+
   /// Makes calls to a crashed worker return OtherIncarnation: a later process
   /// answers at its address.
   void Supersede(const base::WorkerName& name);
@@ -137,7 +141,8 @@
   std::map<jobs::TaskName, int> crashes_;
   /// Number of starts of each task at its third crash.
   std::map<jobs::TaskName, int> starts_at_third_crash_;
-  /// Tasks whose end with kDone was acknowledged.
+  /// Tasks whose end with kDone was acknowledged, or was reported by a worker
+  /// that has left.
   std::set<jobs::TaskName> done_;
   std::vector<std::string> violations_;
   std::uint64_t last_run_id_ = 0;
