Keep tasks off the addresses where they lost a worker

A start without an answer from a worker that has just crashed, or a crash that other tasks explain, adds to the losses of a task but not to its suspicion, so best fit sent the task back to the only worker with room: the crashing one, back under another name. Four such losses reach the hard limit.

Change: a task that lost a worker avoids that address, and addresses that crash repeatedly, whether it is suspected or not. It goes back only after 10 s of waiting or if it would fit nowhere else. Crashes with a common cause, such as a power outage, no longer make an address unreliable, so that after one the surviving tasks may use all of the fleet. The limits on losses are unchanged.

New planner cases for the avoidance and both returns.

--- a/src/dispatch/crash_history.cc
+++ b/src/dispatch/crash_history.cc
@@ -2,10 +2,11 @@
 
 namespace lapishatch::dispatch::internal {
 
-void CrashHistory::Add(const http::Endpoint& address, base::TimePoint now) {
+void CrashHistory::Add(const http::Endpoint& address, bool has_common_cause,
+                       base::TimePoint now) {
   Prune(now);
   auto& it = records_[address];
-  ++it.crashes;
+  if (!has_common_cause) ++it.crashes;
   it.last = now;
 }
 
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -19,6 +19,7 @@
   worker.name = registration.name;
   worker.rack = registration.rack;
   worker.domain = registration.domain;
+  worker.address = registration.endpoint;
   worker.labels = registration.labels;
   worker.capacity = registration.capacity;
   worker.is_known = true;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -17,6 +17,7 @@
   base::WorkerName name;
   base::RackName rack;
   base::DomainName domain;
+  http::Endpoint address;
   std::vector<std::string> labels;
   jobs::Resources capacity;
   /// Resources of all tasks that run there, may run there or are still being
@@ -40,6 +41,8 @@
   /// epoch. A further crash under a suspect task could be due to either the
   /// task or the machine.
   base::TimePoint last_crash_at{};
+  /// Whether workers at its address crash repeatedly, whatever they run.
+  bool is_unreliable = false;
   /// Index of its rack among the racks with schedulable workers; set by
   /// SchedulableWorkers.
   std::size_t rack_index = 0;
--- a/src/dispatch/internal/crash_history.h
+++ b/src/dispatch/internal/crash_history.h
@@ -38,8 +38,10 @@
  public:
   explicit CrashHistory(CrashHistoryOptions options) : options_(options) {}
 
-  /// Records the crash of a worker that ran no suspect task.
-  void Add(const http::Endpoint& address, base::TimePoint now);
+  /// Records the crash of a worker that ran no suspect task. One with a common
+  /// cause, such as a power outage, does not make the address unreliable.
+  void Add(const http::Endpoint& address, bool has_common_cause,
+           base::TimePoint now);
 
   /// Returns when a worker at the address last crashed, or the epoch if that
   /// was not recently.
@@ -54,6 +56,7 @@
 
  private:
   struct Record {
+    /// Without those that had a common cause.
     int crashes = 0;
     base::TimePoint last{};
   };
--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -86,8 +86,10 @@
   void OnVanished(Unit& unit, int index, base::TimePoint now);
 
   /// Records that the worker of a member was lost, and adds `suspicion` to the
-  /// task. Call before OnLost. Returns the losses of the task.
+  /// task. `address` is the worker's; null if it is unknown. Call before
+  /// OnLost. Returns the losses of the task.
   static jobs::TaskLosses RecordLoss(Unit& unit, int index, int suspicion,
+                                     const http::Endpoint* address,
                                      base::TimePoint now);
 
   /// Stops the current run of a unit, which is started again later.
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -75,6 +75,9 @@
   /// How long a suspect task waits for a worker that has no other suspect task
   /// and no recent crash.
   base::Duration max_suspect_wait{2'000};
+  /// How long a unit that lost workers waits for one at an address that has not
+  /// crashed, if it fits there.
+  base::Duration max_loss_wait{10'000};
   /// Share of the starts of a round that is reserved for urgent units, so that
   /// they need not wait behind others.
   double urgent_start_share = 0.25;
@@ -138,6 +141,8 @@
   std::optional<Placement> FindPreferredPlacement(const Unit& unit,
                                                   PlacementRequest request,
                                                   bool is_starved);
+  bool MayReturnToLosses(const Unit& unit, PlacementRequest request,
+                         base::TimePoint now) const;
   bool FitsOffRack(const Unit& unit, PlacementRequest request, bool is_starved);
   struct DroppedReservation {
     Unit* unit = nullptr;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -110,6 +110,8 @@
   std::set<base::WorkerName> failed_workers;
   /// Loss counts of the tasks that lost a worker.
   std::vector<jobs::TaskLosses> losses;
+  /// Addresses of the workers that were lost under this owner.
+  std::set<http::Endpoint> lost_at;
   /// Workers reserved for this unit while other tasks are being stopped there;
   /// empty for none.
   std::vector<base::WorkerName> reserved;
--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -250,6 +250,7 @@
 }
 
 jobs::TaskLosses JobTracker::RecordLoss(Unit& unit, int index, int suspicion,
+                                        const http::Endpoint* address,
                                         base::TimePoint now) {
   const int position = index - unit.first_index;
   const auto& member = MemberOf(unit, index);
@@ -264,8 +265,10 @@
   if (resets_losses) {
     std::erase_if(unit.losses,
                   [position](const auto& it) { return it.member == position; });
+    unit.lost_at.clear();
   }
   AddLoss(unit.losses, position, suspicion);
+  if (address != nullptr) unit.lost_at.insert(*address);
   return LossesOf(unit.losses, position);
 }
 
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -102,8 +102,10 @@
     return now - it.second.at >= kCommonCauseWindow;
   });
   const auto& registration = worker->session->registration();
+  const bool has_common_cause =
+      HasCommonCause(FindDownWorkers(), registration.rack, {}, {});
   recent_crashes_[name] = {{registration.rack, TasksOn(name)}, now};
-  crash_history_.Add(registration.endpoint, now);
+  crash_history_.Add(registration.endpoint, has_common_cause, now);
   return CrashRecord::kRecorded;
 }
 
@@ -114,8 +116,12 @@
                                   WorkerLossReason reason) {
   const bool counts_as_loss = !departures_.contains(name);
   const auto* worker = FindWorker(name);
-  const auto rack = worker == nullptr ? base::RackName()
-                                      : worker->session->registration().rack;
+  const auto* registration =
+      worker == nullptr ? nullptr : &worker->session->registration();
+  const auto rack =
+      registration == nullptr ? base::RackName() : registration->rack;
+  const auto* address =
+      registration == nullptr ? nullptr : &registration->endpoint;
   const auto down = members.empty() ? DownWorkers{} : FindDownWorkers();
   const auto now = dependencies_.loop.Now();
   for (const auto& [unit, index] : members) {
@@ -131,8 +137,9 @@
     const int suspicion =
         SuspicionOf(reason, is_explained, tasks_of_other_units == 0);
     const auto losses =
-        counts_as_loss ? JobTracker::RecordLoss(*unit, index, suspicion, now)
-                       : LossesOf(unit->losses, index - unit->first_index);
+        counts_as_loss
+            ? JobTracker::RecordLoss(*unit, index, suspicion, address, now)
+            : LossesOf(unit->losses, index - unit->first_index);
     ReportLostTask(*unit, index, tasks_of_other_units, reason, losses);
   }
   for (const auto& [unit, index] : members) tracker_.OnLost(*unit, index, now);
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -227,8 +227,9 @@
                                   worker.paused_until <= now &&
                                   !worker_health_.IsQuarantined(name);
     const auto& address = session.registration().endpoint;
-    fleet_worker.is_suspect = worker_health_.IsSuspect(name, now) ||
-                              crash_history_.IsUnreliable(address, now);
+    fleet_worker.is_unreliable = crash_history_.IsUnreliable(address, now);
+    fleet_worker.is_suspect =
+        worker_health_.IsSuspect(name, now) || fleet_worker.is_unreliable;
     fleet_worker.last_crash_at = crash_history_.LastRecentCrash(address, now);
   }
 }
--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -33,7 +33,14 @@
   return request.step->max_tasks_per_worker - present;
 }
 
+/// Whether the unit must avoid the worker after losses of others.
+bool IsAvoided(const FleetWorker& worker, const PlacementRequest& request) {
+  return request.lost_at != nullptr &&
+         (worker.is_unreliable || request.lost_at->contains(worker.address));
+}
+
 bool IsAllowed(const FleetWorker& worker, const PlacementRequest& request) {
+  if (IsAvoided(worker, request)) return false;
   const auto& label = request.step->required_label;
   if (!label.empty() && !worker.HasLabel(label)) return false;
   if (request.excludes_risky_workers && worker.IsRisky()) return false;
@@ -173,6 +180,7 @@
   for (const auto* it : workers) {
     const auto& label = step.required_label;
     if (!label.empty() && !it->HasLabel(label)) continue;
+    if (IsAvoided(*it, request)) continue;
     out += CountFitting(it->capacity, needs, most);
     if (out >= request.tasks) break;
   }
@@ -207,6 +215,7 @@
   const auto fits = [&request](const SchedulableWorkers::List& list) {
     return CountFittingWhenEmpty(list, request) >= request.tasks;
   };
+  if (request.allows_other_racks) return fits(workers.all());
   const auto& racks = workers.racks();
   if (!step.preferred_rack.empty()) {
     const auto it = racks.find(step.preferred_rack);
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -41,6 +41,9 @@
   /// runs.
   bool excludes_risky_workers = false;
   SuspectPlacement suspect = SuspectPlacement::kNotSuspect;
+  /// Addresses where the unit lost a worker, which must not be used, and
+  /// neither must unreliable workers; null if it may use any.
+  const std::set<http::Endpoint>* lost_at = nullptr;
   /// Whether racks other than the preferred one are allowed, where the unit may
   /// run slower.
   bool allows_other_racks = false;
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -319,6 +319,8 @@
         static_cast<double>(run.step->run_time_estimate.count())));
     auto request = RequestFor(run, waited >= max_rack_wait);
     const bool is_suspect = IsSuspect(unit.losses);
+    const bool has_losses = !unit.losses.empty();
+    if (has_losses) request.lost_at = &unit.lost_at;
     if (is_suspect) {
       request.suspect = waited < options_.max_suspect_wait
                             ? SuspectPlacement::kIsolated
@@ -337,6 +339,10 @@
       request.suspect = SuspectPlacement::kAnywhere;
       placement = FindPreferredPlacement(unit, request, is_starved);
     }
+    if (!placement && has_losses && MayReturnToLosses(unit, request, now)) {
+      request.lost_at = nullptr;
+      placement = FindPreferredPlacement(unit, request, is_starved);
+    }
     if (!placement && !request.allows_other_racks && !CouldFit(run, now)) {
       request.allows_other_racks = true;
       placement = FindPreferredPlacement(unit, request, is_starved);
@@ -359,10 +365,20 @@
     }
     // If one task of the step does not fit, the others do not either, unless
     // this one has stricter requirements.
-    if (!IsLastAttempt(unit) && !is_suspect) return;
+    if (!IsLastAttempt(unit) && !has_losses) return;
   }
 }
 
+/// Whether a unit that lost workers may be placed where it lost them, or where
+/// others crash repeatedly: it has waited for long, or would not fit elsewhere.
+bool TaskPlanner::MayReturnToLosses(const Unit& unit, PlacementRequest request,
+                                    base::TimePoint now) const {
+  if (request.suspect == SuspectPlacement::kIsolated) return false;
+  if (now - unit.waiting_since >= options_.max_loss_wait) return true;
+  request.allows_other_racks = true;
+  return !FitsWhenEmpty(*workers_, request);
+}
+
 /// Returns a placement on workers where the unit is unlikely to fail: not where
 /// it has failed before, and not on risky workers. Falls back to those workers
 /// if there are no others; to risky ones only if the unit has attempts to
--- a/test/dispatch/planner_fixture.h
+++ b/test/dispatch/planner_fixture.h
@@ -26,8 +26,10 @@
   base::TimePoint now{base::Duration(100'000)};
 
   PlannerFixture() {
+    std::uint16_t port = 0;
     for (const auto* name : {"a0", "a1", "b0", "b1"}) {
       WorkerRegistration registration;
+      registration.endpoint = {"10.0.0.1", ++port};
       registration.name = base::WorkerName(name);
       registration.rack = base::RackName(std::string(1, name[0]));
       registration.capacity = {64'000, 262'144, 8};
--- a/test/dispatch/task_planner_test.cc
+++ b/test/dispatch/task_planner_test.cc
@@ -273,5 +273,63 @@
   CHECK(WorkersOf(decisions) != std::set<std::string>{"a0"});
 }
 
+/// Adds a job of one task that lost the worker `lost`, with no suspicion of the
+/// task.
+JobEntry& AddLostTask(PlannerFixture& fixture, const char* lost) {
+  auto& out = fixture.Add("lost", 2, 3, SmallTasks(1));
+  auto& unit = out.runs[0][0].units[0];
+  AddLoss(unit.losses, 0, 0);
+  unit.lost_at.insert(fixture.fleet.Find(base::WorkerName(lost))->address);
+  return out;
+}
+
+TEST_CASE("a task does not return to an address where it lost a worker") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  for (const auto* it : {"a1", "b0", "b1"}) fixture.Fill(it);
+  AddLostTask(fixture, "a0");
+  CHECK(fixture.planner.Decide(fixture.now).starts.empty());
+  fixture.now += Duration(3'000);
+  fixture.fleet.Release(base::WorkerName("b0"), {64'000, 1'000, 8});
+  CHECK(WorkersOf(fixture.planner.Decide(fixture.now)) ==
+        std::set<std::string>{"b0"});
+}
+
+TEST_CASE("a task that lost a worker avoids addresses that crash repeatedly") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  for (const auto* it : {"a0", "b0", "b1"}) fixture.Fill(it);
+  fixture.fleet.Find(base::WorkerName("a1"))->is_unreliable = true;
+  AddLostTask(fixture, "a0");
+  CHECK(fixture.planner.Decide(fixture.now).starts.empty());
+  // Other tasks may start there.
+  fixture.Add("new", 2, 3, SmallTasks(1));
+  CHECK(WorkersOf(fixture.planner.Decide(fixture.now)) ==
+        std::set<std::string>{"a1"});
+}
+
+TEST_CASE("a task returns to where it lost a worker if it fits nowhere else") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  for (const auto* it : {"a1", "b0", "b1"}) {
+    fixture.fleet.Find(base::WorkerName(it))->is_schedulable = false;
+  }
+  AddLostTask(fixture, "a0");
+  CHECK(WorkersOf(fixture.planner.Decide(fixture.now)) ==
+        std::set<std::string>{"a0"});
+}
+
+TEST_CASE("a task does not wait indefinitely for workers of other addresses") {
+  PlannerFixture fixture;
+  fixture.MakeAllSchedulable();
+  for (const auto* it : {"a1", "b0", "b1"}) fixture.Fill(it);
+  AddLostTask(fixture, "a0");
+  fixture.now += Duration(9'900);
+  CHECK(fixture.planner.Decide(fixture.now).starts.empty());
+  fixture.now += Duration(100);
+  CHECK(WorkersOf(fixture.planner.Decide(fixture.now)) ==
+        std::set<std::string>{"a0"});
+}
+
 }  // namespace
 }  // namespace lapishatch::dispatch::internal
