Test silent connections to the store and to workers

The fakes can make the connections of a process silent: calls under way get no answer, and its writes on the way are applied at once, 3 s later or never.

--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -28,6 +28,10 @@
   explicit Caller(FakeRowStore& store) : store_(store) {}
 
   StoreFault fault = StoreFault::kNone;
+  /// Number of times that the connections became silent, and what became of
+  /// the writes at the last time.
+  int severances = 0;
+  SeveredWrites severed_writes = SeveredWrites::kApplied;
 
   void Commit(store::RowTransaction transaction,
               std::function<void(RowsResult)> done) override {
@@ -61,9 +65,14 @@
       });
     }
     After(store_.delay + *wait, [this, transaction = std::move(transaction),
-                                 done = std::move(done)] {
+                                 done = std::move(done), sent = severances] {
+      if (sent != severances) return LoseCommit(transaction, done);
       auto result = store_.Apply(transaction);
-      After(store_.delay, [done, result = std::move(result)] { done(result); });
+      After(store_.delay, [this, done, sent, result = std::move(result)] {
+        if (sent == severances) return done(result);
+        After(store_.commit_timeout,
+              [done] { done(store::UnknownOutcome{"severed"}); });
+      });
     });
   }
 
@@ -75,11 +84,14 @@
           Fault() == StoreFault::kBusy ? store_.delay : kReadTimeout,
           [done = std::move(done)] { done(store::ReadFailed{"no answer"}); });
     }
-    After(store_.delay,
-          [this, range = std::move(range), done = std::move(done)] {
-            auto rows = store_.Scan(range);
-            After(store_.delay, [done, rows = std::move(rows)] { done(rows); });
-          });
+    After(store_.delay, [this, range = std::move(range), done = std::move(done),
+                         sent = severances] {
+      auto rows = store_.Scan(range);
+      After(store_.delay, [this, done, sent, rows = std::move(rows)] {
+        if (sent == severances) return done(rows);
+        After(kReadTimeout, [done] { done(store::ReadFailed{"severed"}); });
+      });
+    });
   }
 
   void Parts(std::string table,
@@ -112,8 +124,9 @@
     feed->table = std::move(table);
     feed->after = after;
     // A feed that waits when a fault begins is not answered either.
-    feed->done = [this, wait, done = std::move(done)](RowsFeedResult result) {
-      if (FeedFault() != StoreFault::kNone) {
+    feed->done = [this, wait, done = std::move(done),
+                  sent = severances](RowsFeedResult result) {
+      if (FeedFault() != StoreFault::kNone || sent != severances) {
         return After(wait + kFeedTimeoutMargin,
                      [done] { done(store::ReadFailed{"no answer"}); });
       }
@@ -129,6 +142,24 @@
   }
 
  private:
+  /// Ends a transaction whose connection became silent before it arrived.
+  void LoseCommit(const store::RowTransaction& transaction,
+                  const std::function<void(RowsResult)>& done) {
+    switch (severed_writes) {
+      case SeveredWrites::kApplied:
+        store_.Apply(transaction);
+        break;
+      case SeveredWrites::kLost:
+        break;
+      case SeveredWrites::kLate:
+        After(kLateCommitDelay,
+              [this, transaction] { store_.Apply(transaction); });
+        break;
+    }
+    After(store_.commit_timeout,
+          [done] { done(store::UnknownOutcome{"severed"}); });
+  }
+
   StoreFault Fault() const {
     return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
   }
@@ -164,6 +195,13 @@
   static_cast<Caller&>(For(caller)).fault = fault;
 }
 
+void FakeRowStore::Sever(const std::string& caller, SeveredWrites writes) {
+  For(caller);
+  auto& it = *callers_.at(caller);
+  it.severed_writes = writes;
+  ++it.severances;
+}
+
 void FakeRowStore::SetFaultForAll(StoreFault fault) { fault_for_all_ = fault; }
 
 void FakeRowStore::SetFaultForTransactions(StoreFault fault) {
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -29,6 +29,15 @@
   kLate,
 };
 
+/// What becomes of the transactions that a caller has sent over a connection
+/// when it becomes silent.
+enum class SeveredWrites {
+  kApplied,
+  kLost,
+  /// Applied 3 s later, if their conditions hold then.
+  kLate,
+};
+
 /// Linearizable in-memory row store in virtual time, with change feeds and
 /// fault injection for each caller.
 class FakeRowStore {
@@ -43,6 +52,10 @@
 
   void SetFault(const std::string& caller, StoreFault fault);
   void SetFaultForAll(StoreFault fault);
+
+  /// Makes all connections of `caller` silent: its present calls get no answer.
+  /// Later calls use new connections.
+  void Sever(const std::string& caller, SeveredWrites writes);
   /// Applies to the transactions of all callers; reads and feeds work.
   void SetFaultForTransactions(StoreFault fault);
   /// Applies to the feeds of all callers; transactions and reads work.
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -123,18 +123,22 @@
       done(std::move(result));
     };
     workers_.time_.After(timeout, [finish] { finish(NoAnswer{"timeout"}); });
-    workers_.time_.After(kDelay, [this, name, execute, finish] {
+    const int severances = workers_.severances_[owner_];
+    const auto is_cut = [this, name, severances] {
+      return workers_.IsDisconnected(owner_, name) ||
+             workers_.severances_[owner_] != severances;
+    };
+    workers_.time_.After(kDelay, [this, name, execute, finish, is_cut] {
       auto* worker = workers_.Find(name);
-      if (worker == nullptr || workers_.IsDisconnected(owner_, name)) return;
+      if (worker == nullptr || is_cut()) return;
       if (worker->is_superseded) return finish(dispatch::OtherIncarnation{});
       if (!worker->is_alive) return;
-      execute(*worker, [this, name, finish](Result result) {
-        if (workers_.IsDisconnected(owner_, name)) return;
-        workers_.time_.After(kDelay,
-                             [this, name, finish, result = std::move(result)] {
-                               if (!workers_.Find(name)->has_left)
-                                 finish(result);
-                             });
+      execute(*worker, [this, name, finish, is_cut](Result result) {
+        if (is_cut()) return;
+        workers_.time_.After(
+            kDelay, [this, name, finish, is_cut, result = std::move(result)] {
+              if (!is_cut() && !workers_.Find(name)->has_left) finish(result);
+            });
       });
     });
   }
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -64,6 +64,10 @@
   void Disconnect(const std::string& owner, const base::WorkerName& name);
   void Reconnect(const std::string& owner, const base::WorkerName& name);
 
+  /// Makes all connections of `owner` silent: its orders on their way are lost,
+  /// and so are the answers to the others. Later orders use new connections.
+  void Sever(const std::string& owner) { ++severances_[owner]; }
+
   /// Executes the next start order to the worker only after `delay` and never
   /// answers it.
   void DelayNextStart(const base::WorkerName& name, base::Duration delay);
@@ -137,6 +141,8 @@
   std::map<base::WorkerName, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::unique_ptr<Client>> clients_;
   std::set<std::pair<std::string, base::WorkerName>> disconnected_;
+  /// Number of times that the connections of each owner became silent.
+  std::map<std::string, int> severances_;
   std::map<jobs::TaskName, int> starts_;
   std::map<jobs::TaskName, int> crashes_;
   /// Number of starts of each task at its third crash.
