--- a/src/dispatch/placer.cc
+++ b/src/dispatch/placer.cc
@@ -33,7 +33,7 @@
   return request.step->max_tasks_per_worker - present;
 }
 
-/// Whether the unit must avoid the worker after losses of others.
+/// Whether the unit must keep off the worker because of workers that it lost.
 bool IsAvoided(const FleetWorker& worker, const PlacementRequest& request) {
   return request.lost_at != nullptr &&
          (worker.is_unreliable || request.lost_at->contains(worker.address));
