--- a/test/dispatch/worker_drain_test.cc
+++ b/test/dispatch/worker_drain_test.cc
@@ -65,7 +65,7 @@
 /// at the announced time. One of its tasks ends in each millisecond around it.
 TEST_CASE("a task that ends as its worker leaves is not started again") {
   const Duration age(GENERATE(0, 250, 2'000));
-  constexpr Duration kStays{5'000};
+  static constexpr Duration kStays{5'000};
   constexpr Duration kRunTime{10'000};
   constexpr int kTasks = 40;
   OwnerWorld world(1, 1);
