Log which limit failed a job, and workers that survive their lease

What callers saw: jobs shown as failed although no task had failed so often.

E674 names the task that reached a limit and its counts. E675 tells that a worker answers whose tasks were ended as lost, which shows that it had not crashed. Both are counted in metrics. No decision changes.

--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -157,7 +157,7 @@
   void TerminateMember(Unit& unit, Member& member, base::TimePoint now);
   void Finish(Unit& unit, base::TimePoint now);
   void MarkDone(Unit& unit, base::TimePoint now);
-  void Fail(JobEntry& job, JobFailure failure);
+  void Fail(const Unit& unit, JobFailure reason);
   void End(JobEntry& job, jobs::JobState state);
   void RemoveFromIndexes(JobEntry& job);
 
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -89,6 +89,9 @@
     /// The worker gets no new tasks before this time, because it has refused
     /// one.
     base::TimePoint paused_until{};
+    /// Number of its tasks that were ended because its lease expired, since it
+    /// last answered.
+    std::size_t tasks_lost_to_silence = 0;
   };
 
   struct RecentCrash {
@@ -135,6 +138,7 @@
   void StopUnitsOnDrainingWorkers();
   void OnWorkerReport(const base::WorkerName& name, const WorkerReport& report,
                       base::TimePoint sent);
+  void LogSurvival(const base::WorkerName& name, Worker& worker);
   void OnTaskRunning(const base::WorkerName& name, const RunningTask& task,
                      WorkerTime worker_time, base::TimePoint sent);
   void OnTaskEnded(const base::WorkerName& name, const EndedTask& end);
@@ -197,6 +201,7 @@
   /// Logs the jobs that have ended since the last call.
   void LogEndedJobs();
   void LogEndedJob(const JobEntry& job);
+  void LogFailure(const JobEntry& job);
   /// Does the periodic work and schedules its next call.
   void Tick();
   void RemoveExpiredJobs();
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -179,6 +179,14 @@
   kWorkerLosses,
 };
 
+/// Why a job failed, for logs: the task that reached a limit, and its counts.
+struct FailureDetail {
+  JobFailure reason = JobFailure::kNone;
+  jobs::TaskName task;
+  int failures = 0;
+  jobs::TaskLosses losses;
+};
+
 /// A job of the service and its state.
 struct JobEntry {
   std::shared_ptr<const jobs::Job> job;
@@ -186,7 +194,7 @@
   int partition = 0;
   jobs::JobState state = jobs::JobState::kQueued;
   /// Set only if the job failed under this owner.
-  JobFailure failure = JobFailure::kNone;
+  FailureDetail failure;
   /// Indexed by occurrence, then step. Empty once the job has ended and none of
   /// its tasks may be running.
   std::vector<std::deque<StepRun>> runs;
--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -340,17 +340,24 @@
     unit.waiting_since = now;
     MarkDirty(job, now + kEndBatchDelay);
     if (unit.failures >= job.job->max_attempts) {
-      Fail(job, JobFailure::kAttempts);
+      Fail(unit, JobFailure::kAttempts);
     } else if (IsGivenUp(unit.losses, kCrashPolicy)) {
-      Fail(job, JobFailure::kWorkerLosses);
+      Fail(unit, JobFailure::kWorkerLosses);
     }
   }
   UpdateReady(*unit.step_run);
 }
 
-void JobTracker::Fail(JobEntry& job, JobFailure failure) {
+/// Fails the job because `unit` has reached a limit.
+void JobTracker::Fail(const Unit& unit, JobFailure reason) {
+  auto& job = *unit.step_run->job;
   if (IsFinal(job.state)) return;
-  job.failure = failure;
+  const auto worst = std::max_element(
+      unit.losses.begin(), unit.losses.end(),
+      [](const auto& a, const auto& b) { return a.count < b.count; });
+  const auto losses = worst == unit.losses.end() ? jobs::TaskLosses{} : *worst;
+  job.failure = {reason, NameOf(unit, static_cast<std::size_t>(losses.member)),
+                 unit.failures, losses};
   End(job, JobState::kFailed);
 }
 
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -376,6 +376,23 @@
   }
 }
 
+/// Logs the task that reached a limit, and counts the failure.
+void OwnedService::LogFailure(const JobEntry& job) {
+  const auto& failure = job.failure;
+  base::Log(base::events::kJobFailed,
+            {{"request", job.job->name},
+             {"task", TextOf(failure.task)},
+             {"reason", base::NameOf(failure.reason)},
+             {"failures", failure.failures},
+             {"max_attempts", job.job->max_attempts},
+             {"losses", failure.losses.count},
+             {"suspicion", failure.losses.suspicion}});
+  if (dependencies_.metrics == nullptr) return;
+  dependencies_.metrics->Count(
+      "lapishatch_jobs_failed_total",
+      {{"reason", std::string(base::NameOf(failure.reason))}});
+}
+
 void OwnedService::LogEndedJob(const JobEntry& job) {
   if (!IsFinal(job.state) || ended_at_.contains(job.job->name)) return;
   const auto now = dependencies_.loop.Now();
@@ -388,10 +405,11 @@
          {"state", std::string(base::NameOf(job.state))}},
         std::chrono::duration<double>(now - job.accepted_at).count());
   }
+  if (job.failure.reason != JobFailure::kNone) LogFailure(job);
   base::Log(base::events::kJobEnded,
             {{"request", job.job->name},
              {"state", base::NameOf(job.state)},
-             {"failure", base::NameOf(job.failure)},
+             {"failure", base::NameOf(job.failure.reason)},
              {"priority", job.job->priority},
              {"objective_ms", job.latency_objective.count()},
              {"after_ms", (now - job.accepted_at).count()}});
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -192,6 +192,7 @@
   UpdateSpeed(name);
   auto& worker = *FindWorker(name);
   worker.former_registration.reset();
+  worker.tasks_lost_to_silence = 0;
   worker.unrecorded.clear();
   worker.paused_until = {};
 }
@@ -332,6 +333,17 @@
   }
 }
 
+/// Logs that a worker answers whose tasks were ended because it was silent.
+void OwnedService::LogSurvival(const base::WorkerName& name, Worker& worker) {
+  const auto tasks = std::exchange(worker.tasks_lost_to_silence, 0);
+  if (tasks == 0) return;
+  base::Log(base::events::kWorkerSurvived,
+            {{"service", service_.str()}, {"worker", name}, {"tasks", tasks}});
+  if (dependencies_.metrics == nullptr) return;
+  dependencies_.metrics->Count("lapishatch_workers_survived_total",
+                               {{"service", service_.str()}});
+}
+
 void OwnedService::OnWorkerReport(const base::WorkerName& name,
                                   const WorkerReport& report, TimePoint sent) {
   auto* worker = FindWorker(name);
@@ -340,6 +352,7 @@
     HandleRestart(name, report);
   }
   if (report.started_at_ms) worker->started_at_ms = report.started_at_ms;
+  LogSurvival(name, *worker);
   jobs::Resources strays;
   for (const auto& it : report.running) {
     auto* unit = FindUnitOfRun(it.task, it.run);
@@ -553,9 +566,9 @@
                                 ? it.HasLeaseExpired()
                                 : now - acquired_at_ > unanswered_expiry;
     if (!has_lapsed) continue;
-    if (!tracker_.MembersOn(name).empty()) {
-      EndAllTasksOn(name, WorkerLossReason::kLeaseExpired);
-    }
+    const auto tasks = tracker_.MembersOn(name).size();
+    if (tasks > 0) EndAllTasksOn(name, WorkerLossReason::kLeaseExpired);
+    worker.tasks_lost_to_silence += tasks;
     if (!worker.is_registered) to_remove.push_back(name);
   }
   for (const auto& it : to_remove) {
