--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -184,6 +184,12 @@
     for (const auto& [unused, owner] : owners_) owner->RemoveWorker(name);
   }
 
+  /// Adds the registration of a worker that was removed although it runs.
+  void Reregister(const WorkerRegistration& registration) {
+    registrations_[registration.name] = registration;
+    PutOnAllOwners(registration);
+  }
+
   /// Starts a candidate for ownership on VM `name`, which has `cores` cores.
   void StartOwner(const std::string& name, double cores = 1) {
     ServiceOwnerOptions options;
