Let only proved crashes fail a job, and drop losses of workers that live

What callers saw: jobs shown as failed although no task of them had failed as often as their queue allows (LOST).

Cause: evidence against a worker counted against its tasks. Each loss counted, also that of a worker that was cut off and lived, and from the third on each run that ended without success, also one that this scheduler had preempted. Four of them failed the job.

Change: a loss is judged. It is a crash only if another incarnation answers and the task was confirmed there under a lease that ran. A worker that fell silent counts for nothing until it is known what became of it, by the present owner or a later one: the job's row names it.

A worker that ends closes its connection, which tells when it crashed; a start of a task that may have crashed two workers is sent immediately after an answer of the worker, so that a crash at the start is proved as well.

--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -12,11 +12,21 @@
 
 #include "base/base.h"
 #include "dispatch/fleet.h"
+#include "dispatch/internal/crash_policy.h"
 #include "dispatch/internal/unit.h"
 #include "jobs/jobs.h"
 
 namespace lapishatch::dispatch::internal {
 
+/// The loss of a member's worker, as the owner judges it.
+struct MemberLoss {
+  LossEvidence evidence = LossEvidence::kNone;
+  /// Suspicion that a crash adds to the task.
+  int suspicion = 0;
+  /// The worker; without an endpoint if it is unknown.
+  jobs::SilentWorker worker;
+};
+
 /// Tracks the jobs of a service and their state transitions. It sends and
 /// stores nothing: callers read `dirty` for progress to record and `to_stop`
 /// for units to stop.
@@ -85,12 +95,26 @@
   /// Like OnLost, for a member that its worker neither runs nor lists as ended.
   void OnVanished(Unit& unit, int index, base::TimePoint now);
 
-  /// Records that the worker of a member was lost, and adds `suspicion` to the
-  /// task. `address` is the worker's; null if it is unknown. Call before
-  /// OnLost. Returns the losses of the task.
-  static jobs::TaskLosses RecordLoss(Unit& unit, int index, int suspicion,
-                                     const http::Endpoint* address,
-                                     base::TimePoint now);
+  /// Records that the worker of a member was lost. Call before OnLost. Returns
+  /// the losses of the task.
+  jobs::TaskLosses RecordLoss(Unit& unit, int index, const MemberLoss& loss,
+                              base::TimePoint now);
+
+  /// Units with tasks under which a worker at `endpoint` fell silent.
+  std::vector<Unit*> UnitsWithSilentWorkersAt(
+      const http::Endpoint& endpoint) const;
+
+  /// Units with silent workers, by the addresses of these.
+  const std::map<http::Endpoint, std::set<Unit*, NameOrder>>& silent_at()
+      const {
+    return silent_at_;
+  }
+
+  /// Decides about the silent workers of a unit; see ResolveSilentWorkers.
+  /// Fails the job if the unit waits and must not be started again. Returns
+  /// whether anything was decided.
+  bool ResolveSilentWorkers(Unit& unit, const SilenceEvidence& evidence,
+                            base::TimePoint now);
 
   /// Stops the current run of a unit, which is started again later.
   void Stop(Unit& unit);
@@ -157,9 +181,13 @@
   void TerminateMember(Unit& unit, Member& member, base::TimePoint now);
   void Finish(Unit& unit, base::TimePoint now);
   void MarkDone(Unit& unit, base::TimePoint now);
+  void GiveUpIfLimited(const Unit& unit);
   void Fail(const Unit& unit, JobFailure reason);
   void End(JobEntry& job, jobs::JobState state);
   void RemoveFromIndexes(JobEntry& job);
+  void RestoreSilentWorkers(Unit& unit);
+  void AddToSilentIndex(Unit& unit);
+  void RemoveFromSilentIndex(Unit& unit);
 
   Fleet& fleet_;
   std::map<base::JobName, std::unique_ptr<JobEntry>> jobs_;
@@ -171,6 +199,7 @@
   std::unordered_map<base::WorkerName,
                      std::set<std::pair<Unit*, int>, NameOrder>>
       members_on_;
+  std::map<http::Endpoint, std::set<Unit*, NameOrder>> silent_at_;
   std::array<DirtyJobs, jobs::kProgressPartitionCount> dirty_;
   std::set<const JobEntry*, NameOrder> unfinished_;
   std::vector<base::JobName> ended_;
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -75,6 +75,11 @@
   void SetGuarantees(std::map<base::OrganisationName, std::int64_t> guarantees);
 
  private:
+  struct PlannedStart {
+    jobs::TaskName task;
+    int run = 0;
+  };
+
   struct Worker {
     std::unique_ptr<WorkerSession> session;
     bool is_registered = true;
@@ -89,11 +94,22 @@
     /// The worker gets no new tasks before this time, because it has refused
     /// one.
     base::TimePoint paused_until{};
+    /// Another worker registered at its address while its lease was certain to
+    /// run: it had crashed.
+    bool was_replaced_under_lease = false;
+    /// Starts that are sent once the worker answers.
+    std::vector<PlannedStart> unverified_starts;
     /// Number of its tasks that were ended because its lease expired, since it
     /// last answered.
     std::size_t tasks_lost_to_silence = 0;
   };
 
+  /// Whether a worker that fell silent is registered, and since when.
+  struct SilentWorkerState {
+    bool is_registered = false;
+    base::TimePoint since{};
+  };
+
   struct RecentCrash {
     DownWorker worker;
     base::TimePoint at{};
@@ -138,6 +154,9 @@
   void StopUnitsOnDrainingWorkers();
   void OnWorkerReport(const base::WorkerName& name, const WorkerReport& report,
                       base::TimePoint sent);
+  void NoteReplacement(const WorkerRegistration& registration);
+  void ResolveEndedWorker(const base::WorkerName& name);
+  void ForgetAddress(const base::WorkerName& name);
   void LogSurvival(const base::WorkerName& name, Worker& worker);
   void OnTaskRunning(const base::WorkerName& name, const RunningTask& task,
                      WorkerTime worker_time, base::TimePoint sent);
@@ -153,7 +172,18 @@
                       WorkerLossReason reason);
   void ReportLostTask(const Unit& unit, int index,
                       std::ptrdiff_t tasks_of_other_units,
-                      WorkerLossReason reason, const jobs::TaskLosses& losses);
+                      WorkerLossReason reason, LossEvidence evidence,
+                      const jobs::TaskLosses& losses);
+  LossEvidence EvidenceOf(const base::WorkerName& name, const Member& member,
+                          WorkerLossReason reason);
+  void ResolveSilentWorkersAt(const http::Endpoint& endpoint,
+                              const base::WorkerName& answering,
+                              const WorkerStartTime& started_at_ms);
+  void ResolveByRegistrations();
+  std::optional<LossEvidence> EvidenceOf(const jobs::SilentWorker& worker,
+                                         const SilentWorkerState& state) const;
+  SilentWorkerState StateOf(const jobs::SilentWorker& silent);
+  void ResolveSilentWorkers(Unit& unit, const SilenceEvidence& evidence);
   bool RunsSuspect(const base::WorkerName& name) const;
   std::vector<jobs::TaskName> TasksOn(const base::WorkerName& name) const;
   /// Workers that crashed recently or do not answer, and on which no suspect
@@ -190,6 +220,14 @@
                     const std::function<void()>& done);
   void SendStartsWhenRecorded(const std::vector<Unit*>& units);
   void SendStart(const jobs::TaskName& task, int run);
+  /// Whether the start of a task that may have crashed workers must wait until
+  /// its worker has answered again. If so, the worker is polled.
+  bool HasJustAnswered(const WorkerSession& session) const;
+  bool MustVerifyWorker(const Unit& unit, const Member& member, Worker& worker);
+  void SendVerifiedStarts(const base::WorkerName& name);
+  /// Returns starts to the queue whose workers do not answer.
+  void DropUnverifiedStarts();
+  void LogDeferredStarts();
   void UpdateStartWindow(const StartResult& result, base::TimePoint sent);
   void OnStartResult(const jobs::TaskName& task, int run, StartResult result);
   void SendStops();
@@ -239,6 +277,11 @@
   /// Workers that ran no suspect task and whose crash was detected recently.
   std::map<base::WorkerName, RecentCrash> recent_crashes_;
   Departures departures_;
+  /// Workers that fell silent under a task and may live.
+  std::map<base::WorkerName, SilentWorkerState> silent_since_;
+  base::TimePoint registrations_checked_at_{};
+  /// Latest worker that has registered at each address.
+  std::map<http::Endpoint, base::WorkerName> latest_at_;
   std::map<base::JobName, store::StoredRow> progress_rows_;
   std::optional<store::FeedFollower> request_follower_;
   bool is_loaded_ = false;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -85,6 +85,11 @@
   bool is_pace_observed = false;
   /// When this owner last sent a start request; the epoch if never.
   base::TimePoint start_sent_at{};
+  /// Whether the worker has confirmed that the task runs there.
+  bool has_run = false;
+  /// When the first start request was sent if the worker had answered
+  /// immediately before; otherwise the epoch.
+  base::TimePoint verified_start_at{};
   /// Number of start requests without an answer.
   int unanswered_starts = 0;
   bool is_stop_in_flight = false;
@@ -136,6 +141,8 @@
   base::TimePoint reclaim_failed_at{};
   /// Whether it was logged that its first start is delayed.
   bool is_delay_logged = false;
+  /// Whether it was logged that its restart is deferred.
+  bool is_deferral_logged = false;
 
   bool IsActive() const { return !members.empty(); }
 };
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -32,6 +32,15 @@
   base::Duration clock_margin{300};
 };
 
+/// An incarnation of a worker when another one was found in its place.
+struct EndedIncarnation {
+  /// Whether its lease ran then, so that it ended with its tasks.
+  bool was_lease_held = false;
+  /// Whether it closed its connection, and so listed all earlier ends.
+  bool has_closed = false;
+  base::TimePoint last_answer_at{};
+};
+
 /// Polls a worker, with one poll in flight at a time. A poll renews the
 /// worker's lease and waits for tasks to end. The session also estimates the
 /// worker's clock. If a report comes from another incarnation than the last
@@ -108,6 +117,21 @@
   /// killed all its tasks. Requires has_answered().
   bool HasLeaseExpired() const;
 
+  /// Called when the worker has confirmed an order that extends its lease to
+  /// `expires`.
+  void ConfirmLease(WorkerTime expires);
+
+  /// Whether the worker's lease certainly runs, so that a worker that lives has
+  /// not killed its tasks.
+  bool IsLeaseHeld() const;
+
+  /// The incarnation before the one that answers now.
+  const EndedIncarnation& ended_incarnation() const;
+
+  /// Polls at once. The answer to an outstanding poll is ignored; the next one
+  /// repeats what it held.
+  void PollNow();
+
   /// Highest sequence number of the received ends.
   std::uint64_t last_received_end() const;
 
--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -33,14 +33,6 @@
 
 constexpr CrashPolicyOptions kCrashPolicy;
 
-/// Counts an unsuccessful run of a task with many losses as another loss, which
-/// limits its further restarts however its runs end.
-void CountUnsuccessfulRun(Unit& unit, int member) {
-  const auto losses = LossesOf(unit.losses, member);
-  if (losses.count < kCrashPolicy.strict_counting_after) return;
-  AddLoss(unit.losses, member, 0);
-}
-
 }  // namespace
 
 using jobs::JobProgress;
@@ -140,6 +132,7 @@
     unit->last_run = record.last_run;
     unit->checkpoint = record.checkpoint;
     unit->losses = record.losses;
+    RestoreSilentWorkers(*unit);
     if (record.phase == UnitPhase::kDone) MarkDone(*unit, now);
     if (record.phase != UnitPhase::kStarted) continue;
     unit->last_run = record.last_run - 1;
@@ -218,7 +211,7 @@
   const bool is_service = unit.step_run->step->is_service;
   if (kind == TaskOutcome::kDone && !is_service) MarkDone(unit, now);
   if (kind != TaskOutcome::kDone) {
-    CountUnsuccessfulRun(unit, index - unit.first_index);
+    CountUnsuccessfulRun(unit.losses, index - unit.first_index);
   }
   const bool counts = unit.failed_run < unit.last_run && !is_service;
   if (kind == TaskOutcome::kFailed && counts) {
@@ -245,33 +238,92 @@
 }
 
 void JobTracker::OnVanished(Unit& unit, int index, base::TimePoint now) {
-  CountUnsuccessfulRun(unit, index - unit.first_index);
+  CountUnsuccessfulRun(unit.losses, index - unit.first_index);
   OnLost(unit, index, now);
 }
 
-jobs::TaskLosses JobTracker::RecordLoss(Unit& unit, int index, int suspicion,
-                                        const http::Endpoint* address,
+jobs::TaskLosses JobTracker::RecordLoss(Unit& unit, int index,
+                                        const MemberLoss& loss,
                                         base::TimePoint now) {
   const int position = index - unit.first_index;
   const auto& member = MemberOf(unit, index);
-  // The start was not sent, so the task cannot have crashed the worker.
-  if (member.state == MemberState::kPlanned) {
-    return LossesOf(unit.losses, position);
-  }
   const bool resets_losses =
       unit.step_run->step->is_service &&
       member.first_seen_at != base::TimePoint{} &&
       now - member.first_seen_at >= kCrashPolicy.loss_reset_run_time;
-  if (resets_losses) {
+  if (resets_losses && loss.evidence != LossEvidence::kNone) {
+    RemoveFromSilentIndex(unit);
     std::erase_if(unit.losses,
                   [position](const auto& it) { return it.member == position; });
+    AddToSilentIndex(unit);
     unit.lost_at.clear();
   }
-  AddLoss(unit.losses, position, suspicion);
-  if (address != nullptr) unit.lost_at.insert(*address);
+  switch (loss.evidence) {
+    case LossEvidence::kNone:
+      return LossesOf(unit.losses, position);
+    case LossEvidence::kCrash:
+      AddCrash(unit.losses, position, loss.suspicion);
+      break;
+    case LossEvidence::kUnproved:
+      AddUnprovedCrash(unit.losses, position);
+      break;
+    case LossEvidence::kSilent:
+      AddSilentWorker(unit.losses, position, loss.worker);
+      silent_at_[loss.worker.endpoint].insert(&unit);
+      break;
+  }
+  if (loss.worker.endpoint != http::Endpoint{}) {
+    unit.lost_at.insert(loss.worker.endpoint);
+  }
   return LossesOf(unit.losses, position);
 }
 
+std::vector<Unit*> JobTracker::UnitsWithSilentWorkersAt(
+    const http::Endpoint& endpoint) const {
+  const auto it = silent_at_.find(endpoint);
+  if (it == silent_at_.end()) return {};
+  return {it->second.begin(), it->second.end()};
+}
+
+bool JobTracker::ResolveSilentWorkers(Unit& unit,
+                                      const SilenceEvidence& evidence,
+                                      base::TimePoint now) {
+  RemoveFromSilentIndex(unit);
+  const bool has_changed =
+      internal::ResolveSilentWorkers(unit.losses, evidence);
+  AddToSilentIndex(unit);
+  if (!has_changed) return false;
+  MarkDirty(*unit.step_run->job, now + kEndBatchDelay);
+  if (unit.phase == UnitPhase::kWaiting) GiveUpIfLimited(unit);
+  return true;
+}
+
+/// Indexes the silent workers that an earlier owner recorded, and keeps the
+/// unit off their addresses.
+void JobTracker::RestoreSilentWorkers(Unit& unit) {
+  for (const auto& losses : unit.losses) {
+    for (const auto& it : losses.silent) unit.lost_at.insert(it.endpoint);
+  }
+  AddToSilentIndex(unit);
+}
+
+void JobTracker::AddToSilentIndex(Unit& unit) {
+  for (const auto& losses : unit.losses) {
+    for (const auto& it : losses.silent) silent_at_[it.endpoint].insert(&unit);
+  }
+}
+
+void JobTracker::RemoveFromSilentIndex(Unit& unit) {
+  for (const auto& losses : unit.losses) {
+    for (const auto& worker : losses.silent) {
+      const auto it = silent_at_.find(worker.endpoint);
+      if (it == silent_at_.end()) continue;
+      it->second.erase(&unit);
+      if (it->second.empty()) silent_at_.erase(it);
+    }
+  }
+}
+
 void JobTracker::OnLost(Unit& unit, int index, base::TimePoint now) {
   auto& member = MemberOf(unit, index);
   if (member.state == MemberState::kTerminated) return;
@@ -339,22 +391,28 @@
     unit.phase = UnitPhase::kWaiting;
     unit.waiting_since = now;
     MarkDirty(job, now + kEndBatchDelay);
-    if (unit.failures >= job.job->max_attempts) {
-      Fail(unit, JobFailure::kAttempts);
-    } else if (IsGivenUp(unit.losses, kCrashPolicy)) {
-      Fail(unit, JobFailure::kWorkerLosses);
-    }
+    GiveUpIfLimited(unit);
   }
   UpdateReady(*unit.step_run);
 }
 
+/// Fails the job if the unit must not be started again.
+void JobTracker::GiveUpIfLimited(const Unit& unit) {
+  if (unit.failures >= unit.step_run->job->job->max_attempts) {
+    Fail(unit, JobFailure::kAttempts);
+  } else if (VerdictOn(unit.losses, kCrashPolicy) == RestartVerdict::kGiveUp) {
+    Fail(unit, JobFailure::kWorkerLosses);
+  }
+}
+
 /// Fails the job because `unit` has reached a limit.
 void JobTracker::Fail(const Unit& unit, JobFailure reason) {
   auto& job = *unit.step_run->job;
   if (IsFinal(job.state)) return;
   const auto worst = std::max_element(
-      unit.losses.begin(), unit.losses.end(),
-      [](const auto& a, const auto& b) { return a.count < b.count; });
+      unit.losses.begin(), unit.losses.end(), [](const auto& a, const auto& b) {
+        return a.PossibleCrashes() < b.PossibleCrashes();
+      });
   const auto losses = worst == unit.losses.end() ? jobs::TaskLosses{} : *worst;
   job.failure = {reason, NameOf(unit, static_cast<std::size_t>(losses.member)),
                  unit.failures, losses};
@@ -461,6 +519,7 @@
         DropReservation(unit);
         to_stop_.erase(&unit);
         active_.erase(&unit);
+        RemoveFromSilentIndex(unit);
         for (std::size_t i = 0; i < unit.members.size(); ++i) {
           RemoveMemberFromIndex(unit, unit.members[i].worker,
                                 unit.first_index + static_cast<int>(i));
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -21,6 +21,10 @@
              {"lost_core_s", static_cast<std::int64_t>(it.lost_core_seconds)}});
 }
 
+/// Number of workers that may have crashed under a task from which its worker
+/// must have answered immediately before a start is sent.
+constexpr int kVerifiedAfterCrashes = 2;
+
 int CountTasks(const std::vector<Unit*>& units) {
   int out = 0;
   for (const auto* it : units) out += static_cast<int>(it->members.size());
@@ -60,6 +64,7 @@
   PredictRunTimes(decisions.starts);
   LogGuaranteeDemand();
   LogDelayedStarts(is_permitted);
+  LogDeferredStarts();
   for (const auto& it : decisions.preemptions) LogPreemption(it);
   SendStops();
   if (!decisions.starts.empty()) SendStartsWhenRecorded(decisions.starts);
@@ -152,10 +157,6 @@
 /// Sends the starts of `units` once they are recorded. The starts of a
 /// partition do not wait for other partitions.
 void OwnedService::SendStartsWhenRecorded(const std::vector<Unit*>& units) {
-  struct PlannedStart {
-    jobs::TaskName task;
-    int run = 0;
-  };
   struct PartitionStarts {
     std::vector<PlannedStart> planned;
     std::vector<base::JobName> jobs;
@@ -217,7 +218,14 @@
     }
     return ScheduleDecisionRound();
   }
+  if (MustVerifyWorker(*unit, member, *worker)) {
+    worker->unverified_starts.push_back({task, run});
+    return;
+  }
   auto& session = *worker->session;
+  if (member.state == MemberState::kPlanned && HasJustAnswered(session)) {
+    member.verified_start_at = dependencies_.loop.Now();
+  }
   StartOrder order{
       task,
       run,
@@ -240,6 +248,66 @@
       });
 }
 
+bool OwnedService::HasJustAnswered(const WorkerSession& session) const {
+  constexpr base::Duration kMaxAnswerAge{100};
+  return dependencies_.loop.Now() - session.LastAnswerTime() <= kMaxAnswerAge;
+}
+
+bool OwnedService::MustVerifyWorker(const Unit& unit, const Member& member,
+                                    Worker& worker) {
+  const bool may_crash =
+      std::any_of(unit.losses.begin(), unit.losses.end(), [](const auto& it) {
+        return it.PossibleCrashes() >= kVerifiedAfterCrashes;
+      });
+  const bool must_verify = may_crash && member.state == MemberState::kPlanned &&
+                           !HasJustAnswered(*worker.session);
+  if (must_verify && worker.unverified_starts.empty()) {
+    worker.session->PollNow();
+  }
+  return must_verify;
+}
+
+void OwnedService::SendVerifiedStarts(const base::WorkerName& name) {
+  auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  for (const auto& it : std::exchange(worker->unverified_starts, {})) {
+    SendStart(it.task, it.run);
+  }
+}
+
+void OwnedService::DropUnverifiedStarts() {
+  for (auto& [name, worker] : workers_) {
+    if (worker.unverified_starts.empty()) continue;
+    if (worker.session->IsReachable()) continue;
+    for (const auto& it : std::exchange(worker.unverified_starts, {})) {
+      auto* unit = FindUnitOfRun(it.task, it.run);
+      if (unit == nullptr) continue;
+      const auto& member = JobTracker::MemberOf(*unit, it.task.index);
+      if (member.state != MemberState::kPlanned) continue;
+      tracker_.OnRefused(*unit, it.task.index, dependencies_.loop.Now());
+    }
+  }
+}
+
+/// Logs each unit once that is not started again until it is known whether it
+/// has crashed its workers.
+void OwnedService::LogDeferredStarts() {
+  if (tracker_.silent_at().empty()) return;
+  for (auto* run : tracker_.ready()) {
+    for (auto& unit : run->units) {
+      if (unit.phase != jobs::UnitPhase::kWaiting) continue;
+      if (VerdictOn(unit.losses, {}) != RestartVerdict::kDeferred) continue;
+      if (std::exchange(unit.is_deferral_logged, true)) continue;
+      const auto task = JobTracker::NameOf(unit, 0);
+      base::Log(base::events::kRestartDeferred,
+                {{"request", task.job},
+                 {"task", TextOf(task)},
+                 {"losses", unit.losses.front().PossibleCrashes()},
+                 {"silent", unit.losses.front().silent.size()}});
+    }
+  }
+}
+
 /// Adjusts the size of the start window to the time that workers take to answer
 /// starts. Starts that were not sent do not count.
 void OwnedService::UpdateStartWindow(const StartResult& result,
@@ -269,7 +337,11 @@
         worker != nullptr &&
         worker->session->IsFromOtherIncarnation(started->worker_time);
     if (is_other) return;
+    if (worker != nullptr) {
+      worker->session->ConfirmLease(member.start_expires_at);
+    }
     member.state = MemberState::kRunning;
+    member.has_run = true;
     member.confirmed_at = now;
     if (is_limited_by_start_window_) ScheduleDecisionRound();
     return;
@@ -385,7 +457,8 @@
              {"reason", base::NameOf(failure.reason)},
              {"failures", failure.failures},
              {"max_attempts", job.job->max_attempts},
-             {"losses", failure.losses.count},
+             {"losses", failure.losses.PossibleCrashes()},
+             {"crashes", failure.losses.crashes},
              {"suspicion", failure.losses.suspicion}});
   if (dependencies_.metrics == nullptr) return;
   dependencies_.metrics->Count(
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -161,6 +161,8 @@
     tracker_.ActivateDueOccurrences(dependencies_.unix_ms(),
                                     dependencies_.loop.Now());
     HandleExpiredLeases();
+    ResolveByRegistrations();
+    DropUnverifiedStarts();
     UpdateSilentDomains();
     StopStalledUnits();
     HandleEvacuationChanges();
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -29,6 +29,7 @@
   fleet_.Put(registration);
   worker.is_registered = true;
   if (!worker.session) {
+    NoteReplacement(registration);
     OpenSession(registration);
     return RecordDeparture(registration);
   }
@@ -42,6 +43,18 @@
   ScheduleDecisionRound();
 }
 
+/// Notes that a worker has registered for the first time: the one that was
+/// registered at its address before has ended.
+void OwnedService::NoteReplacement(const WorkerRegistration& registration) {
+  auto& latest = latest_at_[registration.endpoint];
+  const auto former = std::exchange(latest, registration.name);
+  if (former == registration.name) return;
+  auto* worker = FindWorker(former);
+  if (worker == nullptr || !worker->session) return;
+  worker->was_replaced_under_lease =
+      !worker->session->IsReachable() && worker->session->IsLeaseHeld();
+}
+
 /// Logs a change of capacity. A reduction drops the reservations on the worker:
 /// the tasks being stopped for them may no longer free enough room.
 void OwnedService::HandleCapacityChange(
@@ -112,6 +125,7 @@
     const auto self = weak.lock();
     if (!self) return;
     self->EndAllTasksOn(name, WorkerLossReason::kRestarted);
+    self->ResolveEndedWorker(name);
     self->fleet_.Remove(name);
     self->departures_.erase(name);
     self->dependencies_.loop.Post([weak, name] {
@@ -333,6 +347,23 @@
   }
 }
 
+/// Decides about the losses to a worker in whose place another incarnation
+/// answers.
+void OwnedService::ResolveEndedWorker(const base::WorkerName& name) {
+  const auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  const auto& registration = LostRegistration(*worker);
+  ResolveSilentWorkersAt(registration.endpoint, {}, {});
+  ForgetAddress(name);
+}
+
+void OwnedService::ForgetAddress(const base::WorkerName& name) {
+  const auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  const auto it = latest_at_.find(worker->session->registration().endpoint);
+  if (it != latest_at_.end() && it->second == name) latest_at_.erase(it);
+}
+
 /// Logs that a worker answers whose tasks were ended because it was silent.
 void OwnedService::LogSurvival(const base::WorkerName& name, Worker& worker) {
   const auto tasks = std::exchange(worker.tasks_lost_to_silence, 0);
@@ -353,6 +384,9 @@
   }
   if (report.started_at_ms) worker->started_at_ms = report.started_at_ms;
   LogSurvival(name, *worker);
+  worker->was_replaced_under_lease = false;
+  ResolveSilentWorkersAt(worker->session->registration().endpoint, name,
+                         report.started_at_ms);
   jobs::Resources strays;
   for (const auto& it : report.running) {
     auto* unit = FindUnitOfRun(it.task, it.run);
@@ -384,6 +418,7 @@
       it->session->OnEndsRecorded(last_end);
     });
   }
+  SendVerifiedStarts(name);
   ScheduleDecisionRound();
 }
 
@@ -415,6 +450,7 @@
     member.first_percent = task.percent;
     member.first_seen_at = dependencies_.loop.Now();
   }
+  member.has_run = true;
   if (member.state == MemberState::kRunning) return;
   member.state = MemberState::kRunning;
   member.confirmed_at = sent;
@@ -572,6 +608,7 @@
     if (!worker.is_registered) to_remove.push_back(name);
   }
   for (const auto& it : to_remove) {
+    ForgetAddress(it);
     workers_.erase(it);
     departures_.erase(it);
     worker_health_.Remove(it);
--- a/src/dispatch/worker_client.h
+++ b/src/dispatch/worker_client.h
@@ -101,6 +101,9 @@
 /// The order may have been carried out, or will be within seconds.
 struct NoAnswer {
   std::string detail;
+  /// The worker closed the connection while the order was under way, as the end
+  /// of its process does.
+  bool is_closed = false;
 };
 
 using StartResult =
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -47,15 +47,16 @@
       order.lease_expires_at = EstimatedWorkerTime() + lease.count();
       NoteLeaseExpiry(*order.lease_expires_at);
     }
+    const auto renewal = order.lease_expires_at;
     const auto sent = loop_.Now();
     answer_due_ = std::min(answer_due_, sent + wait);
     client_.Poll({registration_.name, registration_.endpoint}, order,
                  wait + options_.answer_timeout,
-                 [weak = weak_from_this(), sent,
+                 [weak = weak_from_this(), sent, renewal,
                   poll_number = poll_number_](PollResult result) {
                    const auto self = weak.lock();
                    if (!self || self->poll_number_ != poll_number) return;
-                   self->OnResult(std::move(result), sent);
+                   self->OnResult(std::move(result), sent, renewal);
                  });
   }
 
@@ -72,6 +73,13 @@
     return at_least > lease_expires_at_ + options_.clock_margin.count();
   }
 
+  /// Whether the lease that the worker has confirmed certainly still runs.
+  bool IsLeaseHeld() const {
+    return has_answered_ &&
+           EstimatedWorkerTime() + options_.clock_margin.count() <
+               confirmed_lease_;
+  }
+
   bool IsReachable() const {
     const auto silence = loop_.Now() - last_answer_at_;
     return is_reachable_ &&
@@ -113,16 +121,20 @@
   void BeginAnew() {
     has_answered_ = false;
     lease_expires_at_ = 0;
+    confirmed_lease_ = 0;
     last_received_end_ = 0;
     last_recorded_end_ = 0;
     is_waiting_for_record_ = false;
   }
 
-  void OnResult(PollResult result, base::TimePoint sent) {
+  /// `renewal`: the lease that the poll asked for, if any.
+  void OnResult(PollResult result, base::TimePoint sent,
+                std::optional<WorkerTime> renewal) {
     if (auto* report = std::get_if<WorkerReport>(&result)) {
-      return OnReport(std::move(*report), sent);
+      return OnReport(std::move(*report), sent, renewal);
     }
     if (std::holds_alternative<OtherIncarnation>(result)) {
+      ended_incarnation_ = Ended();
       return events_.on_other_incarnation();
     }
     if (const auto* refused = std::get_if<Refused>(&result)) {
@@ -131,13 +143,38 @@
       }
     }
     is_reachable_ = false;
-    if (first_failure_.empty()) first_failure_ = FailureText(result);
+    NoteFailure(result);
     ArmPoll(options_.retry_delay);
   }
 
-  void OnReport(WorkerReport report, base::TimePoint sent) {
+  void NoteFailure(const PollResult& result) {
+    if (!first_failure_.empty()) return;
+    first_failure_ = FailureText(result);
+    const auto* no_answer = std::get_if<NoAnswer>(&result);
+    has_closed_ = no_answer != nullptr && no_answer->is_closed;
+    was_lease_held_at_close_ = has_closed_ && IsLeaseHeld();
+  }
+
+  /// What is known of the incarnation that answered last when another one is
+  /// found in its place. Either it closed its connection when it ended, or it
+  /// ended before the poll that followed its last answer was due, unless the
+  /// connection was lost before.
+  EndedIncarnation Ended() const {
+    const auto due = options_.poll_wait + options_.answer_timeout;
+    const bool was_lease_held =
+        has_closed_ ? was_lease_held_at_close_
+                    : has_answered_ && reported_worker_time_ + due.count() <
+                                           confirmed_lease_;
+    return {was_lease_held, has_closed_, last_answer_at_};
+  }
+
+  void OnReport(WorkerReport report, base::TimePoint sent,
+                std::optional<WorkerTime> renewal) {
     if (AreDifferentIncarnations(confirmed_start_, report.started_at_ms)) {
+      ended_incarnation_ = Ended();
       BeginAnew();
+    } else if (renewal) {
+      confirmed_lease_ = std::max(confirmed_lease_, *renewal);
     }
     if (report.started_at_ms) confirmed_start_ = report.started_at_ms;
     if (!has_answered_) {
@@ -151,6 +188,7 @@
     reported_worker_time_ = report.worker_time;
     last_answer_at_ = loop_.Now();
     first_failure_.clear();
+    has_closed_ = false;
     answer_due_ = base::TimePoint::max();
     std::erase_if(report.ended, [this](const EndedTask& it) {
       return it.sequence_number <= last_received_end_;
@@ -193,7 +231,13 @@
   base::TimePoint answer_due_ = base::TimePoint::max();
   /// How the first poll after the last answer failed; empty if none has.
   std::string first_failure_;
+  /// Whether that poll failed because the worker closed the connection.
+  bool has_closed_ = false;
+  bool was_lease_held_at_close_ = false;
   WorkerTime lease_expires_at_ = 0;
+  /// Expiry of the longest lease in a poll that the worker has answered.
+  WorkerTime confirmed_lease_ = 0;
+  EndedIncarnation ended_incarnation_;
   std::uint64_t last_received_end_ = 0;
   std::uint64_t last_recorded_end_ = 0;
   bool is_waiting_for_record_ = false;
@@ -263,6 +307,18 @@
 
 bool WorkerSession::HasLeaseExpired() const { return impl_->HasLeaseExpired(); }
 
+bool WorkerSession::IsLeaseHeld() const { return impl_->IsLeaseHeld(); }
+
+const EndedIncarnation& WorkerSession::ended_incarnation() const {
+  return impl_->ended_incarnation_;
+}
+
+void WorkerSession::ConfirmLease(WorkerTime expires) {
+  impl_->confirmed_lease_ = std::max(impl_->confirmed_lease_, expires);
+}
+
+void WorkerSession::PollNow() { impl_->Poll(base::Duration(0)); }
+
 std::uint64_t WorkerSession::last_received_end() const {
   return impl_->last_received_end_;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,6 +42,8 @@
   /// No connection was free and the limit on connections is reached.
   bool no_connection_free = false;
   std::string detail;
+  /// The peer closed or reset the connection before it answered.
+  bool closed_by_peer = false;
 };
 
 using ClientResult = std::variant<Response, ClientError>;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -253,6 +253,8 @@
       if (!eof_ec && parser_->is_done()) return Complete();
       return FailWhenWritten("the response was cut short");
     }
+    closed_by_peer_ =
+        ec == asio::error::eof || ec == asio::error::connection_reset;
     FailWhenWritten(ec == asio::error::eof
                         ? "the peer closed the connection without an answer"
                         : "connection lost: " + ec.message());
@@ -369,6 +371,7 @@
     error.progress =
         bytes_sent_ > 0 ? Progress::kMaybeSent : Progress::kNothingSent;
     error.timed_out = timed_out_;
+    error.closed_by_peer = closed_by_peer_;
     error.detail = TextOf(endpoint_) + ": " + std::move(detail);
     const auto call = std::move(call_);
     Close();
@@ -413,6 +416,7 @@
   bool is_waiting_ = false;
   bool is_writing_ = false;
   bool timed_out_ = false;
+  bool closed_by_peer_ = false;
   /// Whether the deadline has passed and only input that came before it is
   /// looked for.
   bool is_last_look_ = false;
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -104,11 +104,69 @@
   return out;
 }
 
+/// Silent workers recorded in one row at most, so that a wide job fits its row
+/// during a large outage. Further ones are not counted against their tasks.
+constexpr std::size_t kMaxSilentWorkers = 300;
+
+/// The count of losses by which earlier versions limit a task: workers lost,
+/// and from the third on every unsuccessful run.
+int LimitedCount(const TaskLosses& losses) {
+  constexpr int kUnlimitedLosses = 3;
+  return std::min(losses.PossibleCrashes(), kUnlimitedLosses) + losses.retries;
+}
+
+/// Crashes, unproved ones, retries, then name, address, port, start time and
+/// whether it ran the task for each silent worker.
+json::array EncodeLossDetails(const TaskLosses& losses,
+                              std::size_t& silent_left) {
+  json::array out{losses.crashes, losses.unproved, losses.retries};
+  for (const auto& it : losses.silent) {
+    if (silent_left == 0) break;
+    --silent_left;
+    out.emplace_back(it.name.str());
+    out.emplace_back(it.endpoint.address);
+    out.emplace_back(it.endpoint.port);
+    out.emplace_back(it.started_at_ms);
+    out.emplace_back(it.ran_task ? 1 : 0);
+  }
+  return out;
+}
+
+/// Reads what EncodeLossDetails writes.
+void DecodeLossDetails(const json::array& fields, TaskLosses& out) {
+  constexpr std::size_t kCounts = 3;
+  constexpr std::size_t kFieldsPerWorker = 5;
+  out.crashes = fields.at(0).to_number<int>();
+  out.unproved = fields.at(1).to_number<int>();
+  out.retries = fields.at(2).to_number<int>();
+  for (std::size_t i = kCounts; i < fields.size(); i += kFieldsPerWorker) {
+    SilentWorker worker;
+    worker.name = base::WorkerName(ToStdString(fields.at(i).as_string()));
+    worker.endpoint = {ToStdString(fields.at(i + 1).as_string()),
+                       fields.at(i + 2).to_number<std::uint16_t>()};
+    worker.started_at_ms = fields.at(i + 3).to_number<std::int64_t>();
+    worker.ran_task = fields.at(i + 4).to_number<int>() != 0;
+    out.silent.push_back(std::move(worker));
+  }
+}
+
+/// Losses as an earlier version counted them. Each crash that it observed adds
+/// at most two to the suspicion; whether the others were crashes is unknown.
+TaskLosses FromCount(int member, int count, int suspicion) {
+  TaskLosses out;
+  out.member = member;
+  out.suspicion = suspicion;
+  out.crashes = std::min(count, (suspicion + 1) / 2);
+  out.unproved = count - out.crashes;
+  return out;
+}
+
 /// Positional to save space, since a row holds at most 64 KB and has one entry
 /// for each started task: occurrence, step, index, phase, last run, failures,
 /// last failed run, checkpoint, workers, and, if there are any, worker losses
-/// as member, count and suspicion for each task.
-json::array EncodeUnit(const UnitRecord& unit) {
+/// in two arrays: member, count and suspicion for each task, which earlier
+/// versions read, and an array of the details of each task.
+json::array EncodeUnit(const UnitRecord& unit, std::size_t& silent_left) {
   json::array out{unit.occurrence,     unit.step,
                   unit.index,          static_cast<int>(unit.phase),
                   unit.last_run,       unit.failures,
@@ -119,12 +177,15 @@
   out.emplace_back(std::move(workers));
   if (unit.losses.empty()) return out;
   json::array losses;
+  json::array details;
   for (const auto& it : unit.losses) {
     losses.emplace_back(it.member);
-    losses.emplace_back(it.count);
+    losses.emplace_back(LimitedCount(it));
     losses.emplace_back(it.suspicion);
+    details.emplace_back(EncodeLossDetails(it, silent_left));
   }
   out.emplace_back(std::move(losses));
+  out.emplace_back(std::move(details));
   return out;
 }
 
@@ -201,9 +262,14 @@
   const auto& losses = fields.at(kFieldsWithWorkers).as_array();
   constexpr std::size_t kFieldsPerTask = 3;
   for (std::size_t i = 0; i < losses.size(); i += kFieldsPerTask) {
-    out.losses.push_back({losses.at(i).to_number<int>(),
-                          losses.at(i + 1).to_number<int>(),
-                          losses.at(i + 2).to_number<int>()});
+    out.losses.push_back(FromCount(losses.at(i).to_number<int>(),
+                                   losses.at(i + 1).to_number<int>(),
+                                   losses.at(i + 2).to_number<int>()));
+  }
+  if (fields.size() == kFieldsWithWorkers + 1) return out;
+  const auto& details = fields.at(kFieldsWithWorkers + 1).as_array();
+  for (std::size_t i = 0; i < out.losses.size(); ++i) {
+    DecodeLossDetails(details.at(i).as_array(), out.losses[i]);
   }
   return out;
 }
@@ -318,11 +384,12 @@
   out["state"] = static_cast<int>(progress.state);
   json::array units;
   DoneRanges done;
+  auto silent_left = kMaxSilentWorkers;
   for (const auto& it : progress.units) {
     if (it.phase == UnitPhase::kDone) {
       done.Add(it);
     } else {
-      units.push_back(EncodeUnit(it));
+      units.push_back(EncodeUnit(it, silent_left));
     }
   }
   out["units"] = std::move(units);
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "http/message.h"
 #include "jobs/job.h"
 
 namespace lapishatch::jobs {
@@ -20,14 +21,41 @@
   kDone,
 };
 
+/// A worker whose lease expired while it may have run a task. Whether it has
+/// crashed is known only once an incarnation of it answers.
+struct SilentWorker {
+  base::WorkerName name;
+  http::Endpoint endpoint;
+  /// Its start time in milliseconds since 1970; 0 if it gave none.
+  std::int64_t started_at_ms = 0;
+  /// Whether the task was running there when the worker fell silent, and no
+  /// larger failure explains the silence.
+  bool ran_task = false;
+
+  friend bool operator==(const SilentWorker&, const SilentWorker&) = default;
+};
+
 /// Workers that were lost while running one task of a unit, over all its runs.
+/// A worker that turns out to have survived is not among them.
 struct TaskLosses {
   /// Position of the task among those of the unit.
   int member = 0;
-  /// Includes unsuccessful runs that the owner counts as losses.
-  int count = 0;
-  /// How strongly the losses indicate that the task caused them.
+  /// Workers that crashed while running the task.
+  int crashes = 0;
+  /// How strongly the crashes indicate that the task caused them.
   int suspicion = 0;
+  /// Workers that ended while they may have run the task, without proof that
+  /// they did.
+  int unproved = 0;
+  /// Unsuccessful runs since three workers may have crashed under the task.
+  int retries = 0;
+  /// Workers of which it is not known yet whether they crashed.
+  std::vector<SilentWorker> silent;
+
+  /// Number of workers that may have crashed under the task.
+  int PossibleCrashes() const {
+    return crashes + unproved + static_cast<int>(silent.size());
+  }
 
   friend bool operator==(const TaskLosses&, const TaskLosses&) = default;
 };
--- a/test/dispatch/owner_random_faults_test.cc
+++ b/test/dispatch/owner_random_faults_test.cc
@@ -25,6 +25,7 @@
   /// `has_slow_vms`: also changes the speed of the owners' processors.
   RandomFaultScenario(std::uint64_t seed, bool has_slow_vms)
       : random_(seed), has_slow_vms_(has_slow_vms), world_(kOwners, kWorkers) {
+    world_.workers().closes_connections = seed % 2 == 0;
     world_.workers().run_time = [this](const jobs::TaskName&) {
       return base::Duration(RandomInt(300, 5'000));
     };
@@ -73,6 +74,18 @@
   }
 
   OwnerWorld& world() { return world_; }
+
+  /// Largest number of workers that crashed under one task of the job.
+  int MostCrashes(const jobs::Job& job) {
+    int out = 0;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+      for (int i = 0; i < job.steps[step].tasks; ++i) {
+        const jobs::TaskName task{job.name, 0, static_cast<int>(step), i};
+        out = std::max(out, world_.workers().crashes(task));
+      }
+    }
+    return out;
+  }
   const std::string& trace() const { return trace_; }
 
  private:
@@ -251,6 +264,10 @@
     INFO(name);
     // A job whose submission was not confirmed may be absent from the store.
     CHECK((!state || IsFinal(*state)));
+    // Only a task under which two workers crashed may fail its job.
+    if (state == jobs::JobState::kFailed) {
+      CHECK(scenario.MostCrashes(job) >= 2);
+    }
   }
   CHECK(scenario.world().workers().running() == 0);
 }
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -194,6 +194,12 @@
     if (++crashes_[it.task] != kCrashLimit) continue;
     starts_at_third_crash_[it.task] = starts_[it.task];
   }
+  if (closes_connections) {
+    for (const auto& poll : std::exchange(worker->pending_polls, {})) {
+      if (std::exchange(poll->is_answered, true)) continue;
+      poll->answer(NoAnswer{"closed", true});
+    }
+  }
   if (on_crash) on_crash(name);
 }
 
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -48,6 +48,10 @@
   void SetCapacity(const base::WorkerName& name,
                    const jobs::Resources& capacity, base::Duration grace);
 
+  /// Whether a crash closes the worker's connections, as the end of a process
+  /// does; otherwise it falls silent, as a host that loses power.
+  bool closes_connections = false;
+
   /// Terminates the worker's process with all its tasks; it does not restart.
   void Crash(const base::WorkerName& name);
 
