Count losses across a change of owner on workers that keep their names

Cause: the owner changed between a crash and the restart of the worker under its own name. The new owner found neither the run nor its end there and took the start for one that was never carried out.

Change: if the worker has started since the job was accepted, the run may have been lost with its earlier incarnation. That loss is unproved: it limits restarts, and fails no job by itself.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -161,6 +161,8 @@
   void OnTaskRunning(const base::WorkerName& name, const RunningTask& task,
                      WorkerTime worker_time, base::TimePoint sent);
   void OnTaskEnded(const base::WorkerName& name, const EndedTask& end);
+  static bool MayHaveEndedBefore(const Unit& unit, const Member& member,
+                                 const WorkerReport& report);
   void EndUnreportedTasks(const base::WorkerName& name,
                           const WorkerReport& report, base::TimePoint sent);
   /// Tasks as pairs of unit and task index; see JobTracker::MembersOn.
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -50,6 +50,9 @@
   /// A former owner recorded a start on the worker, which never registered with
   /// this owner.
   kUnregistered,
+  /// A former owner recorded a start on the worker, which has started again
+  /// since the job was accepted and does not list the task.
+  kMayHaveRestarted,
 };
 
 /// What a unit that should start waits for.
@@ -244,8 +247,8 @@
 namespace lapishatch::base {
 template <>
 struct EnumNames<dispatch::internal::WorkerLossReason> {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "other-life", "lapsed", "unregistered"};
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "other-life", "lapsed", "unregistered", "maybe-other-life"};
 };
 template <>
 struct EnumNames<dispatch::internal::StartObstacle> {
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -149,7 +149,9 @@
   const bool was_sent = member.state != MemberState::kPlanned;
   if (!was_sent || departures_.contains(name)) return LossEvidence::kNone;
   const auto* worker = FindWorker(name);
-  if (worker == nullptr || reason == WorkerLossReason::kUnregistered) {
+  const bool is_of_former_owner = reason == WorkerLossReason::kUnregistered ||
+                                  reason == WorkerLossReason::kMayHaveRestarted;
+  if (worker == nullptr || is_of_former_owner) {
     return LossEvidence::kUnproved;
   }
   if (worker->was_replaced_under_lease) {
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -490,12 +490,25 @@
   tracker_.OnEnded(*unit, end.task.index, end.outcome, end.checkpoint, now);
 }
 
+/// Whether a former owner may have started the task on an earlier incarnation
+/// of the worker: the present one started after the job was accepted.
+bool OwnedService::MayHaveEndedBefore(const Unit& unit, const Member& member,
+                                      const WorkerReport& report) {
+  constexpr std::int64_t kMaxClockErrorMs = 5'000;
+  const bool was_started_by_former_owner =
+      member.start_sent_at == TimePoint{} && !member.has_run;
+  return was_started_by_former_owner && report.started_at_ms &&
+         *report.started_at_ms + kMaxClockErrorMs >
+             unit.step_run->job->job->accepted_ms;
+}
+
 /// Marks as over the members that the worker reports neither as running nor as
 /// ended, once no order that was sent can still start them.
 void OwnedService::EndUnreportedTasks(const base::WorkerName& name,
                                       const WorkerReport& report,
                                       TimePoint sent) {
   Members lost;
+  Members maybe_lost;
   for (const auto& it : tracker_.MembersOn(name)) {
     auto* unit = it.first;
     const int index = it.second;
@@ -521,6 +534,10 @@
       lost.push_back(it);
       continue;
     }
+    if (MayHaveEndedBefore(*unit, member, report)) {
+      maybe_lost.push_back(it);
+      continue;
+    }
     base::Log(base::events::kTaskVanished, {{"request", task.job},
                                             {"task", TextOf(task)},
                                             {"run", unit->last_run},
@@ -530,6 +547,9 @@
   if (!lost.empty()) {
     EndLostMembers(name, lost, WorkerLossReason::kRestarted);
   }
+  if (!maybe_lost.empty()) {
+    EndLostMembers(name, maybe_lost, WorkerLossReason::kMayHaveRestarted);
+  }
 }
 
 /// Stops units with a task whose progress has stalled, so that they start on
