Resolve by a 421 only the losses of the worker that was asked

An address where another incarnation answers shows that the worker that the call was for has ended, not that other workers that fell silent at the same address have: the latest of these may be the one that answers.

Tests: a task waits while four workers may have crashed under it; the next owner learns that a silent worker has survived; silent workers that leave as announced do not count; crashes behind cuts are counted although the owner changes.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -155,7 +155,6 @@
   void OnWorkerReport(const base::WorkerName& name, const WorkerReport& report,
                       base::TimePoint sent);
   void NoteReplacement(const WorkerRegistration& registration);
-  void ResolveEndedWorker(const base::WorkerName& name);
   void ForgetAddress(const base::WorkerName& name);
   void LogSurvival(const base::WorkerName& name, Worker& worker);
   void OnTaskRunning(const base::WorkerName& name, const RunningTask& task,
@@ -178,9 +177,10 @@
                       const jobs::TaskLosses& losses);
   LossEvidence EvidenceOf(const base::WorkerName& name, const Member& member,
                           WorkerLossReason reason);
-  void ResolveSilentWorkersAt(const http::Endpoint& endpoint,
-                              const base::WorkerName& answering,
-                              const WorkerStartTime& started_at_ms);
+  void ResolveByAnswer(const base::WorkerName& name,
+                       const http::Endpoint& endpoint,
+                       const WorkerStartTime& started_at_ms);
+  void ResolveByReplacement(const base::WorkerName& name);
   void ResolveByRegistrations();
   std::optional<LossEvidence> EvidenceOf(const jobs::SilentWorker& worker,
                                          const SilentWorkerState& state) const;
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -209,17 +209,16 @@
   for (const auto& [unit, index] : members) tracker_.OnLost(*unit, index, now);
 }
 
-/// Decides about the workers that fell silent at the address where `name`
-/// answers, or would answer if it had not ended: it has survived, or another
-/// incarnation has taken its place.
-void OwnedService::ResolveSilentWorkersAt(
-    const http::Endpoint& endpoint, const base::WorkerName& answering,
-    const WorkerStartTime& started_at_ms) {
+/// Decides about the workers that fell silent at an address where `name`
+/// answers: it has survived, and others have ended.
+void OwnedService::ResolveByAnswer(const base::WorkerName& name,
+                                   const http::Endpoint& endpoint,
+                                   const WorkerStartTime& started_at_ms) {
   const SilenceEvidence evidence = [&](const jobs::SilentWorker& it) {
     if (it.endpoint != endpoint) return std::optional<LossEvidence>();
     const bool has_start_times = it.started_at_ms != 0 && started_at_ms;
     const bool has_survived =
-        it.name == answering &&
+        it.name == name &&
         (!has_start_times || it.started_at_ms == *started_at_ms);
     if (has_survived) return std::optional(LossEvidence::kNone);
     return std::optional(EvidenceOfEnd(it));
@@ -229,6 +228,21 @@
   }
 }
 
+/// Decides about the losses to `name`, in whose place another incarnation
+/// answers.
+void OwnedService::ResolveByReplacement(const base::WorkerName& name) {
+  const auto* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  const SilenceEvidence evidence = [&name](const jobs::SilentWorker& it) {
+    return it.name == name ? std::optional(EvidenceOfEnd(it))
+                           : std::optional<LossEvidence>();
+  };
+  const auto& endpoint = LostRegistration(*worker).endpoint;
+  for (auto* unit : tracker_.UnitsWithSilentWorkersAt(endpoint)) {
+    ResolveSilentWorkers(*unit, evidence);
+  }
+}
+
 /// Decides about silent workers by their registrations, which the platform
 /// keeps while a worker reaches it and removes when it is silent.
 void OwnedService::ResolveByRegistrations() {
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -125,7 +125,8 @@
     const auto self = weak.lock();
     if (!self) return;
     self->EndAllTasksOn(name, WorkerLossReason::kRestarted);
-    self->ResolveEndedWorker(name);
+    self->ResolveByReplacement(name);
+    self->ForgetAddress(name);
     self->fleet_.Remove(name);
     self->departures_.erase(name);
     self->dependencies_.loop.Post([weak, name] {
@@ -347,16 +348,6 @@
   }
 }
 
-/// Decides about the losses to a worker in whose place another incarnation
-/// answers.
-void OwnedService::ResolveEndedWorker(const base::WorkerName& name) {
-  const auto* worker = FindWorker(name);
-  if (worker == nullptr) return;
-  const auto& registration = LostRegistration(*worker);
-  ResolveSilentWorkersAt(registration.endpoint, {}, {});
-  ForgetAddress(name);
-}
-
 void OwnedService::ForgetAddress(const base::WorkerName& name) {
   const auto* worker = FindWorker(name);
   if (worker == nullptr) return;
@@ -385,8 +376,8 @@
   if (report.started_at_ms) worker->started_at_ms = report.started_at_ms;
   LogSurvival(name, *worker);
   worker->was_replaced_under_lease = false;
-  ResolveSilentWorkersAt(worker->session->registration().endpoint, name,
-                         report.started_at_ms);
+  ResolveByAnswer(name, worker->session->registration().endpoint,
+                  report.started_at_ms);
   jobs::Resources strays;
   for (const auto& it : report.running) {
     auto* unit = FindUnitOfRun(it.task, it.run);
--- a/test/dispatch/job_failure_test.cc
+++ b/test/dispatch/job_failure_test.cc
@@ -106,6 +106,53 @@
   world.CheckCompletes();
 }
 
+TEST_CASE("a task waits while four workers may have crashed under it") {
+  LongJobWorld world;
+  std::vector<WorkerRegistration> lost;
+  for (int i = 0; i < 4; ++i) {
+    const auto worker = world.WaitForWorker();
+    lost.push_back(world.RegistrationOf(worker));
+    world.workers().Disconnect("", worker);
+    world.Deregister(worker);
+    world.RunFor(8'000);
+  }
+  CHECK(world.workers().starts(kTask) == 4);
+  for (const auto& it : lost) {
+    world.workers().Reconnect("", it.name);
+    world.Reregister(it);
+  }
+  world.RunFor(1'000);
+  CHECK(world.workers().starts(kTask) == 5);
+  world.CheckCompletes();
+}
+
+TEST_CASE("the next owner learns that a silent worker has survived") {
+  LongJobWorld world(2);
+  std::vector<base::WorkerName> lost;
+  for (int i = 0; i < 4; ++i) {
+    lost.push_back(world.WaitForWorker());
+    world.workers().Disconnect("", lost.back());
+    world.RunFor(8'000);
+  }
+  world.KillOwner(world.OwnerName());
+  for (const auto& it : lost) world.workers().Reconnect("", it);
+  world.CheckCompletes();
+}
+
+TEST_CASE("a job does not fail when silent workers leave as announced") {
+  LongJobWorld world;
+  for (int i = 0; i < 6; ++i) {
+    const auto worker = world.WaitForWorker();
+    world.workers().Disconnect("", worker);
+    world.RunFor(7'500);
+    world.Drain(worker, Duration(1'000));
+    world.RunFor(1'000);
+    world.workers().Leave(worker);
+    world.Deregister(worker);
+  }
+  world.CheckCompletes();
+}
+
 TEST_CASE("a job does not fail when its registrations expire during cuts") {
   LongJobWorld world;
   for (int i = 0; i < 6; ++i) {
--- a/test/dispatch/task_crash_test.cc
+++ b/test/dispatch/task_crash_test.cc
@@ -350,6 +350,30 @@
   world.CheckJobGivenUp("crash");
 }
 
+TEST_CASE("crashes behind cuts are counted although the owner changes") {
+  CrashWorld world(3, 12, Duration(9'000));
+  world.Submit(OwnerWorld::MakeJob("crash", 1, 1));
+  const auto task = world.CrashingTask("crash");
+  for (int i = 0; i < 3; ++i) {
+    for (int n = 0; n < 3'000 && !world.workers().IsRunning(task); ++n) {
+      world.RunFor(10);
+    }
+    const auto worker = world.workers().FindWorkerRunning(task);
+    world.workers().Disconnect("", worker);
+    world.RunFor(8'000);
+    const auto owner = world.OwnerName();
+    REQUIRE(!owner.empty());
+    world.KillOwner(owner);
+    world.RunFor(4'000);
+    world.StartOwner(owner);
+    world.workers().Reconnect("", worker);
+  }
+  world.RunFor(120'000);
+  CHECK(world.StateOf("crash") == JobState::kFailed);
+  CHECK(world.workers().crashes(task) <= 5);
+  CHECK(world.workers().violations().empty());
+}
+
 TEST_CASE("a task that crashes a draining worker is given up") {
   CrashWorld world;
   world.Submit(OwnerWorld::MakeJob("crash", 1, 1));
