--- a/test/dispatch/job_failure_test.cc
+++ b/test/dispatch/job_failure_test.cc
@@ -185,6 +185,34 @@
   world.CheckCompletes();
 }
 
+TEST_CASE("a gang does not fail when its members lose workers in turn") {
+  OwnerWorld world(1, 12);
+  world.workers().run_time = [](const jobs::TaskName&) {
+    return Duration(12'000);
+  };
+  world.RunFor(1'000);
+  auto gang = OwnerWorld::MakeJob("gang", 4, 8);
+  gang.steps[0].is_gang = true;
+  world.Submit(gang);
+  world.RunFor(500);
+  for (int i = 0; i < 8; ++i) {
+    const jobs::TaskName member{base::JobName("gang"), 0, 0, i % 4};
+    for (int n = 0; n < 1'000 && !world.workers().IsRunning(member); ++n) {
+      world.RunFor(10);
+    }
+    REQUIRE(world.workers().IsRunning(member));
+    const auto worker = world.workers().FindWorkerRunning(member);
+    world.workers().Disconnect("", worker);
+    world.RunFor(8'000);
+    world.workers().Reconnect("", worker);
+    world.RunFor(600);
+  }
+  world.RunFor(60'000);
+  CHECK(base::NameOf(world.StateOf("gang").value_or(JobState::kQueued)) ==
+        "completed");
+  CHECK(world.workers().violations().empty());
+}
+
 TEST_CASE("a wide job does not fail when workers are cut off in turn") {
   OwnerWorld world(1, 16);
   world.workers().run_time = [](const jobs::TaskName&) {
