Name and group what deals with silent workers in the owner

Read as a newcomer: an overload of EvidenceOf had another meaning, a comment stood above the wrong function, and one function was unused.

--- a/src/dispatch/crash_policy.cc
+++ b/src/dispatch/crash_policy.cc
@@ -130,11 +130,6 @@
                      [](const auto& it) { return it.suspicion > 0; });
 }
 
-bool HasSilentWorkers(const std::vector<jobs::TaskLosses>& losses) {
-  return std::any_of(losses.begin(), losses.end(),
-                     [](const auto& it) { return !it.silent.empty(); });
-}
-
 RestartVerdict VerdictOn(const std::vector<jobs::TaskLosses>& losses,
                          const CrashPolicyOptions& options) {
   auto out = RestartVerdict::kAllowed;
--- a/src/dispatch/internal/crash_policy.h
+++ b/src/dispatch/internal/crash_policy.h
@@ -121,9 +121,6 @@
 /// Whether any of the tasks is suspected of having crashed a worker.
 bool IsSuspect(const std::vector<jobs::TaskLosses>& losses);
 
-/// Whether any of the tasks has lost a worker that may still live.
-bool HasSilentWorkers(const std::vector<jobs::TaskLosses>& losses);
-
 /// Whether a unit with these losses may be started again: the strictest verdict
 /// on its tasks. Only crashes give a task up; losses that may have been crashes
 /// limit its restarts until it is known whether they were.
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -177,15 +177,19 @@
                       const jobs::TaskLosses& losses);
   LossEvidence EvidenceOf(const base::WorkerName& name, const Member& member,
                           WorkerLossReason reason);
+
+  // Workers that fell silent under a task.
   void ResolveByAnswer(const base::WorkerName& name,
                        const http::Endpoint& endpoint,
                        const WorkerStartTime& started_at_ms);
   void ResolveByReplacement(const base::WorkerName& name);
   void ResolveByRegistrations();
-  std::optional<LossEvidence> EvidenceOf(const jobs::SilentWorker& worker,
-                                         const SilentWorkerState& state) const;
+  std::optional<LossEvidence> EvidenceByRegistration(
+      const jobs::SilentWorker& worker, const SilentWorkerState& state) const;
   SilentWorkerState StateOf(const jobs::SilentWorker& silent);
   void ResolveSilentWorkers(Unit& unit, const SilenceEvidence& evidence);
+
+  // Causes of crashes.
   bool RunsSuspect(const base::WorkerName& name) const;
   std::vector<jobs::TaskName> TasksOn(const base::WorkerName& name) const;
   /// Workers that crashed recently or do not answer, and on which no suspect
@@ -222,9 +226,9 @@
                     const std::function<void()>& done);
   void SendStartsWhenRecorded(const std::vector<Unit*>& units);
   void SendStart(const jobs::TaskName& task, int run);
+  bool HasJustAnswered(const WorkerSession& session) const;
   /// Whether the start of a task that may have crashed workers must wait until
   /// its worker has answered again. If so, the worker is polled.
-  bool HasJustAnswered(const WorkerSession& session) const;
   bool MustVerifyWorker(const Unit& unit, const Member& member, Worker& worker);
   void SendVerifiedStarts(const base::WorkerName& name);
   /// Returns starts to the queue whose workers do not answer.
@@ -280,7 +284,7 @@
   std::map<base::WorkerName, RecentCrash> recent_crashes_;
   Departures departures_;
   /// Workers that fell silent under a task and may live.
-  std::map<base::WorkerName, SilentWorkerState> silent_since_;
+  std::map<base::WorkerName, SilentWorkerState> silent_workers_;
   base::TimePoint registrations_checked_at_{};
   /// Latest worker that has registered at each address.
   std::map<http::Endpoint, base::WorkerName> latest_at_;
--- a/src/dispatch/owned_silent_workers.cc
+++ b/src/dispatch/owned_silent_workers.cc
@@ -60,7 +60,7 @@
 void OwnedService::ResolveByRegistrations() {
   constexpr base::Duration kInterval{1'000};
   const auto now = dependencies_.loop.Now();
-  if (tracker_.silent_at().empty()) return silent_since_.clear();
+  if (tracker_.silent_at().empty()) return silent_workers_.clear();
   if (now - registrations_checked_at_ < kInterval) return;
   registrations_checked_at_ = now;
   std::map<base::WorkerName, SilentWorkerState> states;
@@ -71,22 +71,23 @@
         for (const auto& it : losses.silent) {
           const auto& state =
               states.try_emplace(it.name, StateOf(it)).first->second;
-          if (EvidenceOf(it, state)) decided.insert(unit);
+          if (EvidenceByRegistration(it, state)) decided.insert(unit);
         }
       }
     }
   }
-  silent_since_ = std::move(states);
+  silent_workers_ = std::move(states);
   const SilenceEvidence evidence = [this](const jobs::SilentWorker& it) {
-    const auto state = silent_since_.find(it.name);
-    return state == silent_since_.end() ? std::optional<LossEvidence>()
-                                        : EvidenceOf(it, state->second);
+    const auto state = silent_workers_.find(it.name);
+    return state == silent_workers_.end()
+               ? std::optional<LossEvidence>()
+               : EvidenceByRegistration(it, state->second);
   };
   for (auto* unit : decided) ResolveSilentWorkers(*unit, evidence);
 }
 
 /// What the registration of a silent worker says of it, if anything.
-std::optional<LossEvidence> OwnedService::EvidenceOf(
+std::optional<LossEvidence> OwnedService::EvidenceByRegistration(
     const jobs::SilentWorker& worker, const SilentWorkerState& state) const {
   if (departures_.contains(worker.name)) return LossEvidence::kNone;
   const auto duration = dependencies_.loop.Now() - state.since;
@@ -107,8 +108,8 @@
       worker != nullptr && worker->is_registered &&
       silent.started_at_ms ==
           worker->session->registration().started_at_ms.value_or(0);
-  const auto known = silent_since_.find(silent.name);
-  const bool is_unchanged = known != silent_since_.end() &&
+  const auto known = silent_workers_.find(silent.name);
+  const bool is_unchanged = known != silent_workers_.end() &&
                             known->second.is_registered == is_registered &&
                             HasFreshRegistrations();
   if (is_unchanged) return known->second;
