Do not await silent workers of tasks that are over

Cause: a unit that was done, or whose job had ended, stayed in the index of silent workers. What became of these workers was still looked up each second and, when known, wrote the row of the ended job again.

Change: the index holds only units that may start again. No decision changes.

Test: "silent workers of tasks that are over are not awaited"; two of its three checks fail without the change.

--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -269,7 +269,7 @@
       break;
     case LossEvidence::kSilent:
       AddSilentWorker(unit.losses, position, loss.worker);
-      silent_at_[loss.worker.endpoint].insert(&unit);
+      AddToSilentIndex(unit);
       break;
   }
   if (loss.worker.endpoint != http::Endpoint{}) {
@@ -308,6 +308,10 @@
 }
 
 void JobTracker::AddToSilentIndex(Unit& unit) {
+  // No decision depends any more on what became of the workers of such units.
+  const bool is_over =
+      unit.phase == UnitPhase::kDone || IsFinal(unit.step_run->job->state);
+  if (is_over) return;
   for (const auto& losses : unit.losses) {
     for (const auto& it : losses.silent) silent_at_[it.endpoint].insert(&unit);
   }
@@ -424,6 +428,7 @@
   unit.phase = UnitPhase::kDone;
   // The other tasks of a done gang end by themselves.
   to_stop_.erase(&unit);
+  RemoveFromSilentIndex(unit);
   unit.is_stopping = false;
   auto& run = *unit.step_run;
   auto& job = *run.job;
@@ -503,6 +508,7 @@
       UpdateReady(run);
       for (auto& unit : run.units) {
         DropReservation(unit);
+        RemoveFromSilentIndex(unit);
         if (unit.phase != UnitPhase::kDone) Stop(unit);
       }
     }
--- a/test/dispatch/job_tracker_test.cc
+++ b/test/dispatch/job_tracker_test.cc
@@ -68,6 +68,30 @@
   CHECK(unit.last_run == 2);
 }
 
+TEST_CASE("silent workers of tasks that are over are not awaited") {
+  Fleet fleet;
+  JobTracker tracker(fleet);
+  auto* job = tracker.Add(Shared(OwnerWorld::MakeJob("map", 2, 1)), nullptr, 0,
+                          base::Duration(0), kNow);
+  auto& units = job->runs[0][0].units;
+  const MemberLoss loss{LossEvidence::kSilent,
+                        0,
+                        {base::WorkerName("w0"), {"10.0.0.1", 1}, 0, true}};
+  for (int i = 0; i < 2; ++i) {
+    auto& unit = units[static_cast<std::size_t>(i)];
+    tracker.Plan(unit, {base::WorkerName("w0")}, kNow);
+    tracker.RecordLoss(unit, i, loss, kNow);
+    tracker.OnLost(unit, i, kNow);
+  }
+  const http::Endpoint endpoint{"10.0.0.1", 1};
+  CHECK(tracker.UnitsWithSilentWorkersAt(endpoint).size() == 2);
+  tracker.Plan(units[0], {base::WorkerName("w1")}, kNow);
+  tracker.OnEnded(units[0], 0, TaskOutcome::kDone, "", kNow);
+  CHECK(tracker.UnitsWithSilentWorkersAt(endpoint).size() == 1);
+  tracker.Cancel(*job);
+  CHECK(tracker.silent_at().empty());
+}
+
 TEST_CASE("progress is unchanged by encoding and decoding") {
   Fleet fleet;
   JobTracker tracker(fleet);
