Report deferred units from the round that decides on them

Each round of decisions visited all ready units a second time, and judged the losses of each, only to log those that the planner had deferred. The planner now lists them.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -233,7 +233,6 @@
   void SendVerifiedStarts(const base::WorkerName& name);
   /// Returns starts to the queue whose workers do not answer.
   void DropUnverifiedStarts();
-  void LogDeferredStarts();
   void UpdateStartWindow(const StartResult& result, base::TimePoint sent);
   void OnStartResult(const jobs::TaskName& task, int run, StartResult result);
   void SendStops();
--- a/src/dispatch/internal/task_planner.h
+++ b/src/dispatch/internal/task_planner.h
@@ -42,6 +42,9 @@
   std::vector<Unit*> starts;
   /// Units that must be stopped now.
   std::vector<Preemption> preemptions;
+  /// Waiting units that are not started until it is known whether they have
+  /// crashed their workers.
+  std::vector<Unit*> deferred;
   /// Whether some units were not considered because the limit on starts was
   /// reached.
   bool reached_start_limit = false;
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -25,6 +25,17 @@
 /// must have answered immediately before a start is sent.
 constexpr int kVerifiedAfterCrashes = 2;
 
+/// Logs, once for each unit, that its restart is deferred.
+void LogDeferral(Unit& unit) {
+  if (std::exchange(unit.is_deferral_logged, true)) return;
+  const auto task = JobTracker::NameOf(unit, 0);
+  base::Log(base::events::kRestartDeferred,
+            {{"request", task.job},
+             {"task", TextOf(task)},
+             {"losses", unit.losses.front().PossibleCrashes()},
+             {"silent", unit.losses.front().silent.size()}});
+}
+
 int CountTasks(const std::vector<Unit*>& units) {
   int out = 0;
   for (const auto* it : units) out += static_cast<int>(it->members.size());
@@ -64,7 +75,7 @@
   PredictRunTimes(decisions.starts);
   LogGuaranteeDemand();
   LogDelayedStarts(is_permitted);
-  LogDeferredStarts();
+  for (auto* it : decisions.deferred) LogDeferral(*it);
   for (const auto& it : decisions.preemptions) LogPreemption(it);
   SendStops();
   if (!decisions.starts.empty()) SendStartsWhenRecorded(decisions.starts);
@@ -289,25 +300,6 @@
   }
 }
 
-/// Logs each unit once that is not started again until it is known whether it
-/// has crashed its workers.
-void OwnedService::LogDeferredStarts() {
-  if (tracker_.silent_at().empty()) return;
-  for (auto* run : tracker_.ready()) {
-    for (auto& unit : run->units) {
-      if (unit.phase != jobs::UnitPhase::kWaiting) continue;
-      if (VerdictOn(unit.losses, {}) != RestartVerdict::kDeferred) continue;
-      if (std::exchange(unit.is_deferral_logged, true)) continue;
-      const auto task = JobTracker::NameOf(unit, 0);
-      base::Log(base::events::kRestartDeferred,
-                {{"request", task.job},
-                 {"task", TextOf(task)},
-                 {"losses", unit.losses.front().PossibleCrashes()},
-                 {"silent", unit.losses.front().silent.size()}});
-    }
-  }
-}
-
 /// Adjusts the size of the start window to the time that workers take to answer
 /// starts. Starts that were not sent do not count.
 void OwnedService::UpdateStartWindow(const StartResult& result,
--- a/src/dispatch/task_planner.cc
+++ b/src/dispatch/task_planner.cc
@@ -134,7 +134,10 @@
       DeadlineStatusOf(run, options_, now) != DeadlineStatus::kInTime;
   for (auto& unit : run.units) {
     if (unit.phase != UnitPhase::kWaiting || !unit.reserved.empty()) continue;
-    if (VerdictOn(unit.losses, {}) == RestartVerdict::kDeferred) continue;
+    if (VerdictOn(unit.losses, {}) == RestartVerdict::kDeferred) {
+      out.deferred.push_back(&unit);
+      continue;
+    }
     // More start requests than workers answer in time would queue up behind
     // each other.
     const int left = is_urgent ? starts_left_ : non_urgent_starts_left_;
