--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -151,6 +151,7 @@
   void StartReused(CallPtr call) {
     call_ = std::move(call);
     is_reused_ = true;
+    idle_time_ = base::SteadyClock().Now() - idle_since_;
     if (state_ == State::kClosed) return SendAgain();
     state_ = State::kBusy;
     if (HasUnreadInput()) return SendAgain();
@@ -312,6 +313,7 @@
 
   void BecomeIdle() {
     state_ = State::kIdle;
+    idle_since_ = base::SteadyClock().Now();
     serializer_.reset();
     message_.reset();
     parser_.reset();
@@ -373,6 +375,10 @@
     error.timed_out = timed_out_;
     error.closed_by_peer = closed_by_peer_;
     error.detail = TextOf(endpoint_) + ": " + std::move(detail);
+    if (is_reused_) {
+      error.detail +=
+          ", after " + std::to_string(idle_time_.count()) + " ms idle";
+    }
     const auto call = std::move(call_);
     Close();
     if (call) call->done(std::move(error));
@@ -413,6 +419,10 @@
   std::size_t bytes_sent_ = 0;
   State state_ = State::kConnecting;
   bool is_reused_ = false;
+  /// When the connection last became idle, and how long it was until it was
+  /// reused.
+  base::TimePoint idle_since_{};
+  base::Duration idle_time_{0};
   bool is_waiting_ = false;
   bool is_writing_ = false;
   bool timed_out_ = false;
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -113,6 +113,7 @@
               RowsReadResult result) {
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
       ++generation_;
+      LogFailedCall("snapshot", loop_.Now() - sent, failed->detail);
       return Retry(failed->detail, &Impl::ReadAll);
     }
     window_.OnRead(loop_.Now() - sent);
@@ -178,6 +179,7 @@
     const auto elapsed = loop_.Now() - call.sent_on_loop;
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
       has_answered_ = false;
+      LogFailedCall("changes", elapsed, failed->detail);
       const bool is_timeout =
           feed_timeout_.OnFailure(elapsed - call.wait, call.timeout);
       return OnFeedFailed(failed->detail, is_timeout);
@@ -247,6 +249,15 @@
   /// many parts would take longer than what was missed.
   bool MayResync() const { return parts_.size() == 1; }
 
+  void LogFailedCall(std::string_view call, base::Duration elapsed,
+                     const std::string& detail) const {
+    base::Log(base::events::kFeedCallFailed,
+              {{"table", table_},
+               {"call", call},
+               {"elapsed_ms", elapsed.count()},
+               {"detail", detail}});
+  }
+
   void LogResync(std::string_view reason) const {
     base::Log(base::events::kFeedResynced,
               {{"table", table_},
