No request is accepted by a configuration that a feed left behind, known red

A VM whose calls on the table of the configuration are not answered, while the store answers its others, accepts by the last configuration it read for 7 s. The fake store can now fail the calls on one table.

Measured: of the four moments, 2.1, 3.1 and 5.0 s after the silence fail (200 instead of 503); at 6.9 s the configuration has expired.

--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -74,6 +74,16 @@
   CHECK(world.Ask(3, 2) == kUnavailable);
 }
 
+TEST_CASE("no request is accepted by a configuration that a feed left behind") {
+  const int silence_ms = GENERATE(2'100, 3'100, 5'000, 6'900);
+  ServingWorld world;
+  world.store.SetFaultForTable("op", StoreFault::kSilent);
+  world.Put({2, {2}, {2}});
+  world.RunFor(silence_ms);
+  REQUIRE(!world.store_health.IsOut());
+  CHECK(world.Ask(1, 1) == kUnavailable);
+}
+
 TEST_CASE("a table is outdated when the VM has been suspended") {
   ServingWorld world;
   world.suspended = base::Duration(60'000);
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -79,9 +79,10 @@
             std::function<void(RowsReadResult)> done) override {
     ++store_.reads_;
     const auto timeout = range.answer_timeout;
-    if (Fault() != StoreFault::kNone) {
+    const auto present = FaultOf(range.table);
+    if (present != StoreFault::kNone) {
       return After(
-          Fault() == StoreFault::kBusy ? store_.delay : timeout,
+          present == StoreFault::kBusy ? store_.delay : timeout,
           [done = std::move(done)] { done(store::ReadFailed{"no answer"}); });
     }
     After(store_.delay, [this, range = std::move(range), done = std::move(done),
@@ -118,9 +119,10 @@
     ++store_.reads_;
     const auto timeout = request.answer_timeout;
     const auto wait = request.wait;
-    if (FeedFault() != StoreFault::kNone) {
+    const auto present = FeedFaultOf(request.table);
+    if (present != StoreFault::kNone) {
       const auto when =
-          FeedFault() == StoreFault::kBusy ? store_.delay : wait + timeout;
+          present == StoreFault::kBusy ? store_.delay : wait + timeout;
       return After(when, [done = std::move(done)] {
         done(store::ReadFailed{"no answer"});
       });
@@ -129,10 +131,12 @@
     feed->table = std::move(request.table);
     feed->after = request.after;
     // A feed that waits when a fault begins is not answered either.
-    feed->done = [this, wait, timeout, done = std::move(done),
+    feed->done = [this, wait, timeout, table = feed->table,
+                  done = std::move(done),
                   deadline = store_.time_.Now() + wait + timeout,
                   sent = severances](RowsFeedResult result) {
-      if (FeedFault() != StoreFault::kNone || sent != severances) {
+      const bool is_silent = FeedFaultOf(table) != StoreFault::kNone;
+      if (is_silent || sent != severances) {
         return After(wait + timeout,
                      [done] { done(store::ReadFailed{"no answer"}); });
       }
@@ -187,9 +191,14 @@
     return fault != StoreFault::kNone ? fault : store_.fault_for_all_;
   }
 
-  StoreFault FeedFault() const {
+  StoreFault FaultOf(const std::string& table) const {
+    const auto it = store_.faults_for_tables_.find(table);
+    return it == store_.faults_for_tables_.end() ? Fault() : it->second;
+  }
+
+  StoreFault FeedFaultOf(const std::string& table) const {
     const auto feed_fault = store_.fault_for_feeds_;
-    return feed_fault != StoreFault::kNone ? feed_fault : Fault();
+    return feed_fault != StoreFault::kNone ? feed_fault : FaultOf(table);
   }
 
   StoreFault TransactionFault() const {
@@ -240,6 +249,11 @@
   fault_for_feeds_ = fault;
 }
 
+void FakeRowStore::SetFaultForTable(const std::string& table,
+                                    StoreFault fault) {
+  faults_for_tables_[table] = fault;
+}
+
 void FakeRowStore::Put(const std::string& table, const std::string& part,
                        const std::string& key, const std::string& value) {
   Apply({part, {}, {{table, key, value}}, {}});
--- a/testing/fakes/fake_row_store.h
+++ b/testing/fakes/fake_row_store.h
@@ -64,6 +64,8 @@
   void SetFaultForTransactions(StoreFault fault);
   /// Applies to the feeds of all callers; transactions and reads work.
   void SetFaultForFeeds(StoreFault fault);
+  /// Applies to the reads and feeds of one table, of all callers.
+  void SetFaultForTable(const std::string& table, StoreFault fault);
 
   /// Discards the change history: feeds from an earlier version fail with
   /// HistoryGone.
@@ -144,6 +146,7 @@
   StoreFault fault_for_transactions_ = StoreFault::kNone;
   StoreFault fault_for_feeds_ = StoreFault::kNone;
   StoreFault fault_for_all_ = StoreFault::kNone;
+  std::map<std::string, StoreFault> faults_for_tables_;
   std::map<std::string, std::unique_ptr<Caller>> callers_;
   std::list<std::shared_ptr<WaitingFeed>> feeds_;
 };
