Handle requests by a configuration that was confirmed before they arrived

Cause: between the delay and its extension, a VM accepted whatever its last configuration allowed. The extension holds only while the store is impaired, and the VM did not know whether it was: its feed waited on dead connections while the store answered other calls. The bound rested on the sum of the waits of the feed, which nothing kept below it.

Change: the age is taken at the request. A request that arrives when the last confirmation is older than the delay asks the store first: FeedFollower::AskNow ends the call that waits for changes, or the pause, and all requests share the answer. Without an answer within 500 ms, or if the last one has just failed, the request is refused as retryable. The extension applies only when the store itself answers that it is impaired: by a 503, or by reads that lag behind its feed. No wait of the feed enters the bound any more; the waits only decide how long requests are refused.

Changed checks. "A table is not confirmed when only the feed of the store fails" expected 200 for an unanswered feed; it expects 503 now, and 200 only where the store answers that it is impaired. The suspended VM of "a table is outdated" has a silent store now; with one that answers, the request is handled by what the store says ("a request waits for changes made while the VM was suspended"). The random histories allow the extension for accepted requests only while the store refuses calls or lags, and until the contact time after.

--- a/src/jobs/configuration_view.h
+++ b/src/jobs/configuration_view.h
@@ -12,9 +12,10 @@
 
 /// How far a process may rely on the configuration that it has read.
 enum class ConfigurationStatus : std::uint8_t {
-  /// None was read, or it was confirmed too long ago to accept requests by it.
+  /// None was read, or a newer one may have to be in force.
   kExpired,
-  /// A newer configuration may be in force: what this one does not contain may
+  /// Not confirmed in time, but the store is impaired, which extends the delay:
+  /// requests that this one allows are accepted. What it does not contain may
   /// have been added since.
   kUnconfirmed,
   /// Any newer configuration is younger than the permitted delay.
@@ -22,13 +23,14 @@
 };
 
 /// Limits on the age of a configuration, counted from when the store last
-/// confirmed it.
+/// confirmed it until a request arrives.
 struct ConfigurationLimits {
   base::Duration max_current_age{2'000};
-  base::Duration max_usable_age{7'000};
+  /// Applies only while the store is known to be impaired.
+  base::Duration max_impaired_age{7'000};
 };
 
-/// The configuration known to a process, and how reliable it is.
+/// The configuration known to a process, and how reliable it is for a request.
 struct ConfigurationView {
   /// Null before the first configuration is read.
   QueueTablePtr queue_table;
@@ -38,10 +40,12 @@
 
 /// Returns the status of a configuration that the store confirmed `age` ago.
 inline ConfigurationStatus StatusAtAge(base::Duration age,
-                                       const ConfigurationLimits& limits) {
-  if (age > limits.max_usable_age) return ConfigurationStatus::kExpired;
-  return age > limits.max_current_age ? ConfigurationStatus::kUnconfirmed
-                                      : ConfigurationStatus::kCurrent;
+                                       const ConfigurationLimits& limits,
+                                       bool is_store_impaired) {
+  if (age <= limits.max_current_age) return ConfigurationStatus::kCurrent;
+  return is_store_impaired && age <= limits.max_impaired_age
+             ? ConfigurationStatus::kUnconfirmed
+             : ConfigurationStatus::kExpired;
 }
 
 }  // namespace lapishatch::jobs
--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -71,7 +71,29 @@
 
   base::TimePoint confirmed_at() const { return confirmed_at_; }
 
+  void AskNow(FeedAnswerCallback done) {
+    if (IsLikelyToFail()) {
+      return done(activity_ == Activity::kPausing ? last_answer_
+                                                  : FeedAnswer::kNone);
+    }
+    asking_.push_back(std::move(done));
+    switch (activity_) {
+      case Activity::kIdle:
+      case Activity::kAsking:
+        return;
+      case Activity::kWaiting:
+        ++generation_;
+        has_answered_ = false;
+        return Follow();
+      case Activity::kPausing:
+        ++generation_;
+        has_answered_ = false;
+        return (this->*after_pause_)();
+    }
+  }
+
   void ReadAll() {
+    SetActivity(Activity::kAsking);
     collected_.clear();
     ++generation_;
     parts_begun_ = 0;
@@ -81,6 +103,16 @@
   }
 
  private:
+  enum class Activity : std::uint8_t {
+    /// Not started.
+    kIdle,
+    /// A call waits for changes.
+    kWaiting,
+    /// A call that the store answers at once, or a snapshot, is on its way.
+    kAsking,
+    kPausing,
+  };
+
   /// Calls `method` with the result, unless the follower was destroyed or has
   /// begun to read another snapshot.
   template <typename Method, typename... Arguments>
@@ -114,7 +146,7 @@
     if (const auto* failed = std::get_if<ReadFailed>(&result)) {
       ++generation_;
       LogFailedCall("snapshot", loop_.Now() - sent, failed->detail);
-      return Retry(failed->detail, &Impl::ReadAll);
+      return Retry(failed->detail, AnswerOf(*failed), &Impl::ReadAll);
     }
     window_.OnRead(loop_.Now() - sent);
     auto& page = std::get<RowsRead>(result);
@@ -133,7 +165,7 @@
     if (oldest_ < as_of_) {
       // Reads lag behind, the feed may not.
       has_answered_ = false;
-      return Retry("stale snapshot", &Impl::Follow);
+      return Retry("stale snapshot", FeedAnswer::kImpaired, &Impl::Follow);
     }
     as_of_ = oldest_;
     has_answered_ = false;
@@ -151,6 +183,7 @@
     call.sent_on_loop = loop_.Now();
     call.wait = has_answered_ ? options_.wait : base::Duration(0);
     call.timeout = feed_timeout_.value();
+    SetActivity(has_answered_ ? Activity::kWaiting : Activity::kAsking);
     store_.Feed({table_, as_of_, call.wait, call.timeout},
                 Guarded(&Impl::OnFeed, call));
   }
@@ -182,13 +215,14 @@
       LogFailedCall("changes", elapsed, failed->detail);
       const bool is_timeout =
           feed_timeout_.OnFailure(elapsed - call.wait, call.timeout);
-      return OnFeedFailed(failed->detail, is_timeout);
+      return OnFeedFailed(*failed, is_timeout);
     }
     feed_failures_ = 0;
     if (std::holds_alternative<HistoryGone>(result)) {
       if (!is_snapshot_unconfirmed_) return ReadAll();
       // Reads lag behind: another one at once would give the same answer.
-      return Retry("snapshot older than the history", &Impl::ReadAll);
+      return Retry("snapshot older than the history", FeedAnswer::kImpaired,
+                   &Impl::ReadAll);
     }
     backoff_.Reset();
     auto& changes = std::get<RowsChanged>(result);
@@ -197,7 +231,9 @@
       feed_timeout_.OnAnswer(elapsed - call.wait);
     }
     // Versions passed on must not decrease.
-    if (changes.as_of < as_of_) return Retry("stale feed", &Impl::ReadAll);
+    if (changes.as_of < as_of_) {
+      return Retry("stale feed", FeedAnswer::kImpaired, &Impl::ReadAll);
+    }
     as_of_ = changes.as_of;
     Confirm(changes, call.sent, call.wait);
     has_answered_ = true;
@@ -217,32 +253,35 @@
     if (!self) return;
     if (is_behind && MayResync()) {
       LogResync("superseded");
-      return ReadAll();
+      ReadAll();
+    } else if (has_changes && !has_more && options_.spacing.count() > 0) {
+      // Spacing out full answers would fall behind a table that changes faster.
+      Pause(options_.spacing, &Impl::Follow);
+    } else {
+      Follow();
     }
-    // Spacing out full answers would fall behind a table that changes faster.
-    const bool may_wait = has_changes && !has_more;
-    if (!may_wait || options_.spacing.count() == 0) return Follow();
-    loop_.After(options_.spacing, [weak, generation = generation_] {
-      const auto held = weak.lock();
-      if (held && held->generation_ == generation) held->Follow();
-    });
+    if (!has_more) Answer(FeedAnswer::kCurrent);
   }
 
   /// The answer may be too large for the link or for one answer, and a later
   /// one would be larger still.
-  void OnFeedFailed(const std::string& detail, bool is_timeout) {
+  void OnFeedFailed(const ReadFailed& failed, bool is_timeout) {
     ++feed_failures_;
     const bool may_be_too_large =
         is_timeout || feed_failures_ >= kFailuresBeforeResync;
+    const auto answer = AnswerOf(failed);
     if (!MayResync() || !may_be_too_large) {
-      return Retry(detail, &Impl::Follow);
+      return Retry(failed.detail, answer, &Impl::Follow);
     }
     feed_failures_ = 0;
     LogResync(is_timeout ? "timeout" : "failures");
-    if (!is_timeout) return Retry(detail, &Impl::ReadAll);
+    if (!is_timeout) return Retry(failed.detail, answer, &Impl::ReadAll);
     const auto weak = weak_from_this();
-    if (events_.on_failure) events_.on_failure(detail);
-    if (const auto self = weak.lock()) ReadAll();
+    if (events_.on_failure) events_.on_failure(failed.detail);
+    const auto self = weak.lock();
+    if (!self) return;
+    ReadAll();
+    Answer(answer);
   }
 
   /// A snapshot of one part costs little more than a call of the feed; one of
@@ -251,11 +290,10 @@
 
   void LogFailedCall(std::string_view call, base::Duration elapsed,
                      const std::string& detail) const {
-    base::Log(base::events::kFeedCallFailed,
-              {{"table", table_},
-               {"call", call},
-               {"elapsed_ms", elapsed.count()},
-               {"detail", detail}});
+    base::Log(base::events::kFeedCallFailed, {{"table", table_},
+                                              {"call", call},
+                                              {"elapsed_ms", elapsed.count()},
+                                              {"detail", detail}});
   }
 
   void LogResync(std::string_view reason) const {
@@ -265,17 +303,55 @@
                {"timeout_ms", feed_timeout_.value().count()}});
   }
 
-  void Retry(const std::string& detail, void (Impl::*again)()) {
+  static FeedAnswer AnswerOf(const ReadFailed& failed) {
+    return failed.is_unavailable ? FeedAnswer::kImpaired : FeedAnswer::kNone;
+  }
+
+  void Retry(const std::string& detail, FeedAnswer answer,
+             void (Impl::*again)()) {
     const auto weak = weak_from_this();
     if (events_.on_failure) events_.on_failure(detail);
     const auto self = weak.lock();
     if (!self) return;
-    loop_.After(backoff_.Next(random_),
-                [weak, again, generation = generation_] {
-                  const auto held = weak.lock();
-                  if (!held || held->generation_ != generation) return;
-                  ((*held).*again)();
-                });
+    Pause(backoff_.Next(random_), again);
+    Answer(answer);
+  }
+
+  void Pause(base::Duration delay, void (Impl::*again)()) {
+    SetActivity(Activity::kPausing);
+    after_pause_ = again;
+    loop_.After(delay, [weak = weak_from_this(), generation = generation_] {
+      const auto self = weak.lock();
+      if (!self || self->generation_ != generation) return;
+      ((*self).*(self->after_pause_))();
+    });
+  }
+
+  void SetActivity(Activity activity) {
+    activity_ = activity;
+    active_since_ = loop_.Now();
+  }
+
+  /// Answers those who have asked.
+  void Answer(FeedAnswer answer) {
+    last_answer_ = answer;
+    for (const auto& it : std::exchange(asking_, {})) it(answer);
+  }
+
+  bool IsLikelyToFail() const {
+    const auto elapsed = loop_.Now() - active_since_;
+    switch (activity_) {
+      case Activity::kIdle:
+        return true;
+      case Activity::kWaiting:
+        return false;
+      case Activity::kAsking:
+        return elapsed > options_.suspect_after;
+      case Activity::kPausing:
+        return last_answer_ != FeedAnswer::kCurrent &&
+               elapsed < options_.retry_first;
+    }
+    return false;
   }
 
   /// The store's own limit for one answer.
@@ -297,6 +373,13 @@
   int feed_failures_ = 0;
   base::Random random_;
   base::Backoff backoff_;
+  Activity activity_ = Activity::kIdle;
+  base::TimePoint active_since_{};
+  /// What follows a pause.
+  void (Impl::*after_pause_)() = nullptr;
+  FeedAnswer last_answer_ = FeedAnswer::kNone;
+  /// Those who have asked and have no answer yet.
+  std::vector<FeedAnswerCallback> asking_;
   RowVersion as_of_ = kAbsent;
   base::TimePoint confirmed_at_{};
   /// Whether the feed has answered since the last snapshot or failure.
@@ -328,6 +411,10 @@
 
 void FeedFollower::Reload() { impl_->ReadAll(); }
 
+void FeedFollower::AskNow(FeedAnswerCallback done) {
+  impl_->AskNow(std::move(done));
+}
+
 base::TimePoint FeedFollower::confirmed_at() const {
   return impl_->confirmed_at();
 }
--- a/src/store/feed_follower.h
+++ b/src/store/feed_follower.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_STORE_FEED_FOLLOWER_H_
 #define LAPISHATCH_STORE_FEED_FOLLOWER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,8 +26,24 @@
   /// connection that became silent takes as long to fail, so the limit is low.
   base::Duration feed_timeout{700};
   base::Duration max_feed_timeout{1'400};
+  /// A call that does not wait for changes and has been without an answer for
+  /// so long is likely to fail.
+  base::Duration suspect_after{500};
 };
 
+/// What the store has said of whether a follower has missed changes.
+enum class FeedAnswer : std::uint8_t {
+  /// Nothing in time.
+  kNone,
+  /// It cannot tell at present: it refuses calls, or its reads lag behind its
+  /// feed.
+  kImpaired,
+  /// All changes have been passed on.
+  kCurrent,
+};
+
+using FeedAnswerCallback = std::function<void(FeedAnswer)>;
+
 /// Callbacks of a follower, called on the event loop.
 struct FollowerEvents {
   /// A snapshot of the parts, at the start and whenever changes were missed.
@@ -66,6 +83,14 @@
   /// Reads a snapshot again.
   void Reload();
 
+  /// Asks the store at once whether rows have changed, and calls `done` with
+  /// what it says, after passing on the changes. Ends a call that waits for
+  /// changes, or a pause; an answer that is due is shared. Calls `done` at once
+  /// if the last call has just failed or the present one is likely to. At most
+  /// one call per `retry_first`, however often it is called. Does not call
+  /// `done` once the follower is destroyed.
+  void AskNow(FeedAnswerCallback done);
+
   /// Returns a time at which the rows in the store were certainly as last
   /// passed on, or the epoch before the first answer of the feed. Snapshots do
   /// not count, since reads may lag behind.
--- a/src/store/row_feed.h
+++ b/src/store/row_feed.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "base/base.h"
 #include "store/feed_follower.h"
@@ -33,6 +34,7 @@
   void Reload() { follower_.Reload(); }
 
   /// See FeedFollower.
+  void AskNow(FeedAnswerCallback done) { follower_.AskNow(std::move(done)); }
   base::TimePoint confirmed_at() const { return follower_.confirmed_at(); }
 
  private:
--- a/src/store/table.h
+++ b/src/store/table.h
@@ -74,6 +74,9 @@
 /// The table could not be read.
 struct ReadFailed {
   std::string detail;
+  /// The service answered that it cannot serve the call at present, for a
+  /// reason other than the caller's rate.
+  bool is_unavailable = false;
 };
 
 /// The row, or nothing when there is none.
--- a/test/site/configuration_history_test.cc
+++ b/test/site/configuration_history_test.cc
@@ -71,12 +71,15 @@
                          StoreFault::kSilent, StoreFault::kBusy};
     const auto fault = faults.begin()[RandomInt(0, 3)];
     const auto name = std::to_string(static_cast<int>(fault));
-    switch (RandomInt(0, 9)) {
+    IsStoreImpaired();
+    switch (RandomInt(0, 10)) {
       case 0:
         Trace("fault of all calls " + name);
+        fault_of_calls_ = fault;
         return world_.store.SetFault(EntryWorld::kVm, fault);
       case 1:
         Trace("fault of feeds " + name);
+        fault_of_feeds_ = fault;
         return world_.store.SetFaultForFeeds(fault);
       case 2:
         Trace("history dropped");
@@ -89,11 +92,25 @@
       case 4:
         world_.store.delay = base::Duration(RandomInt(1, 400));
         return Trace("delay " + std::to_string(world_.store.delay.count()));
+      case 5:
+        Trace("connections silent");
+        return world_.store.Sever(EntryWorld::kVm, fakes::SeveredWrites::kLost);
       default:
         return;
     }
   }
 
+  /// Whether the store refuses calls or its reads lag, now or until recently:
+  /// only then is the delay extended.
+  bool IsStoreImpaired() {
+    const bool is_impaired = fault_of_calls_ == StoreFault::kBusy ||
+                             fault_of_feeds_ == StoreFault::kBusy ||
+                             world_.store.read_lag > base::Duration(0);
+    const auto now = world_.time.Now();
+    if (is_impaired) impaired_until_ = now + world_.bounds.capacity_delay;
+    return now < impaired_until_;
+  }
+
   void RepairAll() {
     Trace("repaired");
     world_.store.SetFault(EntryWorld::kVm, StoreFault::kNone);
@@ -123,8 +140,10 @@
     INFO(trace_);
     const auto& bounds = world_.bounds;
     const auto current = PossibleVersions(bounds.configuration_delay);
-    const auto usable = PossibleVersions(bounds.configuration_delay +
-                                         bounds.configuration_extension);
+    const auto usable =
+        PossibleVersions(bounds.configuration_delay +
+                         (IsStoreImpaired() ? bounds.configuration_extension
+                                            : base::Duration(0)));
     const int status = world_.Ask(route, key);
     Trace("route " + std::to_string(route) + " key " + std::to_string(key) +
           ": " + std::to_string(status));
@@ -158,6 +177,10 @@
   EntryWorld world_;
   std::vector<Acknowledged> versions_;
   std::uint64_t applied_version_ = 0;
+  StoreFault fault_of_calls_ = StoreFault::kNone;
+  StoreFault fault_of_feeds_ = StoreFault::kNone;
+  /// End of the time for which the delay is extended after an impairment.
+  base::TimePoint impaired_until_{};
   std::string trace_;
 };
 
--- a/test/site/entry_world.h
+++ b/test/site/entry_world.h
@@ -115,6 +115,9 @@
   JobHttpHandler handler{
       {jobs, [this] { return store_health.IsOut(); }, metrics,
        [this] { return feed.Configuration(); },
+       [this](OperatorFeed::ConfigurationViewCallback done) {
+         feed.AwaitConfiguration(std::move(done));
+       },
        [this] { return time.Now().time_since_epoch().count(); }}};
 };
 
--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -70,7 +70,8 @@
   for (int i = 0; i < 5 && world.store_health.IsOut(); ++i) world.RunFor(100);
   REQUIRE(!world.store_health.IsOut());
   CHECK(world.Ask(2, 1) == kUnavailable);
-  CHECK(world.Ask(1, 2) == kOk);
+  // Only a store that says so is known to be impaired.
+  CHECK(world.Ask(1, 2) == (fault == StoreFault::kBusy ? kOk : kUnavailable));
   CHECK(world.Ask(3, 2) == kUnavailable);
 }
 
@@ -84,16 +85,98 @@
   CHECK(world.Ask(1, 1) == kUnavailable);
 }
 
+TEST_CASE("a refused feed extends the time for which requests are accepted") {
+  ServingWorld world;
+  world.store.SetFaultForFeeds(StoreFault::kBusy);
+  const auto& bounds = world.bounds;
+  const auto extended =
+      bounds.configuration_delay + bounds.configuration_extension;
+  // The last confirmation may be as old as one call of the feed.
+  world.time.RunFor(extended - base::Duration(1'200));
+  for (int i = 0; i < 5 && world.store_health.IsOut(); ++i) world.RunFor(20);
+  REQUIRE(!world.store_health.IsOut());
+  CHECK(world.Ask(1, 1) == kOk);
+  CHECK(world.Ask(2, 1) == kUnavailable);
+  world.RunFor(1'300);
+  CHECK(world.Ask(1, 1) == kUnavailable);
+}
+
 TEST_CASE("a table is outdated when the VM has been suspended") {
   ServingWorld world;
+  world.store.SetFault(EntryWorld::kVm, StoreFault::kSilent);
   world.suspended = base::Duration(60'000);
   CHECK(world.Ask(2, 1) == kUnavailable);
   CHECK(world.Ask(1, 1) == kUnavailable);
+  world.store.SetFault(EntryWorld::kVm, StoreFault::kNone);
   world.RunFor(2'500);
   CHECK(world.Ask(2, 1) == kNotFound);
   CHECK(world.Ask(1, 1) == kOk);
 }
 
+TEST_CASE("a request waits for changes made while the VM was suspended") {
+  ServingWorld world;
+  world.suspended = base::Duration(60'000);
+  world.Put({2, {2}, {1}});
+  SECTION("an added queue") { CHECK(world.Ask(2, 1) == kOk); }
+  SECTION("a removed queue") { CHECK(world.Ask(1, 1) == kNotFound); }
+}
+
+TEST_CASE("requests that wait for a confirmation share one call") {
+  ServingWorld world;
+  world.suspended = base::Duration(60'000);
+  const int reads = world.store.reads();
+  int answered = 0;
+  constexpr int kRequests = 100;
+  for (int i = 0; i < kRequests; ++i) {
+    world.feed.AwaitConfiguration([&](const jobs::ConfigurationView& view) {
+      answered += view.status == jobs::ConfigurationStatus::kCurrent ? 1 : 0;
+    });
+  }
+  world.RunFor(100);
+  CHECK(answered == kRequests);
+  // The shared call, and the one that then waits for changes.
+  CHECK(world.store.reads() - reads == 2);
+}
+
+TEST_CASE("a configuration that cannot be confirmed is refused at once") {
+  ServingWorld world;
+  world.store.SetFaultForFeeds(StoreFault::kSilent);
+  world.RunFor(4'000);
+  int refused = 0;
+  const auto ask = [&] {
+    world.feed.AwaitConfiguration([&](const jobs::ConfigurationView& view) {
+      refused += view.status == jobs::ConfigurationStatus::kExpired ? 1 : 0;
+    });
+  };
+  ask();
+  world.time.RunFor(OperatorFeed::kMaxConfirmationWait + base::Duration(1));
+  CHECK(refused == 1);
+  ask();
+  CHECK(refused == 2);
+}
+
+/// The time after which a VM whose connections have fallen silent counts as
+/// connected again is that of `capacity_delay`.
+TEST_CASE("a configuration is current soon after connections fell silent") {
+  const bool is_store_slow = GENERATE(false, true);
+  const int moment_ms = GENERATE(range(0, 1'200, 50));
+  ServingWorld world;
+  if (is_store_slow) {
+    // Raises the time that calls are allowed to its limit.
+    world.store.delay = base::Duration(1'000);
+    world.RunFor(20'000);
+    world.store.delay = base::Duration(1);
+    world.RunFor(3'000);
+  }
+  world.RunFor(moment_ms);
+  world.store.Sever(EntryWorld::kVm, fakes::SeveredWrites::kLost);
+  world.Put({2, {2}, {2}});
+  world.time.RunFor(world.bounds.capacity_delay);
+  const auto view = world.feed.Configuration();
+  CHECK(view.status == jobs::ConfigurationStatus::kCurrent);
+  CHECK(view.queue_table->configuration().version == 2);
+}
+
 TEST_CASE("evacuations are not confirmed by the arrival of a late answer") {
   ServingWorld world;
   const base::Duration delay(1'500);
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -18,6 +18,9 @@
 constexpr base::Duration kLateCommitDelay{3'000};
 constexpr base::Duration kMaxQueueTime{1'000};
 
+/// Answer to a read or a feed of a caller that is refused.
+const store::ReadFailed kBusy{"busy", true};
+
 }  // namespace
 
 class FakeRowStore::Caller final : public store::RowStore {
@@ -80,10 +83,13 @@
     ++store_.reads_;
     const auto timeout = range.answer_timeout;
     const auto present = FaultOf(range.table);
+    if (present == StoreFault::kBusy) {
+      return After(store_.delay, [done = std::move(done)] { done(kBusy); });
+    }
     if (present != StoreFault::kNone) {
-      return After(
-          present == StoreFault::kBusy ? store_.delay : timeout,
-          [done = std::move(done)] { done(store::ReadFailed{"no answer"}); });
+      return After(timeout, [done = std::move(done)] {
+        done(store::ReadFailed{"no answer"});
+      });
     }
     After(store_.delay, [this, range = std::move(range), done = std::move(done),
                          sent = severances, timeout] {
@@ -120,10 +126,11 @@
     const auto timeout = request.answer_timeout;
     const auto wait = request.wait;
     const auto present = FeedFaultOf(request.table);
+    if (present == StoreFault::kBusy) {
+      return After(store_.delay, [done = std::move(done)] { done(kBusy); });
+    }
     if (present != StoreFault::kNone) {
-      const auto when =
-          present == StoreFault::kBusy ? store_.delay : wait + timeout;
-      return After(when, [done = std::move(done)] {
+      return After(wait + timeout, [done = std::move(done)] {
         done(store::ReadFailed{"no answer"});
       });
     }
