Close connections that have been idle when a call times out

Cause: the pool hands out the idle connection that was used last. Connections that fell silent together were tried one after the other, each for a whole time-out, while calls over new connections were answered.

Change: when a call on an open connection times out, the connections to its endpoint that have been idle for more than 500 ms are closed. Those that have answered within that time stay.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -23,11 +23,21 @@
 using internal::CallPtr;
 using internal::ConnectionPtr;
 
+struct IdleConnection {
+  ConnectionPtr connection;
+  base::TimePoint since;
+
+  friend bool operator==(const IdleConnection& idle,
+                         const ConnectionPtr& connection) {
+    return idle.connection == connection;
+  }
+};
+
 /// What is kept of one endpoint.
 struct Pool {
   /// Idle connections, the one used last at the back: it is the likeliest to
   /// be open still, and the others can reach their idle timeout.
-  std::vector<ConnectionPtr> idle;
+  std::vector<IdleConnection> idle;
   std::unordered_set<ConnectionPtr> all;
   std::deque<CallPtr> waiting;
   /// When the waiting calls are next looked through for passed deadlines.
@@ -68,7 +78,7 @@
       const std::lock_guard lock(shard.mutex);
       auto& pool = shard.pools[endpoint];
       if (!pool.idle.empty()) {
-        connection = std::move(pool.idle.back());
+        connection = std::move(pool.idle.back().connection);
         pool.idle.pop_back();
       } else if (pool.all.size() < limits_.connections_per_endpoint) {
         connection = AddConnection(pool, endpoint);
@@ -83,14 +93,14 @@
 
   void Forget(const Endpoint& endpoint) {
     auto& shard = ShardOf(endpoint);
-    std::vector<ConnectionPtr> idle;
+    std::vector<IdleConnection> idle;
     {
       const std::lock_guard lock(shard.mutex);
       const auto it = shard.pools.find(endpoint);
       if (it == shard.pools.end()) return;
       idle = it->second.idle;
     }
-    for (const auto& it : idle) it->CloseIdle();
+    for (const auto& it : idle) it.connection->CloseIdle();
   }
 
   std::size_t busy(const Endpoint& endpoint) const {
@@ -125,12 +135,35 @@
       const auto it = shard.pools.find(connection->endpoint());
       if (it == shard.pools.end()) return;
       next = TakeWaiting(it->second, expired);
-      if (!next) it->second.idle.push_back(connection);
+      if (!next) {
+        it->second.idle.push_back({connection, base::SteadyClock().Now()});
+      }
     }
     if (next) connection->Send(std::move(next));
     FailAll(std::move(expired));
   }
 
+  void OnTimeout(const ConnectionPtr& connection) override {
+    auto& shard = ShardOf(connection->endpoint());
+    std::vector<ConnectionPtr> suspects;
+    {
+      const std::lock_guard lock(shard.mutex);
+      const auto it = shard.pools.find(connection->endpoint());
+      if (it == shard.pools.end()) return;
+      auto& pool = it->second;
+      const auto now = base::SteadyClock().Now();
+      for (const auto& idle : pool.idle) {
+        if (now - idle.since <= limits_.suspect_idle_time) continue;
+        suspects.push_back(idle.connection);
+      }
+      for (const auto& suspect : suspects) {
+        std::erase(pool.idle, suspect);
+        pool.all.erase(suspect);
+      }
+    }
+    for (const auto& suspect : suspects) suspect->Abort();
+  }
+
   void OnClosed(const ConnectionPtr& connection) override {
     const auto& endpoint = connection->endpoint();
     auto& shard = ShardOf(endpoint);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -57,6 +57,9 @@
   base::Duration connect_timeout{1'000};
   /// Idle connections are closed after this.
   base::Duration idle_timeout{30'000};
+  /// When a call times out, connections to its endpoint that have been idle for
+  /// longer are closed: whatever silenced the one may have silenced them.
+  base::Duration suspect_idle_time{500};
   /// TCP_USER_TIMEOUT: bytes unacknowledged for so long break the connection.
   base::Duration tcp_user_timeout{5'000};
   std::size_t max_body_bytes = 8 * 1024 * 1024;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -351,6 +351,7 @@
       return deadline_.SetAfter(kLastLook);
     }
     timed_out_ = true;
+    if (const auto owner = owner_.lock()) owner->OnTimeout(shared_from_this());
     FailWhenWritten("no answer in time");
   }
 
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -30,6 +30,9 @@
   /// `connection` has its whole response and can carry the next call.
   virtual void OnFree(const ConnectionPtr& connection) = 0;
 
+  /// The call of `connection`, which was open, has timed out.
+  virtual void OnTimeout(const ConnectionPtr& connection) = 0;
+
   /// `connection` has ended.
   virtual void OnClosed(const ConnectionPtr& connection) = 0;
 
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -1,6 +1,13 @@
 #include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "http/http.h"
 #include "net/io_threads.h"
@@ -59,6 +66,76 @@
          "\r\n\r\n" + body;
 }
 
+/// Answers requests until its connections fall silent: those that are open then
+/// stay open and answer nothing more, new ones work.
+class SilenceableServer {
+ public:
+  SilenceableServer()
+      : acceptor_(threads_.io(),
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+  }
+  ~SilenceableServer() { threads_.Stop(); }
+  SilenceableServer(const SilenceableServer&) = delete;
+  SilenceableServer& operator=(const SilenceableServer&) = delete;
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  int connections() const { return connections_; }
+  /// Holds answers back until so many requests have arrived.
+  void AnswerAfter(int requests) { answer_after_ = requests; }
+  void Silence() { silenced_before_ = connections_.load(); }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Session {
+    Socket socket;
+    int number = 0;
+    std::string input;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& ec, Socket socket) {
+          if (ec) return;
+          Read(std::make_shared<Session>(
+              Session{std::move(socket), connections_++, ""}));
+          Accept();
+        });
+  }
+
+  void Read(const SessionPtr& session) {
+    boost::asio::async_read_until(
+        session->socket, boost::asio::dynamic_buffer(session->input),
+        "\r\n\r\n",
+        [this, session](const boost::system::error_code& ec, std::size_t n) {
+          if (ec) return;
+          session->input.erase(0, n);
+          Read(session);
+          if (session->number < silenced_before_) return;
+          held_.push_back(session);
+          if (++received_ < answer_after_) return;
+          for (const auto& it : held_) {
+            boost::system::error_code write_ec;
+            boost::asio::write(it->socket, boost::asio::buffer(Answer("x")),
+                               write_ec);
+          }
+          held_.clear();
+        });
+  }
+
+  net::IoThreads threads_{1};
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> connections_{0};
+  int received_ = 0;
+  std::atomic<int> answer_after_{0};
+  std::atomic<int> silenced_before_{0};
+  std::vector<SessionPtr> held_;
+};
+
 TEST_CASE("nothing was sent when nobody listens") {
   Fixture it;
   const auto error = it.Fail(Nobody());
@@ -128,6 +205,46 @@
   CHECK(it.client.busy(server.endpoint()) == 0);
 }
 
+/// Opens `n` connections of the client and leaves them idle.
+void OpenConnections(Client& client, SilenceableServer& server, int n) {
+  std::atomic<int> answered{0};
+  server.AnswerAfter(n);
+  for (int i = 0; i < n; ++i) {
+    client.Send(server.endpoint(), {}, kLong,
+                [&answered](const ClientResult&) { ++answered; });
+  }
+  REQUIRE(net::AwaitThat([&] { return answered == n; }));
+  REQUIRE(server.connections() == n);
+}
+
+TEST_CASE("idle connections that fell silent together cost one time-out") {
+  constexpr int kIdle = 5;
+  ClientLimits limits;
+  limits.suspect_idle_time = kShort / 2;
+  Fixture it(limits);
+  SilenceableServer server;
+  OpenConnections(it.client, server, kIdle);
+  server.Silence();
+  CHECK(it.Fail(server.endpoint(), kShort).timed_out);
+  CHECK(it.Get(server.endpoint()).body == "x");
+  CHECK(server.connections() == kIdle + 1);
+}
+
+TEST_CASE("a time-out leaves connections that have just answered") {
+  constexpr int kIdle = 5;
+  ClientLimits limits;
+  limits.suspect_idle_time = kLong;
+  Fixture it(limits);
+  SilenceableServer server;
+  OpenConnections(it.client, server, kIdle);
+  server.Silence();
+  for (int i = 0; i < kIdle; ++i) {
+    CHECK(it.Fail(server.endpoint(), kShort).timed_out);
+  }
+  CHECK(it.Get(server.endpoint()).body == "x");
+  CHECK(server.connections() == kIdle + 1);
+}
+
 TEST_CASE("an answer that came in time is taken by a loop that fell behind") {
   std::atomic<bool> is_blocked{false};
   std::atomic<bool> is_read{false};
