--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -28,8 +28,8 @@
   base::TimePoint since;
 
   friend bool operator==(const IdleConnection& idle,
-                         const ConnectionPtr& connection) {
-    return idle.connection == connection;
+                         const ConnectionPtr& other) {
+    return idle.connection == other;
   }
 };
 
