--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -293,6 +293,11 @@
       ended.push_back(
           json::array{it.number, it.task, it.run, it.how, it.saved});
     }
+    if (ended_.size() > kMaxEnds) {
+      record_.Add("runner " + id() + " lists " + std::to_string(kMaxEnds) +
+                  " of " + std::to_string(ended_.size()) + " ends and " +
+                  std::to_string(running_.size()) + " running tasks");
+    }
     json::object out;
     out["clock-ms"] = Clock();
     out["running"] = std::move(running);
