--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -102,6 +102,8 @@
     /// Number of its tasks that were ended because its lease expired, since it
     /// last answered.
     std::size_t tasks_lost_to_silence = 0;
+    /// When it was last logged that a report may lack ends.
+    base::TimePoint cut_ends_logged_at{};
   };
 
   /// Whether a worker that fell silent is registered, and since when.
@@ -166,6 +168,8 @@
                           const WorkerReport& report, base::TimePoint sent);
   /// Tasks as pairs of unit and task index; see JobTracker::MembersOn.
   using Members = std::vector<std::pair<Unit*, int>>;
+  /// Logs, at most once a second for each worker, that a report may lack ends.
+  void LogCutEnds(const base::WorkerName& name, const WorkerReport& report);
   void LogWorkerGone(const base::WorkerName& name, std::size_t tasks,
                      WorkerLossReason reason, CrashRecord crash);
   void EndAllTasksOn(const base::WorkerName& name, WorkerLossReason reason);
--- a/src/dispatch/owned_reports.cc
+++ b/src/dispatch/owned_reports.cc
@@ -8,6 +8,21 @@
 
 using base::TimePoint;
 
+namespace {
+
+/// Whether the worker runs the present run of a task of `unit`.
+bool IsListedAsRunning(const WorkerReport& report, const Unit& unit,
+                       int index) {
+  const auto task = JobTracker::NameOf(
+      unit, static_cast<std::size_t>(index - unit.first_index));
+  return std::any_of(report.running.begin(), report.running.end(),
+                     [&task, run = unit.last_run](const RunningTask& it) {
+                       return it.task == task && it.run == run;
+                     });
+}
+
+}  // namespace
+
 /// Logs that a worker answers whose tasks were ended because it was silent.
 void OwnedService::LogSurvival(const base::WorkerName& name, Worker& worker) {
   const auto tasks = std::exchange(worker.tasks_lost_to_silence, 0);
@@ -47,6 +62,7 @@
     fleet_worker->stray_usage = strays;
   }
   for (const auto& it : report.ended) OnTaskEnded(name, it);
+  if (report.may_have_more_ends) LogCutEnds(name, report);
   EndUnreportedTasks(name, report, sent);
   const auto last_end = worker->session->last_received_end();
   if (!report.ended.empty()) {
@@ -134,6 +150,31 @@
   tracker_.OnEnded(*unit, end.task.index, end.outcome, end.checkpoint, now);
 }
 
+void OwnedService::LogCutEnds(const base::WorkerName& name,
+                              const WorkerReport& report) {
+  constexpr base::Duration kMinLogInterval{1'000};
+  auto& worker = *FindWorker(name);
+  const auto now = dependencies_.loop.Now();
+  const bool was_logged = worker.cut_ends_logged_at != TimePoint{};
+  if (was_logged && now - worker.cut_ends_logged_at < kMinLogInterval) return;
+  worker.cut_ends_logged_at = now;
+  const auto members = tracker_.MembersOn(name);
+  const auto missing = std::count_if(
+      members.begin(), members.end(), [this, &report](const auto& it) {
+        const auto& [unit, index] = it;
+        const auto& member = JobTracker::MemberOf(*unit, index);
+        return member.state != MemberState::kPlanned &&
+               !IsListedAsRunning(report, *unit, index);
+      });
+  base::Log(base::events::kEndsCut,
+            {{"service", service_.str()},
+             {"worker", name},
+             {"listed", report.ended.size()},
+             {"last", worker.session->last_received_end()},
+             {"running", report.running.size()},
+             {"missing", missing}});
+}
+
 /// Whether a former owner may have started the task on an earlier incarnation
 /// of the worker: the present one started after the job was accepted.
 bool OwnedService::MayHaveEndedBefore(const Unit& unit, const Member& member,
@@ -160,12 +201,8 @@
     const jobs::TaskName task{unit->step_run->job->job->name,
                               unit->step_run->occurrence,
                               unit->step_run->number, index};
-    const bool is_reported =
-        std::any_of(report.running.begin(), report.running.end(),
-                    [&task, run = unit->last_run](const RunningTask& running) {
-                      return running.task == task && running.run == run;
-                    });
-    if (is_reported || member.state == MemberState::kPlanned) continue;
+    if (member.state == MemberState::kPlanned) continue;
+    if (IsListedAsRunning(report, *unit, index)) continue;
     const bool was_confirmed =
         member.confirmed_at != TimePoint{} && member.confirmed_at < sent &&
         (member.state == MemberState::kRunning || member.is_stop_confirmed);
--- a/src/dispatch/worker_client.h
+++ b/src/dispatch/worker_client.h
@@ -171,9 +171,11 @@
   WorkerStartTime started_at_ms;
   WorkerTime worker_time = 0;
   std::vector<RunningTask> running;
-  /// Ends after `last_recorded_end`, in order; a report may hold only the first
-  /// of them.
+  /// The first ends after `last_recorded_end`, in order.
   std::vector<EndedTask> ended;
+  /// Whether there may be further ends. If so, a task that is listed neither
+  /// here nor in `running` may have ended.
+  bool may_have_more_ends = false;
 };
 
 using PollResult =
