Find accepted jobs by their names, whichever service their queue names now

Cause: a job's rows lie in partitions named after the service that accepted it, and a request looked for them under the service that the queue names now. The condition that accepts a name once was on a row of that partition, so two services could both accept it. Owners were created for the configured services only: after a restart, nobody ran the jobs of the former service.

Change: JobIndex decides in one row, in one partition that depends on the name alone, which service accepts a job; JobService looks there when a job is not with the service given. Waiting jobs are counted over all services.

Why it works: the request of the home service, or the entry that names another one, is written only if neither exists, in a transaction of one partition. So the order of two requests is decided by the store, whatever configurations their processes hold.

Rows: existing ones keep their keys. A former build beside this one finds all requests where it looks for them, and ignores the entries. With one service nothing is added but a condition.

Cost in calls: POST 1 transaction as before for the home service, 2 for others; GET 1 or 2 reads as before, 5 at most after a move.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -12,6 +12,7 @@
 #include "dispatch/placer.h"
 #include "dispatch/schedulable_workers.h"
 #include "dispatch/service_owner.h"
+#include "dispatch/service_owners.h"
 #include "dispatch/worker_client.h"
 #include "dispatch/worker_incarnation.h"
 
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -14,6 +14,7 @@
 #include "dispatch/fleet.h"
 #include "dispatch/internal/crash_history.h"
 #include "dispatch/internal/crash_policy.h"
+#include "dispatch/internal/job_indexer.h"
 #include "dispatch/internal/job_tracker.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
@@ -254,6 +255,7 @@
   void RemoveExpiredJobs();
   void RemoveOrphanedProgress(const std::vector<store::StoredRow>& requests);
   void RemoveJobRows(const base::JobName& name);
+  void RemoveRequest(const base::JobName& name);
   void RemoveProgressRow(const base::JobName& name);
   void GiveUpOwnership(const std::string& reason);
   /// The unit of the task if `run` is its present run and the task is not over
@@ -275,6 +277,7 @@
   const SessionOptions session_options_;
   const DrainOptions drain_options_;
   ServiceLoader loader_;
+  JobIndexer indexer_;
   /// By partition; empty before the service is loaded.
   std::vector<std::unique_ptr<Recorder>> recorders_;
   std::optional<WaitingCountWriter> waiting_counter_;
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -39,7 +39,8 @@
       loader_(
           dependencies.loop, dependencies.store, service_, epoch,
           [this](LoadedService loaded) { OnLoaded(std::move(loaded)); },
-          [this](const std::string& reason) { GiveUpOwnership(reason); }) {}
+          [this](const std::string& reason) { GiveUpOwnership(reason); }),
+      indexer_(dependencies.loop, dependencies.store, service_) {}
 
 void OwnedService::Start() {
   loader_.Start();
@@ -122,6 +123,7 @@
     base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
     return;
   }
+  if (!job->is_indexed) indexer_.AddUnindexed(name);
   std::optional<jobs::JobProgress> progress;
   store::RowVersion version = store::kAbsent;
   const auto it = progress_rows_.find(name);
@@ -168,6 +170,7 @@
     HandleEvacuationChanges();
     StopUnitsOnDrainingWorkers();
     worker_health_.ReleaseExpired(dependencies_.loop.Now());
+    indexer_.Update();
     RemoveExpiredJobs();
     ScheduleDecisionRound();
   }
@@ -186,6 +189,7 @@
 /// Removes jobs that ended more than `keep_ended` ago, and their rows, unless a
 /// task of theirs may still run or their progress is not recorded.
 void OwnedService::RemoveExpiredJobs() {
+  if (!indexer_.is_ready()) return;
   const auto now = dependencies_.loop.Now();
   std::vector<base::JobName> expired;
   for (const auto& [name, at] : ended_at_) {
@@ -230,10 +234,17 @@
       [](const store::RowsResult&) {});
 }
 
-/// Removes a job's rows, its request first, because a request without progress
-/// would be treated as a new job. If a failure leaves the progress row behind,
-/// the next owner removes it.
+/// Removes a job's rows. Its request goes before its progress, because a
+/// request without progress would be treated as a new job; if a failure leaves
+/// the progress row behind, the next owner removes it. The entry in the index
+/// goes first, because a later job of the same name would be sent after it.
 void OwnedService::RemoveJobRows(const base::JobName& name) {
+  indexer_.Remove(name, [weak = weak_from_this(), name] {
+    if (const auto self = weak.lock()) self->RemoveRequest(name);
+  });
+}
+
+void OwnedService::RemoveRequest(const base::JobName& name) {
   const std::string requests(jobs::kRequestTable);
   dependencies_.store.Commit(
       {jobs::RequestPartition(service_, name),
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -109,6 +109,8 @@
   /// Milliseconds since 1970 by the entry's clock; used only in logs and to
   /// compute how late a job is.
   std::int64_t accepted_ms = 0;
+  /// Whether JobIndex has an entry for it. Earlier versions wrote none.
+  bool is_indexed = false;
 
   friend bool operator==(const Job&, const Job&) = default;
 };
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -295,8 +295,11 @@
   return out;
 }
 
+/// Separates the service from the number in the name of a request partition.
+constexpr std::string_view kRequestPartitionMark = ".r";
+
 std::string RequestPartitionPrefix(const base::ServiceName& service) {
-  return service.str() + ".r";
+  return service.str() + std::string(kRequestPartitionMark);
 }
 
 std::uint64_t HashOf(const base::JobName& job) {
@@ -329,6 +332,19 @@
                             kRequestPartitionCount);
 }
 
+std::optional<base::ServiceName> ServiceOfRequestPartition(
+    std::string_view partition) {
+  const auto at = partition.rfind(kRequestPartitionMark);
+  if (at == std::string_view::npos || at == 0) return std::nullopt;
+  const auto number = partition.substr(at + kRequestPartitionMark.size());
+  const bool is_number =
+      !number.empty() && std::all_of(number.begin(), number.end(), [](char it) {
+        return it >= '0' && it <= '9';
+      });
+  if (!is_number) return std::nullopt;
+  return base::ServiceName(std::string(partition.substr(0, at)));
+}
+
 std::string WaitingCountsPartition(const base::ServiceName& service) {
   return ProgressPartitions(service).front();
 }
@@ -353,6 +369,7 @@
   out["slack"] = job.slack_factor;
   out["target_latency"] = job.target_latency.count();
   out["accepted"] = job.accepted_ms;
+  if (job.is_indexed) out["indexed"] = true;
   return json::serialize(out);
 }
 
@@ -375,6 +392,7 @@
     out.slack_factor = reader.Real("slack");
     out.target_latency = base::Duration(reader.Number("target_latency"));
     out.accepted_ms = reader.Number("accepted");
+    out.is_indexed = reader.Flag("indexed");
     return out;
   });
 }
@@ -417,6 +435,20 @@
   });
 }
 
+std::string EncodeIndexEntry(const base::ServiceName& service) {
+  json::object out;
+  out["service"] = service.str();
+  return json::serialize(out);
+}
+
+std::optional<base::ServiceName> DecodeIndexEntry(std::string_view text) {
+  auto service = Decode(text, [](const json::object& object) {
+    return base::ServiceName(ObjectReader(object).String("service"));
+  });
+  if (service && service->str().empty()) return std::nullopt;
+  return service;
+}
+
 std::string EncodeWaitingCounts(const WaitingJobCounts& waiting) {
   json::object out;
   for (const auto& [queue, n] : waiting) out[queue.str()] = n;
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -24,11 +24,16 @@
 /// | requests | one of RequestPartitions | job | the entry that accepts it,
 /// once | | requests | the same | job + kCancelSuffix | the entry that cancels
 /// it | | progress | one of ProgressPartitions | job | the owner | | waiting |
-/// WaitingCountsPartition | kWaitingCountsKey | the owner |
+/// WaitingCountsPartition | kWaitingCountsKey | the owner | | index | one of
+/// the home service's RequestPartitions | job | see JobIndex | | index |
+/// kHomePartition | kHomeKey | see JobIndex |
 inline constexpr std::string_view kRequestTable = "requests";
 inline constexpr std::string_view kProgressTable = "progress";
 inline constexpr std::string_view kWaitingCountsTable = "waiting";
+inline constexpr std::string_view kIndexTable = "index";
 inline constexpr std::string_view kCancelSuffix = "/cancel";
+inline constexpr std::string_view kHomePartition = "home";
+inline constexpr std::string_view kHomeKey = "home";
 inline constexpr std::string_view kWaitingCountsKey = "jobs";
 
 inline constexpr int kProgressPartitionCount = 8;
@@ -53,6 +58,10 @@
                              const base::JobName& job);
 std::vector<std::string> RequestPartitions(const base::ServiceName& service);
 
+/// The service of which `partition` is a request partition, if it is one.
+std::optional<base::ServiceName> ServiceOfRequestPartition(
+    std::string_view partition);
+
 /// The partition of the waiting job counts. It differs from that of the owner's
 /// lease, whose renewals must not queue behind other transactions.
 std::string WaitingCountsPartition(const base::ServiceName& service);
@@ -64,6 +73,10 @@
 std::string EncodeProgress(const JobProgress& progress);
 std::optional<JobProgress> DecodeProgress(std::string_view text);
 
+/// The service that an entry of the index names.
+std::string EncodeIndexEntry(const base::ServiceName& service);
+std::optional<base::ServiceName> DecodeIndexEntry(std::string_view text);
+
 /// For each queue, the number of its jobs of which no task has started.
 using WaitingJobCounts = std::map<QueueName, int>;
 std::string EncodeWaitingCounts(const WaitingJobCounts& waiting);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -1,5 +1,6 @@
 #include "jobs/job_service.h"
 
+#include <memory>
 #include <utility>
 
 #include "jobs/job_rows.h"
@@ -27,9 +28,76 @@
 
 }  // namespace
 
+void JobService::Prepare(const base::ServiceName& first) {
+  // After a failure, the first submission reads it.
+  index_.FindHome(first, [](const JobIndex::HomeResult&) {});
+}
+
 void JobService::Submit(const Job& job,
                         std::function<void(SubmitResult)> done) {
-  const auto partition = RequestPartition(job.service, job.name);
+  index_.FindHome(job.service, [this, job, done = std::move(done)](
+                                   const JobIndex::HomeResult& result) {
+    if (const auto* failed = std::get_if<IndexUnavailable>(&result)) {
+      return done(JobNotAccepted{failed->detail});
+    }
+    if (std::get<base::ServiceName>(result) == job.service) {
+      return StoreAtHome(job, done);
+    }
+    Reserve(job, done);
+  });
+}
+
+void JobService::StoreAtHome(const Job& job,
+                             std::function<void(SubmitResult)> done) {
+  const auto partition = index_.DecidingPartition(job.name);
+  const std::string table(kRequestTable);
+  const auto key = job.name.str();
+  store_.Commit(
+      {partition,
+       {{table, key, store::kAbsent}, JobIndex::NoEntryCondition(job.name)},
+       {{table, key, EncodeJob(job)}},
+       {}},
+      [this, partition, job, done = std::move(done)](RowsResult result) {
+        if (auto* not_done = std::get_if<NotDone>(&result)) {
+          return done(JobNotAccepted{std::move(not_done->detail)});
+        }
+        if (const auto* unknown = std::get_if<UnknownOutcome>(&result)) {
+          return ConfirmUnknown(partition, job.name, unknown->detail, done);
+        }
+        const auto* conflict = std::get_if<RowsConflict>(&result);
+        if (conflict == nullptr) return done(JobAccepted{});
+        OnDecided(index_.DecidedService(conflict->present, job.name), job,
+                  done);
+      });
+}
+
+void JobService::Reserve(const Job& job,
+                         std::function<void(SubmitResult)> done) {
+  index_.Reserve(job.name, job.service,
+                 [this, job, done = std::move(done)](
+                     const JobIndex::ReserveResult& result) {
+                   OnDecided(result, job, done);
+                 });
+}
+
+void JobService::OnDecided(const JobIndex::ReserveResult& result,
+                           const Job& job,
+                           const std::function<void(SubmitResult)>& done) {
+  // Without a known decision, no request was stored.
+  if (const auto* failed = std::get_if<IndexUnavailable>(&result)) {
+    return done(JobNotAccepted{failed->detail});
+  }
+  const auto& service = std::get<base::ServiceName>(result);
+  // The home service's request is what decided.
+  if (service == index_.home()) return done(JobAccepted{});
+  StoreFor(service, job, done);
+}
+
+void JobService::StoreFor(const base::ServiceName& service, Job job,
+                          const std::function<void(SubmitResult)>& done) {
+  job.service = service;
+  job.is_indexed = true;
+  const auto partition = RequestPartition(service, job.name);
   const std::string table(kRequestTable);
   const auto key = job.name.str();
   store_.Commit(
@@ -37,31 +105,71 @@
        {{table, key, store::kAbsent}},
        {{table, key, EncodeJob(job)}},
        {}},
-      [this, partition, key, done = std::move(done)](RowsResult result) {
+      [this, partition, name = job.name, done](RowsResult result) {
         if (auto* not_done = std::get_if<NotDone>(&result)) {
           return done(JobNotAccepted{std::move(not_done->detail)});
         }
-        auto* unknown = std::get_if<UnknownOutcome>(&result);
-        // A conflict means that an earlier request stored a job
-        // of this name.
-        if (unknown == nullptr) return done(JobAccepted{});
-        store_.Read(OneRow(kRequestTable, partition, key),
-                    [done, detail = std::move(unknown->detail)](
-                        const RowsReadResult& read) {
-                      const auto* rows = std::get_if<RowsRead>(&read);
-                      if (rows != nullptr && !rows->rows.empty()) {
-                        return done(JobAccepted{});
-                      }
-                      // The row is absent, but the write may still
-                      // take effect.
-                      done(JobOutcomeUnknown{detail});
-                    });
+        if (const auto* unknown = std::get_if<UnknownOutcome>(&result)) {
+          return ConfirmUnknown(partition, name, unknown->detail, done);
+        }
+        // A conflict means that an earlier request stored the job.
+        done(JobAccepted{});
+      });
+}
+
+void JobService::ConfirmUnknown(const std::string& partition,
+                                const base::JobName& name,
+                                const std::string& detail,
+                                const std::function<void(SubmitResult)>& done) {
+  store_.Read(OneRow(kRequestTable, partition, name.str()),
+              [done, detail](const RowsReadResult& read) {
+                const auto* rows = std::get_if<RowsRead>(&read);
+                if (rows != nullptr && !rows->rows.empty()) {
+                  return done(JobAccepted{});
+                }
+                // The row is absent, but the write may still take effect.
+                done(JobOutcomeUnknown{detail});
+              });
+}
+
+template <typename Result>
+void JobService::FindThen(
+    void (JobService::*read)(const base::ServiceName&, const base::JobName&,
+                             const std::function<void(Result)>&),
+    const base::ServiceName& service, const base::JobName& name,
+    const std::function<void(Result)>& done) {
+  (this->*read)(
+      service, name, [this, read, service, name, done](const Result& result) {
+        if (!std::holds_alternative<NoSuchJob>(result)) return done(result);
+        index_.Locate(name, [this, read, service, name,
+                             done](const JobIndex::LocateResult& located) {
+          if (const auto* failed = std::get_if<IndexUnavailable>(&located)) {
+            return done(JobStoreUnavailable{failed->detail});
+          }
+          const auto* accepted_by = std::get_if<base::ServiceName>(&located);
+          if (accepted_by == nullptr || *accepted_by == service) {
+            return done(NoSuchJob{});
+          }
+          (this->*read)(*accepted_by, name, done);
+        });
       });
 }
 
 void JobService::ReadState(const base::ServiceName& service,
                            const base::JobName& name,
                            const std::function<void(StateResult)>& done) {
+  FindThen<StateResult>(&JobService::ReadStateIn, service, name, done);
+}
+
+void JobService::Cancel(const base::ServiceName& service,
+                        const base::JobName& name,
+                        const std::function<void(CancelResult)>& done) {
+  FindThen<CancelResult>(&JobService::CancelIn, service, name, done);
+}
+
+void JobService::ReadStateIn(const base::ServiceName& service,
+                             const base::JobName& name,
+                             const std::function<void(StateResult)>& done) {
   const auto read_request = [this, service, name, done] {
     store_.Read(
         OneRow(kRequestTable, RequestPartition(service, name), name.str()),
@@ -89,44 +197,70 @@
       });
 }
 
-void JobService::Cancel(const base::ServiceName& service,
-                        const base::JobName& name,
-                        std::function<void(CancelResult)> done) {
+void JobService::CancelIn(const base::ServiceName& service,
+                          const base::JobName& name,
+                          const std::function<void(CancelResult)>& done) {
   const auto partition = RequestPartition(service, name);
-  store_.Read(
-      OneRow(kRequestTable, partition, name.str()),
-      [this, partition, name, done = std::move(done)](RowsReadResult result) {
-        if (const auto* failed = std::get_if<ReadFailed>(&result)) {
-          return done(JobStoreUnavailable{failed->detail});
-        }
-        const auto& rows = std::get<RowsRead>(result).rows;
-        if (rows.empty()) return done(NoSuchJob{});
-        const std::string table(kRequestTable);
-        // Only the existence of the cancellation row matters, so writing it
-        // twice is harmless and needs no condition on the row itself.
-        store_.Commit({partition,
-                       {{table, name.str(), rows.front().version}},
-                       {{table, CancelKey(name), "{}"}},
-                       {}},
-                      [done](const RowsResult& committed) {
-                        if (std::holds_alternative<RowsCommitted>(committed)) {
-                          return done(JobCancelled{});
-                        }
-                        if (std::holds_alternative<RowsConflict>(committed)) {
-                          return done(NoSuchJob{});
-                        }
-                        done(JobStoreUnavailable{
-                            "the store did not confirm the cancellation"});
-                      });
-      });
+  store_.Read(OneRow(kRequestTable, partition, name.str()),
+              [this, partition, name, done](const RowsReadResult& result) {
+                if (const auto* failed = std::get_if<ReadFailed>(&result)) {
+                  return done(JobStoreUnavailable{failed->detail});
+                }
+                const auto& rows = std::get<RowsRead>(result).rows;
+                if (rows.empty()) return done(NoSuchJob{});
+                const std::string table(kRequestTable);
+                // Only the existence of the cancellation row matters, so
+                // writing it twice is harmless and needs no condition on the
+                // row itself.
+                store_.Commit(
+                    {partition,
+                     {{table, name.str(), rows.front().version}},
+                     {{table, CancelKey(name), "{}"}},
+                     {}},
+                    [done](const RowsResult& committed) {
+                      if (std::holds_alternative<RowsCommitted>(committed)) {
+                        return done(JobCancelled{});
+                      }
+                      if (std::holds_alternative<RowsConflict>(committed)) {
+                        return done(NoSuchJob{});
+                      }
+                      done(JobStoreUnavailable{
+                          "the store did not confirm the cancellation"});
+                    });
+              });
 }
 
 void JobService::ReadWaitingCount(
+    const std::vector<base::ServiceName>& services, const QueueName& queue,
+    const std::function<void(WaitingCountResult)>& done) {
+  struct Sum {
+    std::size_t unread = 0;
+    WaitingCountResult result = 0;
+  };
+  const auto sum = std::make_shared<Sum>();
+  sum->unread = services.size();
+  if (services.empty()) return done(0);
+  for (const auto& service : services) {
+    ReadWaitingCountOf(service, queue,
+                       [sum, done](const WaitingCountResult& n) {
+                         auto* total = std::get_if<int>(&sum->result);
+                         const auto* count = std::get_if<int>(&n);
+                         if (total != nullptr && count != nullptr) {
+                           *total += *count;
+                         } else if (total != nullptr) {
+                           sum->result = n;
+                         }
+                         if (--sum->unread == 0) done(sum->result);
+                       });
+  }
+}
+
+void JobService::ReadWaitingCountOf(
     const base::ServiceName& service, const QueueName& queue,
-    std::function<void(WaitingCountResult)> done) {
+    const std::function<void(WaitingCountResult)>& done) {
   store_.Read(OneRow(kWaitingCountsTable, WaitingCountsPartition(service),
                      std::string(kWaitingCountsKey)),
-              [queue, done = std::move(done)](const RowsReadResult& result) {
+              [queue, done](const RowsReadResult& result) {
                 if (const auto* failed = std::get_if<ReadFailed>(&result)) {
                   return done(JobStoreUnavailable{failed->detail});
                 }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/base.h"
 #include "jobs/job.h"
+#include "jobs/job_index.h"
 #include "store/row_store.h"
 
 namespace lapishatch::jobs {
@@ -43,30 +45,74 @@
 using CancelResult = std::variant<JobCancelled, NoSuchJob, JobStoreUnavailable>;
 using WaitingCountResult = std::variant<int, JobStoreUnavailable>;
 
-/// Accepts and cancels jobs and reads their state, for any front end.
-/// Stateless: every answer comes from the store. A call costs one transaction
-/// or one read, in some cases two operations.
+/// Accepts and cancels jobs and reads their state, for any front end. Every
+/// answer comes from the store. A job is found by its name, whichever service
+/// accepted it; the service that a caller gives is where it is looked for
+/// first, so that the present service of its queue costs least.
 class JobService {
  public:
-  explicit JobService(store::RowStore& store) : store_(store) {}
+  explicit JobService(store::RowStore& store) : store_(store), index_(store) {}
 
+  /// Reads ahead what the first submission needs, which costs one call. `first`
+  /// becomes the home service of a store that has none.
+  void Prepare(const base::ServiceName& first);
+
+  /// Accepts `job` for its service, or confirms that a job of this name was
+  /// accepted before, for any service. Costs one transaction for a job of the
+  /// home service (see JobIndex), two for others.
   void Submit(const Job& job, std::function<void(SubmitResult)> done);
 
-  /// The state of job `name` of `service`.
+  /// The state of job `name`. Costs one or two reads if `service` accepted it,
+  /// otherwise up to five.
   void ReadState(const base::ServiceName& service, const base::JobName& name,
                  const std::function<void(StateResult)>& done);
 
+  /// Cancels job `name`. Costs a read and a transaction if `service` accepted
+  /// it, otherwise up to three reads.
   void Cancel(const base::ServiceName& service, const base::JobName& name,
-              std::function<void(CancelResult)> done);
+              const std::function<void(CancelResult)>& done);
 
-  /// Number of jobs of `queue` of which no task has started, as last written by
-  /// the owner.
-  void ReadWaitingCount(const base::ServiceName& service,
+  /// Number of jobs of `queue`, accepted for any of `services`, of which no
+  /// task has started, as last written by the owners. Costs a read for each
+  /// service. Fails if one of them cannot be read.
+  void ReadWaitingCount(const std::vector<base::ServiceName>& services,
                         const QueueName& queue,
-                        std::function<void(WaitingCountResult)> done);
+                        const std::function<void(WaitingCountResult)>& done);
 
  private:
+  void StoreAtHome(const Job& job, std::function<void(SubmitResult)> done);
+  void Reserve(const Job& job, std::function<void(SubmitResult)> done);
+  /// Continues a submission whose service is decided, if `result` is known.
+  void OnDecided(const JobIndex::ReserveResult& result, const Job& job,
+                 const std::function<void(SubmitResult)>& done);
+  /// Stores the request of a job that `service` accepts.
+  void StoreFor(const base::ServiceName& service, Job job,
+                const std::function<void(SubmitResult)>& done);
+  /// Answers a submission whose write has no answer: accepted if the request is
+  /// in `partition`, otherwise unknown.
+  void ConfirmUnknown(const std::string& partition, const base::JobName& name,
+                      const std::string& detail,
+                      const std::function<void(SubmitResult)>& done);
+
+  void ReadStateIn(const base::ServiceName& service, const base::JobName& name,
+                   const std::function<void(StateResult)>& done);
+  void CancelIn(const base::ServiceName& service, const base::JobName& name,
+                const std::function<void(CancelResult)>& done);
+  void ReadWaitingCountOf(const base::ServiceName& service,
+                          const QueueName& queue,
+                          const std::function<void(WaitingCountResult)>& done);
+
+  /// Calls `read` for `service`, and if the job is not there, for the service
+  /// that accepted it.
+  template <typename Result>
+  void FindThen(void (JobService::*read)(const base::ServiceName&,
+                                         const base::JobName&,
+                                         const std::function<void(Result)>&),
+                const base::ServiceName& service, const base::JobName& name,
+                const std::function<void(Result)>& done);
+
   store::RowStore& store_;
+  JobIndex index_;
 };
 
 }  // namespace lapishatch::jobs
--- a/test/jobs/jobs_test.cc
+++ b/test/jobs/jobs_test.cc
@@ -179,6 +179,11 @@
   std::optional<StateResult> state;
   std::optional<CancelResult> cancelled;
 
+  JobServiceFixture() {
+    service.Prepare(MakeJob("a").service);
+    time.RunFor(base::Duration(100));
+  }
+
   void Submit(const Job& job, int ms = 3'000) {
     submitted.reset();
     service.Submit(job, [this](const SubmitResult& it) { submitted = it; });
--- a/test/site/entry_world.h
+++ b/test/site/entry_world.h
@@ -47,6 +47,8 @@
   std::uint64_t version = 0;
   std::set<int> routes;
   std::set<int> keys;
+  /// The service to which all routes send jobs.
+  std::string service = "s";
 
   static std::string PrefixOf(int route) {
     return "/route" + std::to_string(route) + "/";
@@ -58,8 +60,8 @@
     for (const int it : routes) {
       if (!routes_json.empty()) routes_json += ',';
       routes_json += R"({"name":"q)" + std::to_string(it) +
-                     R"(","host":"h","service":"s","prefix":")" + PrefixOf(it) +
-                     R"("})";
+                     R"(","host":"h","service":")" + service +
+                     R"(","prefix":")" + PrefixOf(it) + R"("})";
     }
     std::string keys_json;
     for (const int it : keys) {
@@ -87,21 +89,31 @@
 
   void RunFor(int ms) { time.RunFor(base::Duration(ms)); }
 
-  /// Counts the waiting jobs of a route with an API key, and returns the status
-  /// of the response. Runs the simulation until the response, at most 3 s.
-  int Ask(int route, int key) {
+  /// Sends a request with an API key to `path` below the prefix of a route, and
+  /// returns the response. Runs the simulation until the response, at most 3 s;
+  /// the status is 0 if there is none.
+  http::Response Send(const std::string& method, int route, int key,
+                      const std::string& path, const std::string& body = "") {
     http::Request request;
-    request.target = TestConfiguration::PrefixOf(route);
+    request.method = method;
+    request.target = TestConfiguration::PrefixOf(route) + path;
     request.headers.Set("Host", "h");
     request.headers.Set("Authorization",
                         "Bearer " + TestConfiguration::KeyOf(key));
+    request.body = body;
     const auto exchange = std::make_shared<RecordedExchange>(request);
     handler.Handle(exchange);
     time.RunUntil([&exchange] { return exchange->response().has_value(); },
                   base::Duration(3'000));
-    return exchange->response() ? exchange->response()->status : 0;
+    http::Response out;
+    out.status = 0;
+    return exchange->response().value_or(out);
   }
 
+  /// Counts the waiting jobs of a route with an API key, and returns the status
+  /// of the response.
+  int Ask(int route, int key) { return Send("GET", route, key, "").status; }
+
   fakes::VirtualTime time;
   fakes::FakeRowStore store{time};
   store::MonitoredStore store_health{time, store.For(kVm), {}};
@@ -112,8 +124,11 @@
   OperatorFeed feed{time, store_health, bounds, [this] { return suspended; },
                     [](const jobs::QueueConfiguration&) {}};
   jobs::JobService jobs{store_health};
+  /// The services that may have jobs, as far as the process knows.
+  std::vector<base::ServiceName> services;
   JobHttpHandler handler{
-      {jobs, [this] { return store_health.IsOut(); }, metrics,
+      {jobs, [this] { return services; },
+       [this] { return store_health.IsOut(); }, metrics,
        [this] { return feed.Configuration(); },
        [this](OperatorFeed::ConfigurationViewCallback done) {
          feed.AwaitConfiguration(std::move(done));
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -17,6 +17,8 @@
 
 constexpr base::Duration kLateCommitDelay{3'000};
 constexpr base::Duration kMaxQueueTime{1'000};
+/// Time after which an unanswered search for parts fails.
+constexpr base::Duration kPartsTimeout{1'500};
 
 /// Answer to a read or a feed of a caller that is refused.
 const store::ReadFailed kBusy{"busy", true};
@@ -107,7 +109,15 @@
 
   void Parts(std::string table,
              std::function<void(store::PartsResult)> done) override {
-    After(store_.delay,
+    ++store_.reads_;
+    const auto present = FaultOf(table);
+    if (present == StoreFault::kBusy) {
+      return After(store_.delay, [done = std::move(done)] { done(kBusy); });
+    }
+    if (present != StoreFault::kNone) {
+      return FailAfter(kPartsTimeout, std::move(done));
+    }
+    After(2 * store_.delay,
           [this, table = std::move(table), done = std::move(done)] {
             store::PartsRead out;
             for (const auto& [address, row] : store_.rows_) {
