Conclude from absence only if a worker's report lists all ends

Cause: a worker lists 500 ends at a time. The owner took a task that was neither running nor in the list for vanished, also if the list was cut. Any time in which ends cannot be recorded leads there: a change of owners, an outage of the store, a severed connection.

Evidence: E681 listed=500 last=500 running=0 missing=130, then 130 times E636.

Change: a report says whether it may lack ends, and only a report that lists all ends ends a task that it does not list. Until then such a task keeps its resources and its worker's lease, is not taken for stalled, and a crash of the worker is no proof against it. A worker that lists no new ends for a lease although the former were acknowledged, or lists them out of order, counts as unreachable (E682): its lease runs out, so that its tasks start elsewhere without a second run.

Why it works: ends are listed in order and the first ones again until they are acknowledged, and they are acknowledged only when recorded. So a cut list is followed by the next one, and what is absent from the last has not ended unseen.

The fake worker lists 500 ends too, and reports a start after an end that is acknowledged later, which it did not notice before.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -169,8 +169,12 @@
                           const WorkerReport& report, base::TimePoint sent);
   /// Tasks as pairs of unit and task index; see JobTracker::MembersOn.
   using Members = std::vector<std::pair<Unit*, int>>;
+  /// Marks the members that a report which may lack ends does not list.
+  void MarkUnlistedMembers(const base::WorkerName& name,
+                           const WorkerReport& report);
   /// Logs, at most once a second for each worker, that a report may lack ends.
-  void LogCutEnds(const base::WorkerName& name, const WorkerReport& report);
+  void LogCutEnds(const base::WorkerName& name, const WorkerReport& report,
+                  std::size_t missing);
   void LogWorkerGone(const base::WorkerName& name, std::size_t tasks,
                      WorkerLossReason reason, CrashRecord crash);
   void EndAllTasksOn(const base::WorkerName& name, WorkerLossReason reason);
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -99,6 +99,8 @@
   /// The worker has started again since the start request was sent: the task is
   /// lost unless the present incarnation lists it.
   bool is_lost_unless_listed = false;
+  /// The last report does not list the task as running, and may lack its end.
+  bool may_have_ended = false;
   /// Whether the task was suspected of crashing workers when this run was
   /// planned.
   bool is_suspect = false;
--- a/src/dispatch/internal/worker_session.h
+++ b/src/dispatch/internal/worker_session.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/base.h"
 #include "dispatch/worker_client.h"
@@ -26,6 +27,9 @@
   /// an outage of the store they cannot be recorded, but the lease must be
   /// renewed.
   base::Duration max_record_wait{500};
+  /// How long a worker may list no new ends although it has some, before its
+  /// lease is left to expire.
+  base::Duration max_ends_stall{5'900};
   /// A worker's clock may run slow by up to this share.
   double max_clock_drift = 0.02;
   /// Margin for errors of the estimate of a worker's clock.
@@ -46,6 +50,10 @@
 /// worker's clock. If a report comes from another incarnation than the last
 /// one, the session begins anew: what it knew of clock, lease and ends is of
 /// the earlier one.
+///
+/// A report may list only the first of the ends that are due. The session
+/// acknowledges what is recorded and polls on until a report lists the last
+/// one. A worker whose lists do not advance counts as unreachable.
 class WorkerSession {
  public:
   struct Events {
@@ -55,6 +63,9 @@
     std::function<void()> on_superseded;
     /// This incarnation of the worker has ended.
     std::function<void()> on_other_incarnation;
+    /// The worker lists its ends in a way that cannot be followed, so that its
+    /// lease is not renewed any more. Called once until it can be followed.
+    std::function<void(std::string_view detail)> on_ends_unusable;
     /// Queried before each poll: whether this owner may still renew leases.
     std::function<bool()> may_renew;
     /// Queried for each renewal: the longest permitted lease.
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -19,6 +19,7 @@
 /// Whether the task was running when its worker was lost, or the worker was
 /// never heard again after its start had been sent.
 bool WasRunning(const Member& member, base::TimePoint last_answer_at) {
+  if (member.may_have_ended) return false;
   const bool ended_at_start = member.verified_start_at != TimePoint{} &&
                               member.verified_start_at >= last_answer_at;
   return member.has_run || ended_at_start;
@@ -28,6 +29,7 @@
 /// crash, whose time is unknown unless the worker closed its connection.
 bool MayHaveEndedUnseen(const Unit& unit, const Member& member,
                         const EndedIncarnation& worker, base::TimePoint now) {
+  if (member.may_have_ended) return true;
   if (worker.has_closed) return false;
   const auto silence = now - worker.last_answer_at;
   return RemainingWork(unit, member, worker.last_answer_at) <= silence;
--- a/src/dispatch/owned_reports.cc
+++ b/src/dispatch/owned_reports.cc
@@ -62,8 +62,11 @@
     fleet_worker->stray_usage = strays;
   }
   for (const auto& it : report.ended) OnTaskEnded(name, it);
-  if (report.may_have_more_ends) LogCutEnds(name, report);
-  EndUnreportedTasks(name, report, sent);
+  if (report.may_have_more_ends) {
+    MarkUnlistedMembers(name, report);
+  } else {
+    EndUnreportedTasks(name, report, sent);
+  }
   const auto last_end = worker->session->last_received_end();
   if (!report.ended.empty()) {
     for (const auto& it : report.ended) worker->unrecorded.insert(it.task.job);
@@ -150,22 +153,26 @@
   tracker_.OnEnded(*unit, end.task.index, end.outcome, end.checkpoint, now);
 }
 
+void OwnedService::MarkUnlistedMembers(const base::WorkerName& name,
+                                       const WorkerReport& report) {
+  std::size_t missing = 0;
+  for (const auto& [unit, index] : tracker_.MembersOn(name)) {
+    auto& member = JobTracker::MemberOf(*unit, index);
+    if (member.state == MemberState::kPlanned) continue;
+    member.may_have_ended = !IsListedAsRunning(report, *unit, index);
+    if (member.may_have_ended) ++missing;
+  }
+  LogCutEnds(name, report, missing);
+}
+
 void OwnedService::LogCutEnds(const base::WorkerName& name,
-                              const WorkerReport& report) {
+                              const WorkerReport& report, std::size_t missing) {
   constexpr base::Duration kMinLogInterval{1'000};
   auto& worker = *FindWorker(name);
   const auto now = dependencies_.loop.Now();
   const bool was_logged = worker.cut_ends_logged_at != TimePoint{};
   if (was_logged && now - worker.cut_ends_logged_at < kMinLogInterval) return;
   worker.cut_ends_logged_at = now;
-  const auto members = tracker_.MembersOn(name);
-  const auto missing = std::count_if(
-      members.begin(), members.end(), [this, &report](const auto& it) {
-        const auto& [unit, index] = it;
-        const auto& member = JobTracker::MemberOf(*unit, index);
-        return member.state != MemberState::kPlanned &&
-               !IsListedAsRunning(report, *unit, index);
-      });
   base::Log(base::events::kEndsCut,
             {{"service", service_.str()},
              {"worker", name},
@@ -189,6 +196,10 @@
 
 /// Marks as over the members that the worker reports neither as running nor as
 /// ended, once no order that was sent can still start them.
+///
+/// Invariant: only here is anything concluded from what a report does not list,
+/// and only if the report lists all ends. Until then such a member keeps its
+/// resources, and its worker's lease is renewed.
 void OwnedService::EndUnreportedTasks(const base::WorkerName& name,
                                       const WorkerReport& report,
                                       TimePoint sent) {
@@ -202,6 +213,7 @@
                               unit->step_run->occurrence,
                               unit->step_run->number, index};
     if (member.state == MemberState::kPlanned) continue;
+    member.may_have_ended = false;
     if (IsListedAsRunning(report, *unit, index)) continue;
     const bool was_confirmed =
         member.confirmed_at != TimePoint{} && member.confirmed_at < sent &&
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -133,6 +133,16 @@
       if (const auto owned = weak.lock()) owned->workers_.erase(name);
     });
   };
+  events.on_ends_unusable = [weak, name](std::string_view detail) {
+    const auto self = weak.lock();
+    auto* worker = self ? self->FindWorker(name) : nullptr;
+    if (worker == nullptr) return;
+    base::Log(base::events::kEndsUnusable,
+              {{"service", self->service_.str()},
+               {"worker", name},
+               {"last", worker->session->last_received_end()},
+               {"detail", detail}});
+  };
   events.may_renew = permissions_.may_renew;
   events.max_lease = permissions_.max_lease;
   auto& worker = workers_[name];
@@ -318,6 +328,7 @@
     std::set<base::WorkerName> stalled_workers;
     for (const auto& it : unit->members) {
       const bool is_stalled = it.state == MemberState::kRunning &&
+                              !it.may_have_ended &&
                               it.last_progress_at != TimePoint{} &&
                               now - it.last_progress_at > stall_limit;
       if (is_stalled) stalled_workers.insert(it.worker);
--- a/src/dispatch/worker_client.h
+++ b/src/dispatch/worker_client.h
@@ -173,8 +173,8 @@
   std::vector<RunningTask> running;
   /// The first ends after `last_recorded_end`, in order.
   std::vector<EndedTask> ended;
-  /// Whether there may be further ends. If so, a task that is listed neither
-  /// here nor in `running` may have ended.
+  /// Whether there may be further ends. If so, nothing follows from the absence
+  /// of a task here and in `running`.
   bool may_have_more_ends = false;
 };
 
--- a/src/dispatch/worker_session.cc
+++ b/src/dispatch/worker_session.cc
@@ -48,15 +48,17 @@
       NoteLeaseExpiry(*order.lease_expires_at);
     }
     const auto renewal = order.lease_expires_at;
+    const auto acknowledged = order.last_recorded_end;
     const auto sent = loop_.Now();
     answer_due_ = std::min(answer_due_, sent + wait);
     client_.Poll({registration_.name, registration_.endpoint}, order,
                  wait + options_.answer_timeout,
-                 [weak = weak_from_this(), sent, renewal,
+                 [weak = weak_from_this(), sent, renewal, acknowledged,
                   poll_number = poll_number_](PollResult result) {
                    const auto self = weak.lock();
                    if (!self || self->poll_number_ != poll_number) return;
-                   self->OnResult(std::move(result), sent, renewal);
+                   self->OnResult(std::move(result), sent, renewal,
+                                  acknowledged);
                  });
   }
 
@@ -125,13 +127,23 @@
     last_received_end_ = 0;
     last_recorded_end_ = 0;
     is_waiting_for_record_ = false;
+    ends_stalled_since_.reset();
   }
 
-  /// `renewal`: the lease that the poll asked for, if any.
+  /// `renewal`: the lease that the poll asked for, if any. `acknowledged`: the
+  /// last end that it acknowledged.
   void OnResult(PollResult result, base::TimePoint sent,
-                std::optional<WorkerTime> renewal) {
+                std::optional<WorkerTime> renewal, std::uint64_t acknowledged) {
     if (auto* report = std::get_if<WorkerReport>(&result)) {
-      return OnReport(std::move(*report), sent, renewal);
+      if (std::is_sorted(report->ended.begin(), report->ended.end(),
+                         [](const EndedTask& a, const EndedTask& b) {
+                           return a.sequence_number < b.sequence_number;
+                         })) {
+        return OnReport(std::move(*report), sent, renewal, acknowledged);
+      }
+      constexpr std::string_view kDetail = "out of order";
+      result = NoAnswer{"ends " + std::string(kDetail)};
+      MarkEndsUnusable(kDetail);
     }
     if (std::holds_alternative<OtherIncarnation>(result)) {
       ended_incarnation_ = Ended();
@@ -168,11 +180,36 @@
     return {was_lease_held, has_closed_, last_answer_at_};
   }
 
+  void MarkEndsUnusable(std::string_view detail) {
+    if (std::exchange(are_ends_unusable_, true)) return;
+    events_.on_ends_unusable(detail);
+  }
+
+  /// Notes since when the worker has had ends that it does not list, although
+  /// all listed before were acknowledged.
+  void UpdateEndsStall(const WorkerReport& report, std::uint64_t acknowledged) {
+    const bool is_stalled = report.may_have_more_ends && report.ended.empty() &&
+                            acknowledged >= last_received_end_;
+    const auto now = loop_.Now();
+    if (!is_stalled) {
+      ends_stalled_since_.reset();
+    } else if (!ends_stalled_since_) {
+      ends_stalled_since_ = now;
+    }
+    if (!ends_stalled_since_ ||
+        now - *ends_stalled_since_ < options_.max_ends_stall) {
+      are_ends_unusable_ = false;
+    } else {
+      MarkEndsUnusable("repeated");
+    }
+  }
+
   void OnReport(WorkerReport report, base::TimePoint sent,
-                std::optional<WorkerTime> renewal) {
+                std::optional<WorkerTime> renewal, std::uint64_t acknowledged) {
     if (AreDifferentIncarnations(confirmed_start_, report.started_at_ms)) {
       ended_incarnation_ = Ended();
       BeginAnew();
+      acknowledged = 0;
     } else if (renewal) {
       confirmed_lease_ = std::max(confirmed_lease_, *renewal);
     }
@@ -184,15 +221,21 @@
                       options_.clock_margin.count());
     }
     has_answered_ = true;
-    is_reachable_ = true;
     reported_worker_time_ = report.worker_time;
     last_answer_at_ = loop_.Now();
     first_failure_.clear();
     has_closed_ = false;
     answer_due_ = base::TimePoint::max();
+    // A worker that lists what was acknowledged may omit later ends.
+    const bool repeats_ends =
+        !report.ended.empty() &&
+        report.ended.front().sequence_number <= acknowledged;
+    if (repeats_ends) report.may_have_more_ends = true;
     std::erase_if(report.ended, [this](const EndedTask& it) {
       return it.sequence_number <= last_received_end_;
     });
+    UpdateEndsStall(report, acknowledged);
+    is_reachable_ = !are_ends_unusable_;
     if (!report.ended.empty()) {
       last_received_end_ = report.ended.back().sequence_number;
     }
@@ -202,6 +245,8 @@
     events_.on_report(std::move(report), sent);
     const auto self = weak.lock();
     if (!self || poll_number_ != poll_number) return;
+    // The worker would answer at once with the same ends.
+    if (ends_stalled_since_) return ArmPoll(options_.retry_delay);
     if (!is_waiting_for_record_) return Poll(options_.poll_wait);
     ArmPoll(options_.max_record_wait);
   }
@@ -241,6 +286,10 @@
   std::uint64_t last_received_end_ = 0;
   std::uint64_t last_recorded_end_ = 0;
   bool is_waiting_for_record_ = false;
+  /// See UpdateEndsStall.
+  std::optional<base::TimePoint> ends_stalled_since_;
+  /// Whether the worker's lists of ends cannot be followed.
+  bool are_ends_unusable_ = false;
   /// Counts the polls; a timer of an earlier poll has no effect.
   std::uint64_t poll_number_ = 0;
 };
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -109,6 +109,22 @@
   CHECK(read.ended[1].outcome == dispatch::TaskOutcome::kGangBroken);
 }
 
+/// Guards against a list of ends that is cut and taken for whole.
+TEST_CASE("a full list of ends is not taken for whole") {
+  for (const int n : {0, 1, 499, 500, 501}) {
+    std::string ended;
+    for (int i = 1; i <= n; ++i) {
+      if (i > 1) ended += ',';
+      ended += '[' + std::to_string(i) + R"(,"aa.0.1.9",1,"done",""])";
+    }
+    const auto report = DecodePollResponse(
+        R"({"clock-ms":1,"running":[],"ended":[)" + ended + "]}");
+    INFO(n);
+    CHECK(std::get<dispatch::WorkerReport>(report).may_have_more_ends ==
+          (n >= 500));
+  }
+}
+
 TEST_CASE("a malformed response to a poll order is rejected as a whole") {
   for (const auto* text :
        {"", "{}", R"({"clock-ms":1,"running":[],"ended":[[1,"a.0.0.0",1]]})",
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -56,6 +56,11 @@
   WorkerTime expires = 0;
   std::vector<Run> running;
   std::vector<EndedTask> ended;
+  /// Ids of the last run on any worker when each of `ended` ended.
+  std::map<std::uint64_t, std::uint64_t> last_run_at_end;
+  EndsFault ends_fault = EndsFault::kNone;
+  /// What a worker with kRepeated lists, in every report.
+  std::vector<EndedTask> repeated;
   std::uint64_t last_end = 0;
   /// Number of the last end before the lease expired. Ends up to this number
   /// never count as acknowledged.
@@ -308,6 +313,7 @@
 
 void FakeTaskWorkers::RecordStart(Worker& worker, const Run& run) {
   ++starts_[run.task];
+  last_started_[run.task] = run.id;
   CheckRestarts(run.task);
   if (IsRunning(run.task)) {
     AddViolation("two runs at once: " + TextOf(run.task));
@@ -324,6 +330,25 @@
   }
 }
 
+void FakeTaskWorkers::RecordAcknowledgement(const Worker& worker,
+                                            const EndedTask& end) {
+  const bool counts = end.sequence_number > worker.last_lapsed_end;
+  if (end.outcome != TaskOutcome::kDone || !counts) return;
+  done_.insert(end.task);
+  const auto it = worker.last_run_at_end.find(end.sequence_number);
+  if (it != worker.last_run_at_end.end() &&
+      last_started_[end.task] > it->second) {
+    AddViolation("started after its end, which was acknowledged later: " +
+                 TextOf(end.task));
+  }
+}
+
+void FakeTaskWorkers::SetEndsFault(const WorkerName& name, EndsFault fault) {
+  auto& worker = *Find(name);
+  worker.ends_fault = fault;
+  worker.repeated.clear();
+}
+
 void FakeTaskWorkers::CheckRestarts(const TaskName& task) {
   const auto it = starts_at_third_crash_.find(task);
   const bool may_crash = crash_after && crash_after(task);
@@ -395,6 +420,7 @@
   worker.highest_ended_run[run.task] =
       std::max(worker.highest_ended_run[run.task], run.run);
   worker.ended.push_back({++worker.last_end, run.task, run.run, kind, ""});
+  worker.last_run_at_end[worker.last_end] = last_run_id_;
   auto pending_polls = std::exchange(worker.pending_polls, {});
   for (const auto& poll : pending_polls) {
     if (std::exchange(poll->is_answered, true)) continue;
@@ -425,12 +451,12 @@
   worker.epoch = order.epoch;
   std::erase_if(worker.ended, [&](const EndedTask& it) {
     if (it.sequence_number > order.last_recorded_end) return false;
-    const bool counts = it.sequence_number > worker.last_lapsed_end;
-    if (it.outcome == TaskOutcome::kDone && counts) done_.insert(it.task);
+    RecordAcknowledgement(worker, it);
     return true;
   });
   if (order.lease_expires_at) ExtendLease(worker, *order.lease_expires_at);
-  if (!worker.ended.empty() || order.max_wait.count() == 0) {
+  const bool has_ends = !worker.ended.empty() || !worker.repeated.empty();
+  if (has_ends || order.max_wait.count() == 0) {
     return answer(ReportOf(worker, order.last_recorded_end));
   }
   auto poll = std::make_shared<Worker::PendingPoll>();
@@ -455,8 +481,17 @@
     out.running.push_back({it.task, it.run, "", static_cast<int>(percent)});
   }
   for (const auto& it : worker.ended) {
+    if (out.ended.size() == max_listed_ends) break;
     if (it.sequence_number > after) out.ended.push_back(it);
   }
+  if (worker.ends_fault == EndsFault::kRepeated) {
+    if (worker.repeated.empty()) worker.repeated = out.ended;
+    out.ended = worker.repeated;
+  }
+  if (worker.ends_fault == EndsFault::kReversed) {
+    std::reverse(out.ended.begin(), out.ended.end());
+  }
+  out.may_have_more_ends = out.ended.size() >= max_listed_ends;
   return out;
 }
 
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -88,6 +88,19 @@
   /// and runs that start there finish after 50 ms.
   void SetFailing(const base::WorkerName& name, bool is_failing);
 
+  /// Maximum number of ended runs in one report.
+  std::size_t max_listed_ends = 500;
+
+  /// How a worker deviates from the protocol when it lists ended runs.
+  enum class EndsFault {
+    kNone,
+    /// It lists the first ones again although they were acknowledged.
+    kRepeated,
+    /// It lists them in reverse order.
+    kReversed,
+  };
+  void SetEndsFault(const base::WorkerName& name, EndsFault fault);
+
   /// Returns the client of one owner, valid as long as this object.
   dispatch::WorkerClient& For(const std::string& owner);
 
@@ -134,6 +147,9 @@
   void ContinueWork(const base::WorkerName& name, const Run& run,
                     base::Duration left);
   void RecordStart(Worker& worker, const Run& run);
+  /// Handles the acknowledgement of an ended run.
+  void RecordAcknowledgement(const Worker& worker,
+                             const dispatch::EndedTask& end);
   /// Limit on starts, per dimension: the largest of the worker's capacity and
   /// the former capacities whose grace period has not ended.
   jobs::Resources CapacityLimit(const Worker& worker) const;
@@ -152,6 +168,8 @@
   /// Number of times that the connections of each owner became silent.
   std::map<std::string, int> severances_;
   std::map<jobs::TaskName, int> starts_;
+  /// Id of the last run of each task.
+  std::map<jobs::TaskName, std::uint64_t> last_started_;
   std::map<jobs::TaskName, int> crashes_;
   /// Number of starts of each task at its third crash.
   std::map<jobs::TaskName, int> starts_at_third_crash_;
