--- a/src/store/feed_follower.cc
+++ b/src/store/feed_follower.cc
@@ -202,7 +202,7 @@
   /// any time since the call. A full answer may not hold the latest rows.
   void Confirm(const RowsChanged& changes, base::TimePoint sent,
                base::Duration wait) {
-    if (changes.rows.size() >= kPageRows) return;
+    if (changes.may_have_more) return;
     const auto waited_until = sent + wait;
     const bool has_waited = changes.rows.empty() && ClockNow() >= waited_until;
     confirmed_at_ = std::max(confirmed_at_, has_waited ? waited_until : sent);
@@ -238,7 +238,7 @@
     Confirm(changes, call.sent, call.wait);
     has_answered_ = true;
     is_snapshot_unconfirmed_ = false;
-    const bool has_more = changes.rows.size() >= kPageRows;
+    const bool has_more = changes.may_have_more;
     const auto superseded = EraseSuperseded(changes.rows);
     const bool is_behind =
         superseded > kMinSupersededBytes && superseded > SizeOf(changes.rows);
--- a/src/store/row_store.h
+++ b/src/store/row_store.h
@@ -117,6 +117,9 @@
 struct RowsChanged {
   std::vector<StoredRow> rows;
   RowVersion as_of = kAbsent;
+  /// Whether there may be further changes after `as_of` already, because the
+  /// answer is as large as the store permits.
+  bool may_have_more = false;
 };
 
 /// The history after the version asked for is gone: read the table whole.
@@ -143,7 +146,7 @@
   virtual void Read(RowRange range,
                     std::function<void(RowsReadResult)> done) = 0;
 
-  /// The parts of `table` that hold rows.
+  /// All parts of `table` that hold rows.
   virtual void Parts(std::string table,
                      std::function<void(PartsResult)> done) = 0;
 
--- a/testing/fakes/fake_row_store.cc
+++ b/testing/fakes/fake_row_store.cc
@@ -387,6 +387,7 @@
     out.rows.push_back(it);
     if (out.rows.size() < feed_limit) continue;
     out.as_of = it.version;
+    out.may_have_more = true;
     break;
   }
   return out;
