--- a/test/site/operator_feed_test.cc
+++ b/test/site/operator_feed_test.cc
@@ -93,7 +93,7 @@
       bounds.configuration_delay + bounds.configuration_extension;
   // The last confirmation may be as old as one call of the feed.
   world.time.RunFor(extended - base::Duration(1'200));
-  for (int i = 0; i < 5 && world.store_health.IsOut(); ++i) world.RunFor(20);
+  for (int i = 0; i < 30 && world.store_health.IsOut(); ++i) world.RunFor(20);
   REQUIRE(!world.store_health.IsOut());
   CHECK(world.Ask(1, 1) == kOk);
   CHECK(world.Ask(2, 1) == kUnavailable);
