Linter: no needless copies in the release of services and the index of jobs

The linter found a callback that was copied for each call, a copied key and concatenated strings in a test.

--- a/src/dispatch/service_owners.cc
+++ b/src/dispatch/service_owners.cc
@@ -73,13 +73,18 @@
 
   void ForgetWorkers() { workers_.clear(); }
 
-  void Stop(const std::function<void()>& done) {
+  void Stop(std::function<void()> done) {
     is_stopping_ = true;
-    const auto unreleased = std::make_shared<std::size_t>(owners_.size());
     if (owners_.empty()) return done();
+    struct PendingReleases {
+      std::size_t count = 0;
+      std::function<void()> done;
+    };
+    const auto pending = std::make_shared<PendingReleases>(
+        PendingReleases{owners_.size(), std::move(done)});
     for (const auto& [name, owner] : owners_) {
-      owner->Stop([unreleased, done] {
-        if (--*unreleased == 0) done();
+      owner->Stop([pending] {
+        if (--pending->count == 0) pending->done();
       });
     }
   }
--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -154,7 +154,7 @@
 
   void ReadEntry(const base::JobName& name,
                  const std::function<void(LocateResult)>& done) {
-    const auto key = name.str();
+    const auto& key = name.str();
     store_.Read(
         {std::string(kIndexTable), RequestPartition(*home_, name), key,
          store::KeyAfter(key), 1},
--- a/test/site/http_row_store_test.cc
+++ b/test/site/http_row_store_test.cc
@@ -1,9 +1,11 @@
 #include "platform/http_row_store.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
-#include <cstdlib>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -84,10 +86,10 @@
     std::string rows;
     const std::string value((it.value_bytes + 2) / 3 * 4, 'A');
     for (int i = 0; i < it.rows; ++i) {
-      if (i > 0) rows += ',';
-      const std::string key = it.is_malformed && i == 7 ? "" : R"("key":"k",)";
-      rows += R"({"table":"t","part":"",)" + key +
-              R"("row-version":5,"value":")" + value + R"("})";
+      const bool has_key = !it.is_malformed || i != 7;
+      absl::StrAppend(&rows, i > 0 ? "," : "", R"({"table":"t","part":"",)",
+                      has_key ? R"("key":"k",)" : "",
+                      R"("row-version":5,"value":")", value, R"("})");
     }
     return R"({"row-version":9,"rows":[)" + rows + "]}";
   };
