--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -45,7 +45,8 @@
 class Site {
  public:
   Site(Clock& clock, Record& record, std::string name, std::string zone,
-       const Link& store, std::string program, const std::string& folder)
+       const Link& store, std::string program, const std::string& folder,
+       int status_s = 120)
       : record_(record),
         name_(std::move(name)),
         zone_(std::move(zone)),
@@ -69,7 +70,8 @@
         << "grace-s = 6\nconfig-apply-ms = 2000\nmax-stretch-ms = 5000\n"
         << "max-hold-ms = 6000\nstop-timeout-ms = 400\n"
         << "gang-timeout-ms = 3000\ncancel_ms = 3000\nvisible_ms = 3000\n"
-        << "status_s = 120\nremote-factor = 3\nreclaim-ms = 2900\n"
+        << "status_s = " << status_s
+        << "\nremote-factor = 3\nreclaim-ms = 2900\n"
         << "checkpoint-interval-s = 2\nrestore-ms = 100\n"
         << "[platform]\naddress = \"" << store.address() << "\"\n"
         << "form = \"table\"\nwrites-per-s = 800\nreads-per-s = 2000\n"
@@ -174,7 +176,8 @@
     auto& link = store.Serve();
     store_links.push_back(&link);
     sites.push_back(std::make_unique<Site>(clock, record, name, zone, link,
-                                           options_.program, options_.folder));
+                                           options_.program, options_.folder,
+                                           status_s));
     return *sites.back();
   }
 
@@ -328,6 +331,8 @@
   Store store;
   RunLog log;
   std::vector<Link*> store_links;
+  /// `status_s` of the processes that are added from now on.
+  int status_s = 120;
   std::vector<std::unique_ptr<Site>> sites;
   std::vector<std::unique_ptr<Runner>> runners;
 
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -72,6 +72,7 @@
  public:
   struct Options {
     Millis transaction_time{8};
+    Millis read_time{4};
     std::size_t max_row_bytes = 65'536;
   };
 
@@ -116,6 +117,37 @@
                      const std::string& key, const std::string& value)>
       on_put;
 
+  /// While busy, the store refuses each call with 503: nothing is done.
+  void SetBusy(bool is_busy) {
+    record_.Add(is_busy ? "store: refuses all calls with 503"
+                        : "store: serves all calls again");
+    is_busy_ = is_busy;
+    if (!is_busy) return;
+    for (const auto& it : std::exchange(feeds_, {})) {
+      if (!std::exchange(it->is_done, true)) it->respond(503, "{}");
+    }
+  }
+
+  /// Feeds hear nothing for a second while changes are made; then the history
+  /// is dropped and they are cut.
+  void Compact() {
+    record_.Add("store: feeds hear nothing for a second");
+    is_silent_ = true;
+    clock_.After(Millis(1'000), [this] {
+      record_.Add("store: the history is dropped");
+      is_silent_ = false;
+      oldest_ = version_;
+      for (const auto& it : std::exchange(feeds_, {})) {
+        if (std::exchange(it->is_done, true)) continue;
+        if (it->after < oldest_) {
+          it->respond(410, "{}");
+        } else {
+          it->respond(503, "{}");
+        }
+      }
+    });
+  }
+
   /// From now on, the answers to transactions that write the row of `key` are
   /// lost, and each is performed `late` after it came, if its conditions still
   /// hold.
@@ -176,6 +208,7 @@
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     const auto query = QueryOf(target);
+    if (is_busy_) return respond(503, "{}");
     if (path == "/v1/rows-tx") {
       return Transact(caller, request.body(), std::move(respond));
     }
@@ -322,7 +355,7 @@
     auto out = Body();
     out["rows"] = std::move(rows);
     out["has-more"] = has_more;
-    clock_.After(Millis(1), [respond, text = json::serialize(out)] {
+    clock_.After(options_.read_time, [respond, text = json::serialize(out)] {
       respond(200, text);
     });
   }
@@ -356,7 +389,7 @@
     feeds_.push_back(feed);
     const auto wait = Millis(std::stoll("0" + Text(query, "wait-ms")));
     clock_.After(wait, [this, feed] {
-      if (std::exchange(feed->is_done, true)) return;
+      if (is_silent_ || std::exchange(feed->is_done, true)) return;
       feeds_.remove(feed);
       auto out = Body();
       out["rows"] = json::array();
@@ -365,6 +398,12 @@
   }
 
   bool AnswerIfChanged(Feed& feed) {
+    if (is_silent_) return false;
+    if (feed.after < oldest_) {
+      feed.is_done = true;
+      feed.respond(410, "{}");
+      return true;
+    }
     json::array rows;
     auto as_of = version_;
     std::size_t bytes = 0;
@@ -409,6 +448,9 @@
   std::map<std::string, Millis> part_free_at_;
   std::list<std::shared_ptr<Feed>> feeds_;
   int oversized_ = 0;
+  bool is_busy_ = false;
+  bool is_silent_ = false;
+  std::int64_t oldest_ = 0;
   std::string lost_key_;
   Millis late_{0};
 };
