--- a/review/4/removed_jobs.cc
+++ b/review/4/removed_jobs.cc
@@ -11,7 +11,7 @@
 constexpr int kJobs = 60;
 constexpr Millis kPause{250};
 /// For how long the store is down, as on the days.
-constexpr Millis kOutage{4'500};
+constexpr Millis kOutage{4'200};
 /// From its return until it drops its history.
 constexpr Millis kUntilCompaction{4'000};
 
