Keep ended jobs in memory until the feed shows that their requests are deleted

Cause: at the end of its retention a job left the owner's memory at once, and the answer to its removal was ignored.

Now JobRemover knows a job until the feed has shown the deletion of its request, repeats what the store did not confirm, and removes each row on condition of the version that was read, so that a late removal spares a later job of the name. Progress that is older than a request is not that job's.

--- a/src/dispatch/internal/job_indexer.h
+++ b/src/dispatch/internal/job_indexer.h
@@ -32,9 +32,9 @@
   /// Whether it is known where the entries lie; Remove needs this.
   bool is_ready() const;
 
-  /// Removes the entry of a job, if it has one. `done` is not called if the
-  /// store does not confirm it.
-  void Remove(const base::JobName& name, std::function<void()> done);
+  /// Removes the entry of a job, if it has one. `done` receives whether the
+  /// store has confirmed it.
+  void Remove(const base::JobName& name, std::function<void(bool)> done);
 
  private:
   class Impl;
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -15,6 +15,7 @@
 #include "dispatch/internal/crash_history.h"
 #include "dispatch/internal/crash_policy.h"
 #include "dispatch/internal/job_indexer.h"
+#include "dispatch/internal/job_remover.h"
 #include "dispatch/internal/job_tracker.h"
 #include "dispatch/internal/recorder.h"
 #include "dispatch/internal/service_loader.h"
@@ -256,11 +257,10 @@
   void LogFailure(const JobEntry& job);
   /// Does the periodic work and schedules its next call.
   void Tick();
-  void RemoveExpiredJobs();
-  void RemoveOrphanedProgress(const std::vector<store::StoredRow>& requests);
-  void RemoveJobRows(const base::JobName& name);
-  void RemoveRequest(const base::JobName& name);
-  void RemoveProgressRow(const base::JobName& name);
+  /// See JobRemover::Callbacks.
+  bool MayRemove(const base::JobName& name);
+  const Recorder& RecorderOf(const base::JobName& name) const;
+  void FindOrphanedProgress(const std::vector<store::StoredRow>& requests);
   void GiveUpOwnership(const std::string& reason);
   /// The unit of the task if `run` is its present run and the task is not over
   /// in it; otherwise null.
@@ -282,6 +282,7 @@
   const DrainOptions drain_options_;
   ServiceLoader loader_;
   JobIndexer indexer_;
+  JobRemover remover_;
   /// By partition; empty before the service is loaded.
   std::vector<std::unique_ptr<Recorder>> recorders_;
   std::optional<WaitingCountWriter> waiting_counter_;
@@ -317,8 +318,6 @@
   /// Whether the last decision round held back starts until starts in flight
   /// are answered.
   bool is_limited_by_start_window_ = false;
-  /// When this owner first saw each ended job as ended.
-  std::map<base::JobName, base::TimePoint> ended_at_;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/job_indexer.cc
+++ b/src/dispatch/job_indexer.cc
@@ -38,13 +38,13 @@
 
   bool is_ready() const { return is_home_.has_value(); }
 
-  void Remove(const base::JobName& name, std::function<void()> done) {
-    if (*is_home_) return done();
+  void Remove(const base::JobName& name, std::function<void(bool)> done) {
+    if (*is_home_) return done(true);
     unindexed_.erase(name);
-    index_.Remove(name, [weak = weak_from_this(),
-                         done = std::move(done)](bool is_removed) {
-      if (is_removed && weak.lock()) done();
-    });
+    index_.Remove(name, service_,
+                  [weak = weak_from_this(), done = std::move(done)](bool ok) {
+                    if (weak.lock()) done(ok);
+                  });
   }
 
  private:
@@ -104,7 +104,8 @@
 
 bool JobIndexer::is_ready() const { return impl_->is_ready(); }
 
-void JobIndexer::Remove(const base::JobName& name, std::function<void()> done) {
+void JobIndexer::Remove(const base::JobName& name,
+                        std::function<void(bool)> done) {
   impl_->Remove(name, std::move(done));
 }
 
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -459,9 +459,8 @@
 }
 
 void OwnedService::LogEndedJob(const JobEntry& job) {
-  if (!IsFinal(job.state) || ended_at_.contains(job.job->name)) return;
+  if (!IsFinal(job.state) || !remover_.MarkEnded(job.job->name)) return;
   const auto now = dependencies_.loop.Now();
-  ended_at_.emplace(job.job->name, now);
   if (dependencies_.metrics != nullptr) {
     dependencies_.metrics->Observe(
         "lapishatch_job_seconds",
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -18,6 +18,12 @@
   return base::JobName(key.substr(0, key.size() - jobs::kCancelSuffix.size()));
 }
 
+JobRemoverOptions RemoverOptionsFor(const ServiceOwnerOptions& options) {
+  JobRemoverOptions out;
+  out.retention = options.ended_job_retention;
+  return out;
+}
+
 }  // namespace
 
 OwnedService::OwnedService(const ServiceOwnerDependencies& dependencies,
@@ -40,7 +46,21 @@
           dependencies.loop, dependencies.store, service_, epoch,
           [this](LoadedService loaded) { OnLoaded(std::move(loaded)); },
           [this](const std::string& reason) { GiveUpOwnership(reason); }),
-      indexer_(dependencies.loop, dependencies.store, service_) {}
+      indexer_(dependencies.loop, dependencies.store, service_),
+      remover_(
+          dependencies.loop, dependencies.store, service_, indexer_,
+          dependencies.metrics, RemoverOptionsFor(options),
+          {[this](const base::JobName& name) { return MayRemove(name); },
+           [this](const base::JobName& name) {
+             const auto* job = tracker_.Find(name);
+             return job == nullptr ? store::kAbsent : job->row_version;
+           },
+           [this](const base::JobName& name) {
+             return RecorderOf(name).fence_version();
+           },
+           [this](const base::JobName& name) { tracker_.Remove(name); },
+           [this](const StoredRow& row) { OnRequestRow(row); },
+           [this](const std::string& reason) { GiveUpOwnership(reason); }}) {}
 
 void OwnedService::Start() {
   loader_.Start();
@@ -93,10 +113,11 @@
 }
 
 void OwnedService::OnRequestSnapshot(const std::vector<StoredRow>& rows) {
+  remover_.OnSnapshot(rows);
   for (const auto& it : rows) OnRequestRow(it);
   if (!is_loaded_) {
     is_loaded_ = true;
-    RemoveOrphanedProgress(rows);
+    FindOrphanedProgress(rows);
     base::Log(
         base::events::kServiceLoaded,
         {{"service", service_.str()},
@@ -112,12 +133,14 @@
 
 void OwnedService::OnRequestRow(const StoredRow& row) {
   if (const auto cancelled = CancelledJob(row.address.key)) {
-    if (!row.is_deleted) OnCancelRequest(*cancelled);
+    const bool is_current =
+        !row.is_deleted && remover_.AddCancellation(*cancelled, row);
+    if (is_current) OnCancelRequest(*cancelled);
     return;
   }
-  if (row.is_deleted) return;
+  if (row.is_deleted) return remover_.OnRequestDeleted(row);
+  if (!remover_.AddRequest(row)) return;
   const base::JobName name(row.address.key);
-  if (tracker_.Find(name) != nullptr) return;
   auto job = jobs::DecodeJob(row.value);
   if (!job) {
     base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
@@ -128,9 +151,12 @@
   store::RowVersion version = store::kAbsent;
   const auto it = progress_rows_.find(name);
   if (it != progress_rows_.end()) {
-    progress = jobs::DecodeProgress(it->second.value);
     version = it->second.version;
-    if (!progress) {
+    // A job's progress is newer than its request; an older row is that of an
+    // earlier job of the same name.
+    const bool is_own = version > row.version;
+    if (is_own) progress = jobs::DecodeProgress(it->second.value);
+    if (is_own && !progress) {
       base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
       return;
     }
@@ -145,7 +171,7 @@
       std::make_shared<const jobs::Job>(std::move(*job)),
       progress ? &*progress : nullptr, version, age, dependencies_.loop.Now());
   // The owner that recorded the end has logged it, so it is not logged again.
-  if (IsFinal(entry->state)) ended_at_.emplace(name, dependencies_.loop.Now());
+  if (IsFinal(entry->state)) remover_.MarkEnded(name);
 }
 
 void OwnedService::OnCancelRequest(const base::JobName& name) {
@@ -171,7 +197,7 @@
     StopUnitsOnDrainingWorkers();
     worker_health_.ReleaseExpired(dependencies_.loop.Now());
     indexer_.Update();
-    RemoveExpiredJobs();
+    remover_.Update();
     ScheduleDecisionRound();
   }
   dependencies_.loop.After(options_.tick_interval, [weak = weak_from_this()] {
@@ -186,78 +212,36 @@
   });
 }
 
-/// Removes jobs that ended more than `keep_ended` ago, and their rows, unless a
-/// task of theirs may still run or their progress is not recorded.
-void OwnedService::RemoveExpiredJobs() {
-  if (!indexer_.is_ready()) return;
-  const auto now = dependencies_.loop.Now();
-  std::vector<base::JobName> expired;
-  for (const auto& [name, at] : ended_at_) {
-    if (now - at > options_.ended_job_retention) expired.push_back(name);
-  }
-  for (const auto& name : expired) {
-    auto* job = tracker_.Find(name);
-    const bool is_active =
-        std::any_of(tracker_.active().begin(), tracker_.active().end(),
-                    [job](const Unit* it) { return it->step_run->job == job; });
-    const auto& recorder =
-        *recorders_[static_cast<std::size_t>(job->partition)];
-    if (is_active || !recorder.IsRecorded(name)) continue;
-    RemoveJobRows(name);
-    ended_at_.erase(name);
-    tracker_.Remove(name);
+bool OwnedService::MayRemove(const base::JobName& name) {
+  const auto* job = tracker_.Find(name);
+  // A request that cannot be decoded has no job.
+  if (job == nullptr) return true;
+  if (!IsFinal(job->state)) return false;
+  for (const auto& runs : job->runs) {
+    for (const auto& run : runs) {
+      for (const auto& it : run.units) {
+        if (!it.members.empty()) return false;
+      }
+    }
   }
+  return RecorderOf(name).IsRecorded(name);
 }
 
-/// Removes progress rows without a request. A job's request is written before
-/// its progress and removed before it, and the progress was read before the
-/// requests, so such a row is left over from an incomplete removal.
-void OwnedService::RemoveOrphanedProgress(
+const Recorder& OwnedService::RecorderOf(const base::JobName& name) const {
+  const auto partition = jobs::ProgressPartitionIndex(name);
+  return *recorders_[static_cast<std::size_t>(partition)];
+}
+
+/// Finds progress rows without a request. A job's request is written before its
+/// progress, and the progress was read before the requests, so such a row is
+/// left over from an incomplete removal.
+void OwnedService::FindOrphanedProgress(
     const std::vector<StoredRow>& requests) {
   std::set<std::string> request_keys;
   for (const auto& it : requests) request_keys.insert(it.address.key);
   for (const auto& [name, row] : std::exchange(progress_rows_, {})) {
-    if (request_keys.contains(name.str())) continue;
-    RemoveProgressRow(name);
+    if (!request_keys.contains(name.str())) remover_.AddOrphanedProgress(row);
   }
 }
 
-void OwnedService::RemoveProgressRow(const base::JobName& name) {
-  const auto partition =
-      static_cast<std::size_t>(jobs::ProgressPartitionIndex(name));
-  dependencies_.store.Commit(
-      {jobs::ProgressPartition(service_, name),
-       {{std::string(kOwnerTable), std::string(kFenceKey),
-         recorders_[partition]->fence_version()}},
-       {},
-       {{std::string(jobs::kProgressTable), name.str()}}},
-      [](const store::RowsResult&) {});
-}
-
-/// Removes a job's rows. Its request goes before its progress, because a
-/// request without progress would be treated as a new job; if a failure leaves
-/// the progress row behind, the next owner removes it. The entry in the index
-/// goes first, because a later job of the same name would be sent after it.
-void OwnedService::RemoveJobRows(const base::JobName& name) {
-  indexer_.Remove(name, [weak = weak_from_this(), name] {
-    if (const auto self = weak.lock()) self->RemoveRequest(name);
-  });
-}
-
-void OwnedService::RemoveRequest(const base::JobName& name) {
-  const std::string requests(jobs::kRequestTable);
-  dependencies_.store.Commit(
-      {jobs::RequestPartition(service_, name),
-       {},
-       {},
-       {{requests, name.str()},
-        {requests, name.str() + std::string(jobs::kCancelSuffix)}}},
-      [weak = weak_from_this(), name](const store::RowsResult& result) {
-        const auto self = weak.lock();
-        const bool is_committed =
-            std::holds_alternative<store::RowsCommitted>(result);
-        if (self && is_committed) self->RemoveProgressRow(name);
-      });
-}
-
 }  // namespace lapishatch::dispatch::internal
--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -75,14 +75,17 @@
         });
   }
 
-  void Remove(const base::JobName& name, std::function<void(bool)> done) {
-    store_.Commit({RequestPartition(*home_, name),
-                   {},
-                   {},
-                   {{std::string(kIndexTable), name.str()}}},
-                  [done = std::move(done)](const RowsResult& result) {
-                    done(std::holds_alternative<RowsCommitted>(result));
-                  });
+  void Remove(const base::JobName& name, const base::ServiceName& service,
+              std::function<void(bool)> done) {
+    ReadEntryRow(name, [self = shared_from_this(), name, service,
+                        done = std::move(done)](const RowsReadResult& result) {
+      const auto* read = std::get_if<RowsRead>(&result);
+      if (read == nullptr) return done(false);
+      if (read->rows.empty()) return done(true);
+      const auto& row = read->rows.front();
+      if (DecodeIndexEntry(row.value) != service) return done(true);
+      self->RemoveEntry(name, row.version, done);
+    });
   }
 
   const base::ServiceName& home() const { return *home_; }
@@ -154,11 +157,8 @@
 
   void ReadEntry(const base::JobName& name,
                  const std::function<void(LocateResult)>& done) {
-    const auto& key = name.str();
-    store_.Read(
-        {std::string(kIndexTable), RequestPartition(*home_, name), key,
-         store::KeyAfter(key), 1},
-        [self = shared_from_this(), done](const RowsReadResult& result) {
+    ReadEntryRow(
+        name, [self = shared_from_this(), done](const RowsReadResult& result) {
           if (const auto* failed = std::get_if<ReadFailed>(&result)) {
             return done(IndexUnavailable{failed->detail});
           }
@@ -172,6 +172,27 @@
         });
   }
 
+  void ReadEntryRow(const base::JobName& name,
+                    std::function<void(RowsReadResult)> done) {
+    const auto& key = name.str();
+    store_.Read({std::string(kIndexTable), RequestPartition(*home_, name), key,
+                 store::KeyAfter(key), 1},
+                std::move(done));
+  }
+
+  void RemoveEntry(const base::JobName& name, store::RowVersion version,
+                   const std::function<void(bool)>& done) {
+    const std::string table(kIndexTable);
+    store_.Commit({RequestPartition(*home_, name),
+                   {{table, name.str(), version}},
+                   {},
+                   {{table, name.str()}}},
+                  [done](const RowsResult& result) {
+                    done(std::holds_alternative<RowsCommitted>(result) ||
+                         std::holds_alternative<RowsConflict>(result));
+                  });
+  }
+
   store::RowStore& store_;
   /// Empty until it is known; it never changes in the store.
   std::optional<base::ServiceName> home_;
@@ -197,8 +218,9 @@
 }
 
 void JobIndex::Remove(const base::JobName& name,
+                      const base::ServiceName& service,
                       std::function<void(bool)> done) {
-  impl_->Remove(name, std::move(done));
+  impl_->Remove(name, service, std::move(done));
 }
 
 const base::ServiceName& JobIndex::home() const { return impl_->home(); }
--- a/src/jobs/job_index.h
+++ b/src/jobs/job_index.h
@@ -62,9 +62,11 @@
   void Reserve(const base::JobName& name, const base::ServiceName& service,
                std::function<void(ReserveResult)> done);
 
-  /// Removes the entry of a job. FindHome must have succeeded. Costs one
-  /// transaction. `done` is told whether the store has confirmed it.
-  void Remove(const base::JobName& name, std::function<void(bool)> done);
+  /// Removes the entry of a job of `service`, if there is one. An entry that is
+  /// written meanwhile stays. FindHome must have succeeded. Costs a read and a
+  /// transaction. `done` receives whether the store has confirmed it.
+  void Remove(const base::JobName& name, const base::ServiceName& service,
+              std::function<void(bool)> done);
 
   /// The home service. FindHome must have succeeded.
   const base::ServiceName& home() const;
--- a/test/dispatch/owner_world.h
+++ b/test/dispatch/owner_world.h
@@ -190,10 +190,14 @@
     PutOnAllOwners(registration);
   }
 
+  /// Applies to the owners that start from now on.
+  base::Duration ended_job_retention{180'000};
+
   /// Starts a candidate for ownership on VM `name`, which has `cores` cores.
   void StartOwner(const std::string& name, double cores = 1) {
     ServiceOwnerOptions options;
     options.lease.takeover_delay = TakeoverDelayFor(cores);
+    options.ended_job_retention = ended_job_retention;
     observed_states_.try_emplace(name);
     auto& vm = vms_[name];
     vm = std::make_unique<Vm>(time_, store_.For(name), workers_.For(name));
