Record for how long former owners may still be active

Cause: the next owner judged by the last holder of the lease row alone. That this holder had itself not yet waited for the owner that was cut off stood in no row.

Now the row "former" holds what is left of the wait. It is written with the acquisition, the renewals until it is over, and the release; a successor counts it anew from its own acquisition. Calls to the store are unchanged. After an owner of the former build, which does not write the row, the longest wait is assumed.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -62,7 +62,7 @@
  public:
   OwnedService(const ServiceOwnerDependencies& dependencies,
                base::ServiceName service, Epoch epoch,
-               bool is_former_owner_gone, const ServiceOwnerOptions& options,
+               base::Duration former_leases, const ServiceOwnerOptions& options,
                OwnerPermissions permissions);
 
   void Start();
@@ -270,7 +270,8 @@
   const ServiceOwnerDependencies& dependencies_;
   const base::ServiceName service_;
   const Epoch epoch_;
-  const bool is_former_owner_gone_;
+  /// See OwnerLeaseCallbacks::on_acquired.
+  const base::Duration former_leases_;
   const ServiceOwnerOptions& options_;
   const OwnerPermissions permissions_;
   const base::TimePoint acquired_at_;
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -28,13 +28,13 @@
 
 OwnedService::OwnedService(const ServiceOwnerDependencies& dependencies,
                            base::ServiceName service, Epoch epoch,
-                           bool is_former_owner_gone,
+                           base::Duration former_leases,
                            const ServiceOwnerOptions& options,
                            OwnerPermissions permissions)
     : dependencies_(dependencies),
       service_(std::move(service)),
       epoch_(epoch),
-      is_former_owner_gone_(is_former_owner_gone),
+      former_leases_(former_leases),
       options_(options),
       permissions_(std::move(permissions)),
       acquired_at_(dependencies.loop.Now()),
--- a/src/dispatch/owned_workers.cc
+++ b/src/dispatch/owned_workers.cc
@@ -362,17 +362,11 @@
 /// such workers if they are no longer registered.
 void OwnedService::HandleExpiredLeases() {
   const auto now = dependencies_.loop.Now();
-  // Worker leases granted by a former owner end at most `outage_lease_limit`
-  // after its last renewal of the service's row. That renewal happened at least
-  // one row lease before this owner acquired the row. A former owner that is
-  // known to be gone granted its leases before the acquisition, so they end
-  // within one worker lease after it.
+  // A former owner that has stopped granted its leases before the acquisition,
+  // so they end within one worker lease after it.
   const auto& session = session_options_;
   const auto max_former_lease =
-      is_former_owner_gone_
-          ? session.lease_duration
-          : std::max(session.lease_duration,
-                     options_.outage_lease_limit - options_.lease.duration);
+      std::max(session.lease_duration, former_leases_);
   const auto unanswered_expiry =
       max_former_lease + session.lease_duration / 20 + session.clock_margin;
   std::vector<base::WorkerName> to_remove;
--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -1,9 +1,13 @@
 #include "dispatch/owner_lease.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace lapishatch::dispatch {
 namespace {
@@ -59,6 +63,7 @@
                                         RowVersion as_of) {
       if (const auto self = weak.lock()) {
         self->row_.reset();
+        self->former_row_.reset();
         self->epoch_row_ = store::kAbsent;
         self->is_read_ = true;
         on_rows(rows, as_of);
@@ -121,7 +126,7 @@
   void WriteRelease(Epoch epoch, std::function<void()> done) {
     store_.Commit({service_.str(),
                    {Condition(kEpochKey, epoch)},
-                   {Put(kLeaseKey, kNoHolder)},
+                   {Put(kLeaseKey, kNoHolder), PutFormer(FormerLeases())},
                    {}},
                   [weak = weak_from_this(), epoch,
                    done = std::move(done)](const RowsResult& result) {
@@ -152,11 +157,15 @@
     return {std::string(kOwnerTable), std::string(key), std::string(value)};
   }
 
+  static store::RowPut PutFormer(base::Duration former_leases) {
+    return Put(kFormerKey, std::to_string(former_leases.count()));
+  }
+
   /// An attempt to acquire the service, with the state when it was sent.
   struct Attempt {
     base::TimePoint sent;
     base::Duration suspended;
-    bool predecessor_stopped = false;
+    base::Duration former_leases{0};
   };
 
   // Candidacy.
@@ -168,6 +177,10 @@
         epoch_row_ = it.is_deleted ? store::kAbsent : it.version;
         continue;
       }
+      if (it.address.key == kFormerKey) {
+        former_row_ = it;
+        if (it.is_deleted) former_row_.reset();
+      }
       if (it.address.key != kLeaseKey) continue;
       has_changed = true;
       row_ = it;
@@ -192,12 +205,43 @@
            row_->version == epoch_row_;
   }
 
-  /// Whether no former owner is active: the lease was released, or its holder
+  /// Whether the last owner has stopped: the lease was released, or its holder
   /// was an earlier incarnation on this VM.
   bool HasPredecessorStopped() const {
     return !row_ || row_->value == kNoHolder || row_->value.starts_with(vm_);
   }
 
+  /// Bound on the leases that an owner may still renew that was active one
+  /// lease duration ago.
+  base::Duration MaxFormerLeases() const {
+    return std::max(options_.outage_lease_limit - options_.duration,
+                    base::Duration(0));
+  }
+
+  /// What OwnerLeaseCallbacks::on_acquired tells of the leases of former
+  /// owners, by the rows last read.
+  base::Duration FormerLeasesInRows() const {
+    if (epoch_row_ == store::kAbsent) return base::Duration(0);
+    if (!HasPredecessorStopped()) {
+      return std::max(MaxFormerLeases(), RecordedFormerLeases());
+    }
+    return RecordedFormerLeases();
+  }
+
+  /// An owner that does not write the row may itself have succeeded one that
+  /// is partitioned from the store.
+  base::Duration RecordedFormerLeases() const {
+    std::int64_t ms = 0;
+    const bool is_known = former_row_ && former_row_->version >= epoch_row_ &&
+                          absl::SimpleAtoi(former_row_->value, &ms) && ms >= 0;
+    return is_known ? base::Duration(ms) : MaxFormerLeases();
+  }
+
+  /// What is left of the bound on the leases of owners before this one.
+  base::Duration FormerLeases() const {
+    return std::max(former_leases_end_ - loop_.Now(), base::Duration(0));
+  }
+
   /// The feed may be ahead of the answers to this holder's own renewals, so
   /// only the epoch shows that another process has taken the service.
   void CheckStillOwner() {
@@ -226,17 +270,18 @@
 
   void TryAcquire() {
     if (epoch_ || is_leaving_) return;
-    const Attempt attempt{loop_.Now(), suspended_(), HasPredecessorStopped()};
+    const Attempt attempt{loop_.Now(), suspended_(), FormerLeasesInRows()};
     // An earlier attempt may still be committed; the lease then counts from it.
     if (!open_attempt_) open_attempt_ = attempt;
-    open_attempt_->predecessor_stopped =
-        open_attempt_->predecessor_stopped && attempt.predecessor_stopped;
+    open_attempt_->former_leases =
+        std::max(open_attempt_->former_leases, attempt.former_leases);
     const auto lease_version = row_ ? row_->version : store::kAbsent;
     ++attempts_in_flight_;
     store_.Commit({service_.str(),
                    {Condition(kEpochKey, epoch_row_),
                     Condition(kLeaseKey, lease_version)},
-                   {Put(kEpochKey, holder_), Put(kLeaseKey, holder_)},
+                   {Put(kEpochKey, holder_), Put(kLeaseKey, holder_),
+                    PutFormer(attempt.former_leases)},
                    {}},
                   [weak = weak_from_this(), attempt](const RowsResult& result) {
                     const auto self = weak.lock();
@@ -244,7 +289,7 @@
                     --self->attempts_in_flight_;
                     const auto* committed = std::get_if<RowsCommitted>(&result);
                     if (self->is_leaving_) {
-                      return self->ReleaseLateAcquisition(committed);
+                      return self->ReleaseLateAcquisition(committed, attempt);
                     }
                     if (committed == nullptr) return self->OnAcquireFailed();
                     self->OnAcquired(committed->version, attempt);
@@ -252,9 +297,11 @@
   }
 
   /// Releases the service if it was acquired while this process was stopping.
-  void ReleaseLateAcquisition(const RowsCommitted* committed) {
+  void ReleaseLateAcquisition(const RowsCommitted* committed,
+                              const Attempt& attempt) {
     if (!on_attempts_answered_) return;
     if (committed != nullptr) {
+      former_leases_end_ = loop_.Now() + attempt.former_leases;
       return WriteRelease(committed->version,
                           std::exchange(on_attempts_answered_, nullptr));
     }
@@ -283,10 +330,12 @@
     lease_row_ = version;
     renewed_at_ = attempt.sent;
     suspended_at_renewal_ = attempt.suspended;
+    former_leases_end_ = loop_.Now() + attempt.former_leases;
+    is_former_recorded_ = attempt.former_leases == base::Duration(0);
     open_attempt_.reset();
     ++measurement_;
     ScheduleNextRenewal();
-    events_.on_acquired(version, attempt.predecessor_stopped);
+    events_.on_acquired(version, attempt.former_leases);
   }
 
   // Ownership.
@@ -307,15 +356,22 @@
   void Renew() {
     const auto sent = loop_.Now();
     const auto suspended = suspended_();
+    const auto former = FormerLeases();
+    std::vector<store::RowPut> puts = {Put(kLeaseKey, holder_)};
+    if (!is_former_recorded_) puts.push_back(PutFormer(former));
     store_.Commit(
         {service_.str(),
          {Condition(kEpochKey, *epoch_), Condition(kLeaseKey, lease_row_)},
-         {Put(kLeaseKey, holder_)},
+         std::move(puts),
          {}},
-        [weak = weak_from_this(), epoch = *epoch_, sent,
-         suspended](const RowsResult& result) {
+        [weak = weak_from_this(), epoch = *epoch_, sent, suspended,
+         former](const RowsResult& result) {
           const auto self = weak.lock();
           if (!self || self->epoch_ != epoch) return;
+          const bool is_over = former == base::Duration(0);
+          if (is_over && std::holds_alternative<RowsCommitted>(result)) {
+            self->is_former_recorded_ = true;
+          }
           self->OnRenewed(result, sent, suspended);
         });
   }
@@ -362,6 +418,7 @@
 
   // State last read from the feed.
   std::optional<StoredRow> row_;
+  std::optional<StoredRow> former_row_;
   RowVersion epoch_row_ = store::kAbsent;
   bool is_read_ = false;
 
@@ -379,6 +436,10 @@
   base::TimePoint renewed_at_{};
   base::Duration last_renewal_time_{0};
   base::Duration suspended_at_renewal_{0};
+  /// When the leases that any former owner may have renewed have ended.
+  base::TimePoint former_leases_end_{};
+  /// Whether kFormerKey says that they have.
+  bool is_former_recorded_ = false;
   bool is_leaving_ = false;
   int attempts_in_flight_ = 0;
   /// Completion of a release that waits for the attempts in flight.
--- a/src/dispatch/owner_lease.h
+++ b/src/dispatch/owner_lease.h
@@ -13,10 +13,15 @@
 namespace lapishatch::dispatch {
 
 /// Rows of the table in the service's partition: kEpochKey changes only when a
-/// process acquires the service, kLeaseKey also at every renewal.
+/// process acquires the service, kLeaseKey also at every renewal. kFormerKey
+/// holds the time in ms for which owners before the present one may still have
+/// renewed leases of workers, counted from when it was written: at the
+/// acquisition, at renewals until that time is over, and at the release. It is
+/// only written together with kLeaseKey.
 inline constexpr std::string_view kOwnerTable = "owners";
 inline constexpr std::string_view kEpochKey = "epoch";
 inline constexpr std::string_view kLeaseKey = "lease";
+inline constexpr std::string_view kFormerKey = "former";
 
 /// Row of the table in each partition with jobs. Every new owner rewrites it
 /// before it reads the partition, which fences off writes of former owners.
@@ -28,6 +33,9 @@
   base::Duration duration{2'000};
   base::Duration renewal_interval{500};
   base::Duration retry_interval{200};
+  /// An owner that cannot reach the store grants no worker a lease that ends
+  /// later than this after the last renewal of its own lease.
+  base::Duration outage_lease_limit{11'000};
   /// Upper bound of the random wait of a candidate beyond `duration`, which
   /// keeps candidates from trying at the same time.
   base::Duration max_jitter{150};
@@ -44,10 +52,10 @@
 
 /// Callbacks of the lease, invoked on the event loop.
 struct OwnerLeaseCallbacks {
-  /// This process owns the service under `epoch` from now on.
-  /// `predecessor_stopped` tells that no former owner is active; otherwise one
-  /// may still run, partitioned from the store.
-  std::function<void(Epoch epoch, bool predecessor_stopped)> on_acquired;
+  /// This process owns the service under `epoch` from now on. Leases that any
+  /// former owner renewed while it was partitioned from the store end within
+  /// `former_leases` from now; 0 if no such owner is left.
+  std::function<void(Epoch epoch, base::Duration former_leases)> on_acquired;
   /// This process no longer owns the service.
   std::function<void(const std::string& reason)> on_lost;
   /// Queried when this candidate begins to measure the age of the lease: its
@@ -60,6 +68,11 @@
 /// by the candidate's own clock, while the store answered throughout. The
 /// holder counts the duration from before its last successful renewal was sent.
 /// Two ownerships therefore never overlap, without a comparison of clocks.
+///
+/// Invariant: the rows bound the time for which any former owner may have
+/// renewed leases of workers. Each owner records what is left of it, and its
+/// successor counts that anew from its own acquisition, so the bound holds for
+/// all owners before, however short their ownerships were.
 class OwnerLease {
  public:
   /// `vm` is the name of this VM. Only one process at a time is a candidate on
--- a/src/dispatch/service_owner.cc
+++ b/src/dispatch/service_owner.cc
@@ -16,8 +16,8 @@
         fitness_(options.fitness),
         lease_(dependencies_.loop, dependencies_.store, service_, vm,
                dependencies_.suspended_time, options.lease,
-               {[this](Epoch epoch, bool predecessor_stopped) {
-                  OnAcquired(epoch, predecessor_stopped);
+               {[this](Epoch epoch, base::Duration former_leases) {
+                  OnAcquired(epoch, former_leases);
                 },
                 [this](const std::string& reason) { OnLost(reason); },
                 [this] { return CandidateDelay(); }}) {}
@@ -52,11 +52,11 @@
   bool is_owner() const { return lease_.is_holder(); }
 
  private:
-  void OnAcquired(Epoch epoch, bool predecessor_stopped) {
+  void OnAcquired(Epoch epoch, base::Duration former_leases) {
     base::Log(base::events::kServiceTaken,
               {{"service", service_.str()},
                {"epoch", epoch},
-               {"former_is_gone", predecessor_stopped ? "yes" : "unknown"}});
+               {"former_leases_ms", former_leases.count()}});
     const internal::OwnerPermissions permissions{
         [this] { return lease_.IsValid(); },
         [this] {
@@ -64,7 +64,7 @@
                  lease_.TimeSinceRenewal() < options_.outage_renewal_limit;
         },
         [this] {
-          return options_.outage_lease_limit - lease_.TimeSinceRenewal();
+          return options_.lease.outage_lease_limit - lease_.TimeSinceRenewal();
         },
         [this](const std::string& reason) { lease_.MarkLost(reason); },
         [this](OwnerObstacle obstacle, bool has_waiting_work) {
@@ -72,8 +72,7 @@
         }};
     fitness_.Reset();
     owned_ = std::make_shared<internal::OwnedService>(
-        dependencies_, service_, epoch, predecessor_stopped, options_,
-        permissions);
+        dependencies_, service_, epoch, former_leases, options_, permissions);
     owned_->SetGuarantees(guarantees_);
     for (const auto& [name, registration] : workers_) {
       owned_->PutWorker(registration);
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -44,12 +44,10 @@
   Bounds bounds;
   /// An owner that cannot reach the store continues to renew worker leases for
   /// this long after the last renewal of its own lease, so that running tasks
-  /// survive an outage. A successor waits as long before it restarts the tasks
-  /// of an unreachable worker elsewhere.
+  /// survive an outage. Its successors wait until these leases have ended, at
+  /// most OwnerLeaseOptions::outage_lease_limit after that renewal, before they
+  /// restart the tasks of an unreachable worker elsewhere.
   base::Duration outage_renewal_limit{8'000};
-  /// No worker lease extends further beyond that renewal, which bounds the
-  /// successor's wait.
-  base::Duration outage_lease_limit{11'000};
   /// Longest time from a decision until its order reaches the worker. The
   /// worker refuses orders that a suspended process sends later.
   base::Duration start_validity{1'500};
