Store the cancellation of a job whose request is not in the store yet

Cause: a DELETE of a name without a request left nothing behind, and the owner ignored a cancellation that preceded its request.

A name that is handed in after its cancelling is the cancelled job. The owner removes cancellations without a request after the retention of ended jobs.

A DELETE of an unknown name costs one transaction more; other calls are unchanged (moved_queue_test).

--- a/src/dispatch/internal/job_remover.h
+++ b/src/dispatch/internal/job_remover.h
@@ -73,14 +73,24 @@
   /// Handles a request row. Returns whether it is that of a new job.
   bool AddRequest(const store::StoredRow& row);
 
-  /// Handles a cancellation row. Returns whether it is that of the known job,
-  /// not of a later one of the same name.
+  /// Handles a cancellation row. Returns whether it is that of the known job.
+  /// One that precedes its request is kept until the request appears, at least
+  /// for the retention of ended jobs, and then removed.
   bool AddCancellation(const base::JobName& name, const store::StoredRow& row);
 
+  /// Handles the deletion of a cancellation row in the feed.
+  void OnCancellationDeleted(const base::JobName& name,
+                             const store::StoredRow& row);
+
+  /// Returns whether a cancellation preceded the request of a new job, and
+  /// forgets it.
+  bool TakeCancellation(const base::JobName& name);
+
   /// Handles the deletion of a request row in the feed.
   void OnRequestDeleted(const store::StoredRow& row);
 
-  /// Handles a snapshot of all requests: those that it lacks are deleted.
+  /// Handles a snapshot of all requests and cancellations: those that it lacks
+  /// are deleted.
   void OnSnapshot(const std::vector<store::StoredRow>& rows);
 
   /// Starts the retention of an ended job. Returns false if it had started
--- a/src/dispatch/job_remover.cc
+++ b/src/dispatch/job_remover.cc
@@ -59,24 +59,37 @@
     }
     if (row.version <= request.version) return false;
     // The feed omits a deletion that a later write of the row follows.
-    request.successor = {row};
+    request.successor = row;
     MarkDeleted(name, request);
     return false;
   }
 
   bool AddCancellation(const JobName& name, const StoredRow& row) {
     const auto it = requests_.find(name);
-    if (it == requests_.end() || !it->second.is_deleted) return true;
-    if (!it->second.successor.empty()) it->second.successor.push_back(row);
+    if (it != requests_.end() && !it->second.is_deleted) return true;
+    auto& cancellation = cancellations_[name];
+    if (row.version > cancellation.version) {
+      cancellation = {row.version, loop_.Now()};
+    }
     return false;
   }
 
+  void OnCancellationDeleted(const JobName& name, const StoredRow& row) {
+    const auto it = cancellations_.find(name);
+    if (it == cancellations_.end() || row.version <= it->second.version) return;
+    cancellations_.erase(it);
+  }
+
+  bool TakeCancellation(const JobName& name) {
+    return cancellations_.erase(name) > 0;
+  }
+
   void OnRequestDeleted(const StoredRow& row) {
     const JobName name(row.address.key);
     const auto it = requests_.find(name);
     if (it == requests_.end() || row.version <= it->second.version) return;
     auto& request = it->second;
-    request.successor.clear();
+    request.successor.reset();
     MarkDeleted(name, request);
   }
 
@@ -85,9 +98,12 @@
     for (const auto& it : rows) present.insert(it.address.key);
     for (auto& [name, request] : requests_) {
       if (present.contains(name.str())) continue;
-      request.successor.clear();
+      request.successor.reset();
       MarkDeleted(name, request);
     }
+    std::erase_if(cancellations_, [&present](const auto& it) {
+      return !present.contains(jobs::CancelKey(it.first));
+    });
   }
 
   bool MarkEnded(const JobName& name) {
@@ -130,8 +146,14 @@
     RowVersion version = kAbsent;
     std::optional<base::TimePoint> ended_at;
     bool is_deleted = false;
-    /// The request of a later job of the same name and its cancellation.
-    std::vector<StoredRow> successor;
+    /// The request of a later job of the same name.
+    std::optional<StoredRow> successor;
+  };
+
+  /// A cancellation without a request.
+  struct Cancellation {
+    RowVersion version = kAbsent;
+    base::TimePoint first_seen{};
   };
 
   void MarkDeleted(const JobName& name, Request& request) {
@@ -162,6 +184,12 @@
       if (MaySend(name)) RemoveProgress(name, version);
     }
     for (const auto& it : complete) Forget(it);
+    for (const auto& [name, it] : cancellations_) {
+      const bool is_due = loop_.Now() - it.first_seen > options_.retention;
+      if (is_due && !requests_.contains(name) && MaySend(name)) {
+        RemoveCancellation(name, it.version);
+      }
+    }
   }
 
   bool MaySend(const JobName& name) const {
@@ -190,8 +218,7 @@
     store_.Commit({jobs::RequestPartition(service_, name),
                    {{table, name.str(), version}},
                    {},
-                   {{table, name.str()},
-                    {table, name.str() + std::string(jobs::kCancelSuffix)}}},
+                   {{table, name.str()}, {table, jobs::CancelKey(name)}}},
                   [weak = weak_from_this(), name](const RowsResult& result) {
                     const auto self = weak.lock();
                     if (!self) return;
@@ -202,6 +229,23 @@
                   });
   }
 
+  /// The feed shows the deletion.
+  void RemoveCancellation(const JobName& name, RowVersion version) {
+    in_flight_.insert(name);
+    const std::string table(jobs::kRequestTable);
+    store_.Commit({jobs::RequestPartition(service_, name),
+                   {{table, name.str(), kAbsent},
+                    {table, jobs::CancelKey(name), version}},
+                   {},
+                   {{table, jobs::CancelKey(name)}}},
+                  [weak = weak_from_this(), name](const RowsResult& result) {
+                    const auto self = weak.lock();
+                    if (!self) return;
+                    self->in_flight_.erase(name);
+                    self->IsConfirmed(result);
+                  });
+  }
+
   void RemoveProgress(const JobName& name, RowVersion version) {
     in_flight_.insert(name);
     const std::string table(jobs::kProgressTable);
@@ -247,7 +291,7 @@
     if (deleted_.erase(name) == 0) return;
     const auto node = requests_.extract(name);
     callbacks_.on_removed(name);
-    for (const auto& it : node.mapped().successor) callbacks_.on_request(it);
+    if (const auto& row = node.mapped().successor) callbacks_.on_request(*row);
   }
 
   void OnFailed(const std::string& detail) {
@@ -274,6 +318,7 @@
   base::Backoff backoff_;
 
   std::map<JobName, Request> requests_;
+  std::map<JobName, Cancellation> cancellations_;
   /// Jobs in the order of their ends, until their retention is over.
   std::deque<std::pair<base::TimePoint, JobName>> ended_;
   /// Jobs whose retention is over and whose requests are to be removed.
@@ -307,6 +352,15 @@
   return impl_->AddCancellation(name, row);
 }
 
+void JobRemover::OnCancellationDeleted(const base::JobName& name,
+                                       const store::StoredRow& row) {
+  impl_->OnCancellationDeleted(name, row);
+}
+
+bool JobRemover::TakeCancellation(const base::JobName& name) {
+  return impl_->TakeCancellation(name);
+}
+
 void JobRemover::OnRequestDeleted(const store::StoredRow& row) {
   impl_->OnRequestDeleted(row);
 }
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -133,9 +133,8 @@
 
 void OwnedService::OnRequestRow(const StoredRow& row) {
   if (const auto cancelled = CancelledJob(row.address.key)) {
-    const bool is_current =
-        !row.is_deleted && remover_.AddCancellation(*cancelled, row);
-    if (is_current) OnCancelRequest(*cancelled);
+    if (row.is_deleted) return remover_.OnCancellationDeleted(*cancelled, row);
+    if (remover_.AddCancellation(*cancelled, row)) OnCancelRequest(*cancelled);
     return;
   }
   if (row.is_deleted) return remover_.OnRequestDeleted(row);
@@ -172,6 +171,7 @@
       progress ? &*progress : nullptr, version, age, dependencies_.loop.Now());
   // The owner that recorded the end has logged it, so it is not logged again.
   if (IsFinal(entry->state)) remover_.MarkEnded(name);
+  if (remover_.TakeCancellation(name)) OnCancelRequest(name);
 }
 
 void OwnedService::OnCancelRequest(const base::JobName& name) {
--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -59,7 +59,9 @@
     const std::string requests(kRequestTable);
     store_.Commit(
         {RequestPartition(*home_, name),
-         {{requests, name.str(), store::kAbsent}, NoEntryCondition(name)},
+         {{requests, name.str(), store::kAbsent},
+          NoEntryCondition(name),
+          {requests, CancelKey(name), store::kAbsent}},
          {{std::string(kIndexTable), name.str(), EncodeIndexEntry(service)}},
          {}},
         [self = shared_from_this(), name, service,
@@ -92,12 +94,15 @@
 
   ReserveResult DecidedService(const std::vector<StoredRow>& present,
                                const base::JobName& name) const {
+    bool is_cancelled = false;
     for (const auto& it : present) {
+      if (it.address.key == CancelKey(name)) is_cancelled = true;
       if (it.address.key != name.str()) continue;
       if (it.address.table == kRequestTable) return *home_;
       if (it.address.table != kIndexTable) continue;
       if (auto service = DecodeIndexEntry(it.value)) return *std::move(service);
     }
+    if (is_cancelled) return CancelledInAdvance{};
     return IndexUnavailable{"the entry cannot be decoded"};
   }
 
--- a/src/jobs/job_index.h
+++ b/src/jobs/job_index.h
@@ -21,6 +21,10 @@
 /// The index has no entry for the job. It may still be one of the home service.
 struct NotIndexed {};
 
+/// The home service's request partition holds the cancellation of a name that
+/// had no request.
+struct CancelledInAdvance {};
+
 /// Knows for every job the service that accepted it.
 ///
 /// Invariant: where the rows of an accepted job lie follows from the job's name
@@ -55,10 +59,12 @@
 
   /// The result of a reservation: the service that is to accept the job, which
   /// may differ from the requested one if an earlier request decided.
-  using ReserveResult = std::variant<base::ServiceName, IndexUnavailable>;
-  /// Adds an entry for a job of `service`, unless the name has one or is that
-  /// of a job of the home service. `service` must not be the home service, and
-  /// FindHome must have succeeded. Costs one transaction.
+  using ReserveResult =
+      std::variant<base::ServiceName, CancelledInAdvance, IndexUnavailable>;
+  /// Adds an entry for a job of `service`, unless the name has one, is that of
+  /// a job of the home service or was cancelled before any request for it.
+  /// `service` must not be the home service, and FindHome must have succeeded.
+  /// Costs one transaction.
   void Reserve(const base::JobName& name, const base::ServiceName& service,
                std::function<void(ReserveResult)> done);
 
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -345,6 +345,10 @@
   return base::ServiceName(std::string(partition.substr(0, at)));
 }
 
+std::string CancelKey(const base::JobName& job) {
+  return job.str() + std::string(kCancelSuffix);
+}
+
 std::string WaitingCountsPartition(const base::ServiceName& service) {
   return ProgressPartitions(service).front();
 }
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -66,6 +66,11 @@
 /// lease, whose renewals must not queue behind other transactions.
 std::string WaitingCountsPartition(const base::ServiceName& service);
 
+/// The key of a job's cancellation row. It may precede the request: a job that
+/// is cancelled while the write of its request may still take effect is then
+/// cancelled when the request appears.
+std::string CancelKey(const base::JobName& job);
+
 /// Row values are compact JSON. The decoders return nullopt for malformed text.
 std::string EncodeJob(const Job& job);
 std::optional<Job> DecodeJob(std::string_view text);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -22,9 +22,8 @@
   return {std::string(table), partition, key, store::KeyAfter(key), 1};
 }
 
-std::string CancelKey(const base::JobName& name) {
-  return name.str() + std::string(kCancelSuffix);
-}
+/// Attempts to cancel a name whose rows change meanwhile.
+constexpr int kMaxCancelAttempts = 3;
 
 }  // namespace
 
@@ -87,6 +86,12 @@
   if (const auto* failed = std::get_if<IndexUnavailable>(&result)) {
     return done(JobNotAccepted{failed->detail});
   }
+  if (std::holds_alternative<CancelledInAdvance>(result)) {
+    // It never runs, so any service may keep it.
+    auto cancelled = job;
+    cancelled.service = index_.home();
+    return StoreAtHome(cancelled, done);
+  }
   const auto& service = std::get<base::ServiceName>(result);
   // The home service's request is what decided.
   if (service == index_.home()) return done(JobAccepted{});
@@ -132,39 +137,97 @@
               });
 }
 
-template <typename Result>
-void JobService::FindThen(
-    void (JobService::*read)(const base::ServiceName&, const base::JobName&,
-                             const std::function<void(Result)>&),
-    const base::ServiceName& service, const base::JobName& name,
-    const std::function<void(Result)>& done) {
-  (this->*read)(
-      service, name, [this, read, service, name, done](const Result& result) {
-        if (!std::holds_alternative<NoSuchJob>(result)) return done(result);
-        index_.Locate(name, [this, read, service, name,
-                             done](const JobIndex::LocateResult& located) {
-          if (const auto* failed = std::get_if<IndexUnavailable>(&located)) {
-            return done(JobStoreUnavailable{failed->detail});
-          }
-          const auto* accepted_by = std::get_if<base::ServiceName>(&located);
-          if (accepted_by == nullptr || *accepted_by == service) {
-            return done(NoSuchJob{});
-          }
-          (this->*read)(*accepted_by, name, done);
-        });
-      });
-}
-
 void JobService::ReadState(const base::ServiceName& service,
                            const base::JobName& name,
                            const std::function<void(StateResult)>& done) {
-  FindThen<StateResult>(&JobService::ReadStateIn, service, name, done);
+  ReadStateIn(
+      service, name, [this, service, name, done](const StateResult& result) {
+        const bool is_absent = std::holds_alternative<NoSuchJob>(result);
+        if (!is_absent) return done(result);
+        ReadStateElsewhere(service, name, done);
+      });
+}
+
+void JobService::ReadStateElsewhere(
+    const base::ServiceName& service, const base::JobName& name,
+    const std::function<void(StateResult)>& done) {
+  index_.Locate(
+      name, [this, service, name, done](const JobIndex::LocateResult& located) {
+        if (const auto* failed = std::get_if<IndexUnavailable>(&located)) {
+          return done(JobStoreUnavailable{failed->detail});
+        }
+        const auto* accepted_by = std::get_if<base::ServiceName>(&located);
+        if (accepted_by == nullptr || *accepted_by == service) {
+          return done(NoSuchJob{});
+        }
+        ReadStateIn(*accepted_by, name, done);
+      });
 }
 
 void JobService::Cancel(const base::ServiceName& service,
                         const base::JobName& name,
                         const std::function<void(CancelResult)>& done) {
-  FindThen<CancelResult>(&JobService::CancelIn, service, name, done);
+  TryCancel(service, name, kMaxCancelAttempts, done);
+}
+
+void JobService::TryCancel(const base::ServiceName& service,
+                           const base::JobName& name, int attempts,
+                           const std::function<void(CancelResult)>& done) {
+  if (attempts == 0) {
+    return done(JobStoreUnavailable{"the job's rows keep changing"});
+  }
+  CancelIn(service, name,
+           [this, service, name, attempts, done](const CancelResult& result) {
+             const bool is_absent = std::holds_alternative<NoSuchJob>(result);
+             if (!is_absent) return done(result);
+             CancelAbsent(service, name, attempts - 1, done);
+           });
+}
+
+void JobService::CancelAbsent(const base::ServiceName& service,
+                              const base::JobName& name, int attempts,
+                              const std::function<void(CancelResult)>& done) {
+  const auto on_located = [this, service, name, attempts,
+                           done](const JobIndex::LocateResult& located) {
+    const auto* accepted_by = std::get_if<base::ServiceName>(&located);
+    if (accepted_by == nullptr) {
+      return done(JobStoreUnavailable{"the index cannot be read"});
+    }
+    if (*accepted_by != service) {
+      return TryCancel(*accepted_by, name, attempts, done);
+    }
+    CancelInAdvance(service, name, attempts, done);
+  };
+  index_.FindHome(service, [this, name, done,
+                            on_located](const JobIndex::HomeResult& home) {
+    if (const auto* failed = std::get_if<IndexUnavailable>(&home)) {
+      return done(JobStoreUnavailable{failed->detail});
+    }
+    index_.Locate(name, on_located);
+  });
+}
+
+void JobService::CancelInAdvance(
+    const base::ServiceName& service, const base::JobName& name, int attempts,
+    const std::function<void(CancelResult)>& done) {
+  const std::string table(kRequestTable);
+  store::RowTransaction out;
+  out.part = RequestPartition(service, name);
+  out.conditions = {{table, name.str(), store::kAbsent}};
+  if (service == index_.home()) {
+    out.conditions.push_back(JobIndex::NoEntryCondition(name));
+  }
+  out.puts = {{table, CancelKey(name), "{}"}};
+  store_.Commit(std::move(out), [this, service, name, attempts,
+                                 done](const RowsResult& result) {
+    if (std::holds_alternative<RowsCommitted>(result)) {
+      return done(NoSuchJob{});
+    }
+    if (std::holds_alternative<RowsConflict>(result)) {
+      return TryCancel(service, name, attempts, done);
+    }
+    done(JobStoreUnavailable{"the store did not confirm the cancellation"});
+  });
 }
 
 void JobService::ReadStateIn(const base::ServiceName& service,
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -67,8 +67,10 @@
   void ReadState(const base::ServiceName& service, const base::JobName& name,
                  const std::function<void(StateResult)>& done);
 
-  /// Cancels job `name`. Costs a read and a transaction if `service` accepted
-  /// it, otherwise up to three reads.
+  /// Cancels job `name`. NoSuchJob means that no request of it is in the store,
+  /// and that one which takes effect later, or is handed in later, is cancelled
+  /// when it appears. Costs a read and a transaction if `service` accepted it,
+  /// otherwise up to four reads and one transaction.
   void Cancel(const base::ServiceName& service, const base::JobName& name,
               const std::function<void(CancelResult)>& done);
 
@@ -96,21 +98,27 @@
 
   void ReadStateIn(const base::ServiceName& service, const base::JobName& name,
                    const std::function<void(StateResult)>& done);
+  /// Reads the state of a job that `service` does not have.
+  void ReadStateElsewhere(const base::ServiceName& service,
+                          const base::JobName& name,
+                          const std::function<void(StateResult)>& done);
   void CancelIn(const base::ServiceName& service, const base::JobName& name,
                 const std::function<void(CancelResult)>& done);
+  void TryCancel(const base::ServiceName& service, const base::JobName& name,
+                 int attempts, const std::function<void(CancelResult)>& done);
+  /// Cancels a job that `service` does not have.
+  void CancelAbsent(const base::ServiceName& service, const base::JobName& name,
+                    int attempts,
+                    const std::function<void(CancelResult)>& done);
+  /// Stores the cancellation of a job without a request where `service` would
+  /// accept it.
+  void CancelInAdvance(const base::ServiceName& service,
+                       const base::JobName& name, int attempts,
+                       const std::function<void(CancelResult)>& done);
   void ReadWaitingCountOf(const base::ServiceName& service,
                           const QueueName& queue,
                           const std::function<void(WaitingCountResult)>& done);
 
-  /// Calls `read` for `service`, and if the job is not there, for the service
-  /// that accepted it.
-  template <typename Result>
-  void FindThen(void (JobService::*read)(const base::ServiceName&,
-                                         const base::JobName&,
-                                         const std::function<void(Result)>&),
-                const base::ServiceName& service, const base::JobName& name,
-                const std::function<void(Result)>& done);
-
   store::RowStore& store_;
   JobIndex index_;
 };
--- a/test/dispatch/owner_chain_test.cc
+++ b/test/dispatch/owner_chain_test.cc
@@ -53,7 +53,7 @@
     constexpr int kStepMs = 20;
     for (int ms = 0; ms < 20'000; ms += kStepMs) {
       for (int vm = 0; vm < kOwners; ++vm) {
-        const auto name = "vm" + std::to_string(vm);
+        auto name = "vm" + std::to_string(vm);
         const bool is_owner = name != cut_owner_ && world_.HasOwner(name) &&
                               world_.owner(name).is_owner();
         if (is_owner) return name;
--- a/test/jobs/moved_queue_test.cc
+++ b/test/jobs/moved_queue_test.cc
@@ -276,6 +276,56 @@
   CHECK(read(kThird) == Cost{0, 4});
 }
 
+/// Guards against a cancelled name that another service accepts afterwards.
+TEST_CASE("a name that was cancelled in advance is kept by the home service") {
+  MovedQueueFixture fixture;
+  const auto cancelled_at = GENERATE(kHome, kSecond, kThird);
+  const auto reads = fixture.store.reads();
+  const auto transactions = fixture.store.transactions();
+  CHECK(std::holds_alternative<NoSuchJob>(
+      fixture.Cancel(fixture.old_process, cancelled_at)));
+  CHECK(fixture.store.reads() - reads == (cancelled_at == kHome ? 2 : 4));
+  CHECK(fixture.store.transactions() - transactions == 1);
+  CHECK(std::holds_alternative<JobAccepted>(
+      fixture.Submit(fixture.new_process, kSecond)));
+  const auto name = MovedQueueFixture::MakeJob(kSecond).name;
+  CHECK_FALSE(fixture.store
+                  .ValueOf(std::string(kRequestTable),
+                           RequestPartition(kHome, name), name.str())
+                  .empty());
+  CHECK_FALSE(fixture.store
+                  .ValueOf(std::string(kRequestTable),
+                           RequestPartition(kHome, name), CancelKey(name))
+                  .empty());
+  CHECK(fixture.store.rows_in(std::string(kRequestTable)) == 2);
+}
+
+/// Guards against a reservation whose request is stored after its cancelling.
+TEST_CASE("a reserved name is cancelled at the service that accepts it") {
+  MovedQueueFixture fixture;
+  const auto name = MovedQueueFixture::MakeJob(kSecond).name;
+  fixture.store.Put(std::string(kIndexTable), RequestPartition(kHome, name),
+                    name.str(), EncodeIndexEntry(kSecond));
+  CHECK(std::holds_alternative<NoSuchJob>(
+      fixture.Cancel(fixture.old_process, kHome)));
+  CHECK_FALSE(fixture.store
+                  .ValueOf(std::string(kRequestTable),
+                           RequestPartition(kSecond, name), CancelKey(name))
+                  .empty());
+}
+
+/// Guards against an answer 410 that the store has not confirmed.
+TEST_CASE("a cancelling that is not stored is not answered as absent") {
+  MovedQueueFixture fixture;
+  for (const auto fault : {StoreFault::kBusy, StoreFault::kSilent}) {
+    fixture.store.SetFaultForTransactions(fault);
+    CHECK(std::holds_alternative<JobStoreUnavailable>(
+        fixture.Cancel(fixture.old_process, kHome)));
+    fixture.store.SetFaultForTransactions(StoreFault::kNone);
+    fixture.RunFor(3'000);
+  }
+}
+
 /// Guards against jobs that are missing from the count of their queue.
 TEST_CASE("waiting jobs are counted over all services of a queue") {
   MovedQueueFixture fixture;
