Correct the comment on JobRemover's on_request

The comment said that the callback also receives a cancellation. Since cancellations are kept apart (TakeCancellation), it receives the request only. Comment only; the format check passes.

--- a/src/dispatch/internal/job_remover.h
+++ b/src/dispatch/internal/job_remover.h
@@ -54,8 +54,8 @@
     /// The job's rows are removed: nothing of it is needed any more.
     std::function<void(const base::JobName&)> on_removed;
     /// A later job of the same name was stored meanwhile: called after
-    /// on_removed with its request and, if there is one, its cancellation. None
-    /// of the callbacks may destroy the JobRemover.
+    /// on_removed with its request. None of the callbacks may destroy the
+    /// JobRemover.
     std::function<void(const store::StoredRow&)> on_request;
     /// A later owner has fenced a partition.
     std::function<void(const std::string& reason)> on_lost;
