Share the version lookup in a conflict and the one-row range

Change: both are functions of row_store.h now. WaitingCountWriter compares the key too; its table has one row in the part. The three places of JobRemover that summed what waits share one function. No other behaviour changes.

--- a/src/dispatch/job_remover.cc
+++ b/src/dispatch/job_remover.cc
@@ -23,15 +23,6 @@
 
 constexpr base::Duration kLogInterval{10'000};
 
-/// Version of the row `key` of `table` among the `present` rows of a conflict.
-RowVersion VersionIn(const RowsConflict& conflict, std::string_view table,
-                     std::string_view key) {
-  for (const auto& it : conflict.present) {
-    if (it.address.table == table && it.address.key == key) return it.version;
-  }
-  return kAbsent;
-}
-
 }  // namespace
 
 class JobRemover::Impl : public std::enable_shared_from_this<Impl> {
@@ -130,7 +121,7 @@
       if (is_due) due_.insert(name);
     }
     if (now >= paused_until_) Send();
-    ReportWaiting(due_.size() + deleted_.size() + orphans_.size());
+    ReportWaiting(waiting());
   }
 
   void ReportWaiting(std::size_t n) {
@@ -156,6 +147,11 @@
     base::TimePoint first_seen{};
   };
 
+  /// Number of jobs with rows to remove.
+  std::size_t waiting() const {
+    return due_.size() + deleted_.size() + orphans_.size();
+  }
+
   void MarkDeleted(const JobName& name, Request& request) {
     if (std::exchange(request.is_deleted, true)) return;
     due_.erase(name);
@@ -265,7 +261,7 @@
     in_flight_.erase(name);
     if (!IsConfirmed(result)) return;
     if (const auto* conflict = std::get_if<RowsConflict>(&result)) {
-      const auto fence = VersionIn(*conflict, kOwnerTable, kFenceKey);
+      const auto fence = store::VersionIn(*conflict, kOwnerTable, kFenceKey);
       if (fence != callbacks_.fence_version(name)) {
         return callbacks_.on_lost("a later owner has fenced a partition");
       }
@@ -301,10 +297,9 @@
     paused_until_ = now + backoff_.Next(random_);
     if (now < next_log_at_) return;
     next_log_at_ = now + kLogInterval;
-    base::Log(base::events::kRemovalsDelayed,
-              {{"service", service_.str()},
-               {"waiting", due_.size() + deleted_.size() + orphans_.size()},
-               {"detail", detail}});
+    base::Log(base::events::kRemovalsDelayed, {{"service", service_.str()},
+                                               {"waiting", waiting()},
+                                               {"detail", detail}});
   }
 
   base::EventLoop& loop_;
--- a/src/dispatch/waiting_count_writer.cc
+++ b/src/dispatch/waiting_count_writer.cc
@@ -50,12 +50,8 @@
       written_ = counts;
     }
     if (const auto* conflict = std::get_if<RowsConflict>(&result)) {
-      version_ = store::kAbsent;
-      for (const auto& it : conflict->present) {
-        if (it.address.table == jobs::kWaitingCountsTable) {
-          version_ = it.version;
-        }
-      }
+      version_ = store::VersionIn(*conflict, jobs::kWaitingCountsTable,
+                                  jobs::kWaitingCountsKey);
     }
     ScheduleNext();
   }
--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -179,10 +179,9 @@
 
   void ReadEntryRow(const base::JobName& name,
                     std::function<void(RowsReadResult)> done) {
-    const auto& key = name.str();
-    store_.Read({std::string(kIndexTable), RequestPartition(*home_, name), key,
-                 store::KeyAfter(key), 1},
-                std::move(done));
+    store_.Read(
+        store::OneRow(kIndexTable, RequestPartition(*home_, name), name.str()),
+        std::move(done));
   }
 
   void RemoveEntry(const base::JobName& name, store::RowVersion version,
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using store::NotDone;
+using store::OneRow;
 using store::ReadFailed;
 using store::RowsCommitted;
 using store::RowsConflict;
@@ -17,11 +18,6 @@
 using store::RowsResult;
 using store::UnknownOutcome;
 
-store::RowRange OneRow(std::string_view table, const std::string& partition,
-                       const std::string& key) {
-  return {std::string(table), partition, key, store::KeyAfter(key), 1};
-}
-
 /// Attempts to cancel a name whose rows change meanwhile.
 constexpr int kMaxCancelAttempts = 3;
 
--- a/src/store/row_store.h
+++ b/src/store/row_store.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -74,6 +75,16 @@
   std::vector<StoredRow> present;
 };
 
+/// Version that a conflict shows of row `key` of `table`; kAbsent if the row
+/// does not exist or is not in a condition.
+inline RowVersion VersionIn(const RowsConflict& conflict,
+                            std::string_view table, std::string_view key) {
+  for (const auto& it : conflict.present) {
+    if (it.address.table == table && it.address.key == key) return it.version;
+  }
+  return kAbsent;
+}
+
 /// NotDone and UnknownOutcome mean what they mean for a Table.
 using RowsResult =
     std::variant<RowsCommitted, RowsConflict, NotDone, UnknownOutcome>;
@@ -103,6 +114,12 @@
 /// The least key after `key`: keys are printable and hold no blank.
 inline std::string KeyAfter(const std::string& key) { return key + ' '; }
 
+/// The range that holds row `key` alone.
+inline RowRange OneRow(std::string_view table, const std::string& part,
+                       const std::string& key) {
+  return {std::string(table), part, key, KeyAfter(key), 1};
+}
+
 struct RowsRead {
   std::vector<StoredRow> rows;
   /// Rows of the range after the last one exist.
