Measure how fast owners that are stopped in turn are succeeded

Change: a test of eight owners stopped one after the other; the first start after each has to come within one row lease, since a released service needs no wait for it.

--- a/test/dispatch/owner_chain_test.cc
+++ b/test/dispatch/owner_chain_test.cc
@@ -158,6 +158,31 @@
   it.CheckNoViolations();
 }
 
+// A released service needs no wait for its lease, however often it was
+// released.
+TEST_CASE("owners that are stopped in turn start work within a row lease") {
+  ChainWorld it;
+  auto& world = it.world();
+  for (int i = 1; i <= 8; ++i) {
+    const auto owner = it.WaitForOwner();
+    REQUIRE_FALSE(owner.empty());
+    const auto job = OwnerWorld::MakeJob("job" + std::to_string(i), 1, 1);
+    world.Submit(job);
+    world.owner(owner).Stop([] {});
+    world.KillOwner(owner);
+    int waited_ms = 0;
+    while (world.workers().starts({job.name, 0, 0, 0}) == 0) {
+      constexpr int kStepMs = 10;
+      world.RunFor(kStepMs);
+      waited_ms += kStepMs;
+      REQUIRE(waited_ms < 10'000);
+    }
+    INFO("restart " << i << " took " << waited_ms << " ms");
+    CHECK(base::Duration(waited_ms) < OwnerLeaseOptions{}.duration);
+    world.StartOwner(owner);
+  }
+}
+
 TEST_CASE("the wait for an owner that was cut off ends under its successor") {
   ChainWorld it;
   it.CutOwner();
