Share the descriptors of a process between its peers and itself

Callers saw 503 for as long as silent connections stayed (15 s), and again when these came back; the owner's connections to 600 workers and those of callers together were more than the process may open.

Cause: the limit on connections was the number of descriptors less 400, whatever the process had open itself, the readiness port had a limit of its own above all descriptors, and at the limit the newcomer was refused.

Change: http::Resources charges connections in both directions to one budget. Connections of peers leave a sixteenth free; at that limit those that are idle or have an unfinished request are closed, longest first, a batch at a time. Connections of the process may take all but a sixteenth, and close those of peers likewise.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -66,7 +66,8 @@
 class Client::Impl final : public internal::ConnectionOwner,
                            public std::enable_shared_from_this<Client::Impl> {
  public:
-  Impl(asio::io_context& io, ClientLimits limits) : io_(io), limits_(limits) {}
+  Impl(asio::io_context& io, ClientLimits limits, ResourcesPtr resources)
+      : io_(io), limits_(limits), resources_(std::move(resources)) {}
 
   void Send(CallPtr call) {
     if (is_closed_) return;
@@ -201,8 +202,8 @@
   }
 
   ConnectionPtr AddConnection(Pool& pool, const Endpoint& endpoint) {
-    auto out =
-        internal::MakeConnection(io_, endpoint, limits_, weak_from_this());
+    auto out = internal::MakeConnection(io_, endpoint, limits_, resources_,
+                                        weak_from_this());
     pool.all.insert(out);
     return out;
   }
@@ -288,12 +289,14 @@
 
   asio::io_context& io_;
   const ClientLimits limits_;
+  const ResourcesPtr resources_;
   std::atomic<bool> is_closed_{false};
   std::array<Shard, kShards> shards_;
 };
 
-Client::Client(asio::io_context& io, ClientLimits limits)
-    : impl_(std::make_shared<Impl>(io, limits)) {}
+Client::Client(asio::io_context& io, ClientLimits limits,
+               ResourcesPtr resources)
+    : impl_(std::make_shared<Impl>(io, limits, std::move(resources))) {}
 
 Client::~Client() { impl_->Close(); }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 
 #include "base/base.h"
 #include "http/message.h"
+#include "http/resources.h"
 
 namespace lapishatch::http {
 
@@ -73,7 +74,9 @@
  public:
   using Callback = std::function<void(ClientResult)>;
 
-  Client(boost::asio::io_context& io, ClientLimits limits);
+  /// The connections are charged to `resources`, if there are any.
+  Client(boost::asio::io_context& io, ClientLimits limits,
+         ResourcesPtr resources = nullptr);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -60,11 +60,12 @@
       public std::enable_shared_from_this<ConnectionImpl> {
  public:
   ConnectionImpl(asio::io_context& io, Endpoint endpoint,
-                 const ClientLimits& limits,
+                 const ClientLimits& limits, ResourcesPtr resources,
                  std::weak_ptr<ConnectionOwner> owner)
       : socket_(asio::make_strand(io)),
         endpoint_(std::move(endpoint)),
         limits_(limits),
+        resources_(std::move(resources)),
         owner_(std::move(owner)),
         deadline_(socket_.get_executor()) {}
 
@@ -117,6 +118,7 @@
     const auto address = asio::ip::make_address(endpoint_.address, ec);
     if (ec) return FailSoon("not an IP number: " + endpoint_.address);
     const tcp::endpoint peer(address, endpoint_.port);
+    if (!ChargeDescriptor()) return FailSoon("no descriptor is left");
     socket_.open(peer.protocol(), ec);
     if (ec) return FailSoon("no socket: " + ec.message());
     SetConnectionOptions(socket_, limits_.tcp_user_timeout);
@@ -128,6 +130,13 @@
                           });
   }
 
+  bool ChargeDescriptor() {
+    if (!resources_) return true;
+    descriptor_ = resources_->MakeCharge(ResourceKind::kDescriptors,
+                                         base::BudgetUse::kOutgoing);
+    return resources_->TryConnect(descriptor_);
+  }
+
   /// Fails the call after the present callback: the caller's own function may
   /// still be running.
   void FailSoon(std::string detail) {
@@ -403,11 +412,14 @@
     error_code ec;
     socket_.close(ec);
     deadline_.Stop();
+    descriptor_.Release();
   }
 
   tcp::socket socket_;
   const Endpoint endpoint_;
   const ClientLimits limits_;
+  const ResourcesPtr resources_;
+  base::Charge descriptor_;
   const std::weak_ptr<ConnectionOwner> owner_;
   Deadline deadline_;
   beast::flat_buffer buffer_;
@@ -436,10 +448,10 @@
 }  // namespace
 
 ConnectionPtr MakeConnection(asio::io_context& io, const Endpoint& endpoint,
-                             const ClientLimits& limits,
+                             const ClientLimits& limits, ResourcesPtr resources,
                              std::weak_ptr<ConnectionOwner> owner) {
-  const auto connection =
-      std::make_shared<ConnectionImpl>(io, endpoint, limits, std::move(owner));
+  const auto connection = std::make_shared<ConnectionImpl>(
+      io, endpoint, limits, std::move(resources), std::move(owner));
   connection->Bind();
   return connection;
 }
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -67,7 +67,7 @@
 
 ConnectionPtr MakeConnection(boost::asio::io_context& io,
                              const Endpoint& endpoint,
-                             const ClientLimits& limits,
+                             const ClientLimits& limits, ResourcesPtr resources,
                              std::weak_ptr<ConnectionOwner> owner);
 
 }  // namespace lapishatch::http::internal
--- a/src/http/resources.cc
+++ b/src/http/resources.cc
@@ -28,7 +28,7 @@
 /// Part of the descriptors, as a divisor, that stays free for connections of
 /// the process, and part that these leave to peers.
 constexpr std::size_t kOutgoingDivisor = 16;
-constexpr std::size_t kIncomingDivisor = 4;
+constexpr std::size_t kIncomingDivisor = 16;
 
 /// Part of a budget, as a divisor, that is freed at a time: finding the
 /// connections to close costs a look at each.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -83,6 +83,10 @@
 /// closed.
 constexpr std::size_t kMaxRefusals = 256;
 
+/// Part of the connections, as a divisor, that give way at a time when there
+/// are as many as allowed.
+constexpr std::size_t kClosedDivisor = 64;
+
 tcp::endpoint ToAsio(const Endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
@@ -156,6 +160,10 @@
   void Serve(tcp::socket socket) {
     if (state_->stopped) return;
     auto& resources = *state_->resources;
+    if (IsFull()) {
+      resources.CloseConnections(1 + state_->limits.max_connections /
+                                         kClosedDivisor);
+    }
     internal::SessionCharges charges{
         resources.MakeCharge(ResourceKind::kDescriptors,
                              base::BudgetUse::kIncoming),
