--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,7 @@
 #ifndef LAPISHATCH_JOBS_JOB_H_
 #define LAPISHATCH_JOBS_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -115,6 +116,9 @@
   friend bool operator==(const Job&, const Job&) = default;
 };
 
+/// What one copy of a job occupies, in bytes.
+std::size_t MemoryOf(const Job& job);
+
 /// Number of occurrences of a job; a job without a schedule has one.
 inline int OccurrenceCount(const Job& job) {
   return job.schedule.repeat_count > 0 ? job.schedule.repeat_count : 1;
--- a/test/crowd/connections_test.cc
+++ b/test/crowd/connections_test.cc
@@ -19,7 +19,7 @@
   for (int i = 0; i < kRounds; ++i) {
     site.SampleDescriptors();
     CHECK(site.IsServed());
-    crowd.Reopen(member);
+    crowd.Reopen();
   }
   CHECK(site.peak_descriptors() < kMaxSockets);
   CHECK(PeakMemory(site.pid()) < kMemoryBytes);
--- a/test/crowd/memory_test.cc
+++ b/test/crowd/memory_test.cc
@@ -30,7 +30,7 @@
   crowd.Press(n, member);
   site.SampleDescriptors();
   CHECK(site.IsServed());
-  crowd.Reopen(member);
+  crowd.Reopen();
   CheckSound(site);
   crowd.Close();
   CheckSound(site);
@@ -122,7 +122,7 @@
                     std::string(kJobBody).substr(1);
   Crowd crowd(site.api());
   crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), text)});
-  crowd.Reopen({RequestWithBody(CrowdSite::NextJob(), text)});
+  crowd.Reopen();
   site.OnStandin([](fakes::FakeRowStore& it) {
     it.SetFaultForTransactions(fakes::StoreFault::kNone);
   });
@@ -136,20 +136,27 @@
                       R"({"count":1,"cpu":100,"after":[0)";
   while (zeros.size() < kLargeBody) zeros += ",0";
   zeros += "]}]}";
+  std::string lists = R"({"spec":"x","comment":[0)";
+  while (lists.size() < kLargeBody - 100) lists += ",[0]";
+  lists += R"(],"steps":[{"count":1,"cpu":100,"estimate-ms":100}]})";
   std::string objects = R"({"spec":"x","comment":[0)";
   while (objects.size() < kLargeBody - 100) objects += R"(,{"a":0})";
   objects += R"(],"steps":[{"count":1,"cpu":100,"estimate-ms":100}]})";
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForTransactions(fakes::StoreFault::kSilent);
-  });
-  Crowd crowd(site.api());
-  crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), objects)});
-  crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), zeros)});
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForTransactions(fakes::StoreFault::kNone);
-  });
-  crowd.Close();
-  CheckSound(site);
+  const auto label = R"({"spec":"x","steps":[{"count":1,"cpu":100,)"
+                     R"("required-label":")" +
+                     std::string(kLargeBody - 100, 'x') + R"("}]})";
+  for (const auto& body : {zeros, lists, objects, label}) {
+    site.OnStandin([](fakes::FakeRowStore& it) {
+      it.SetFaultForTransactions(fakes::StoreFault::kSilent);
+    });
+    Crowd crowd(site.api());
+    crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), body)});
+    site.OnStandin([](fakes::FakeRowStore& it) {
+      it.SetFaultForTransactions(fakes::StoreFault::kNone);
+    });
+    crowd.Close();
+    CheckSound(site);
+  }
 }
 
 TEST_CASE("readers that take no answers fit the memory of the VM") {
@@ -192,13 +199,13 @@
   CHECK(PeakMemory(site.pid()) < kMemoryBytes);
   site.process().Signal(SIGTERM, {}, base::Duration(0));
   CHECK(net::AwaitThat([&] {
-    crowd.Reopen(member);
+    crowd.Reopen();
     return site.process().ExitCode().has_value();
   }));
   CHECK(site.process().ExitCode() == 0);
   site.process().EnsureRunning();
   CHECK(net::AwaitThat([&] {
-    crowd.Reopen(member);
+    crowd.Reopen();
     return site.IsServed();
   }));
   CheckSound(site);
--- a/testing/crowd/crowd.cc
+++ b/testing/crowd/crowd.cc
@@ -27,71 +27,75 @@
   return out;
 }
 
+/// Discards what the server has sent.
+void Receive(int socket, bool& is_closed) {
+  std::array<char, 4'096> buf;
+  const auto n = ::recv(socket, buf.data(), buf.size(), 0);
+  if (n == 0 || (n < 0 && errno != EAGAIN)) is_closed = true;
+}
+
 }  // namespace
 
 void Crowd::Press(int n, const CrowdMember& member) {
-  Open(n);
-  for (int idle = 0; idle < kIdlePolls;) {
-    idle = Advance(member) ? 0 : idle + 1;
-    bool is_sending = false;
-    for (const auto& it : connections_) {
-      is_sending |= !it.is_closed && it.sent < member.bytes.size();
-    }
-    if (!is_sending && idle > 1) return;
-  }
+  const auto shared = std::make_shared<const CrowdMember>(member);
+  for (int i = 0; i < n; ++i) Open(shared);
+  Settle();
 }
 
-int Crowd::Reopen(const CrowdMember& member) {
-  const auto closed = std::erase_if(connections_, [](const Connection& it) {
-    if (it.is_closed) ::close(it.socket);
-    return it.is_closed;
+void Crowd::Reopen() {
+  std::vector<MemberPtr> members;
+  std::erase_if(connections_, [&](const Connection& it) {
+    if (!it.is_closed) return false;
+    ::close(it.socket);
+    members.push_back(it.member);
+    return true;
   });
-  Press(static_cast<int>(closed), member);
-  return static_cast<int>(closed);
+  for (const auto& it : members) Open(it);
+  Settle();
+}
+
+void Crowd::Open(const MemberPtr& member) {
+  const int socket = OpenSocket(target_);
+  if (socket >= 0) connections_.push_back({socket, member});
 }
 
-void Crowd::Open(int n) {
-  for (int i = 0; i < n; ++i) {
-    const int socket = OpenSocket(target_);
-    if (socket >= 0) connections_.push_back({socket});
+void Crowd::Settle() {
+  for (int idle = 0; idle < kIdlePolls;) {
+    idle = Advance() ? 0 : idle + 1;
+    bool is_sending = false;
+    for (const auto& it : connections_) {
+      is_sending |= !it.is_closed && it.sent < it.member->bytes.size();
+    }
+    if (!is_sending && idle > 1) return;
   }
 }
 
-bool Crowd::Advance(const CrowdMember& member) {
+bool Crowd::Advance() {
   std::vector<pollfd> polled;
   std::vector<Connection*> open;
   for (auto& it : connections_) {
     if (it.is_closed) continue;
     short events = POLLRDHUP;
-    if (member.reading == Reading::kAlways) events |= POLLIN;
-    if (it.sent < member.bytes.size()) events |= POLLOUT;
+    if (it.member->reading == Reading::kAlways) events |= POLLIN;
+    if (it.sent < it.member->bytes.size()) events |= POLLOUT;
     polled.push_back({it.socket, events, 0});
     open.push_back(&it);
   }
   if (::poll(polled.data(), polled.size(), kPollMs) <= 0) return false;
   bool has_progress = false;
   for (std::size_t i = 0; i < polled.size(); ++i) {
-    auto& connection = *open[i];
     const auto events = polled[i].revents;
-    if ((events & POLLIN) != 0) {
-      std::array<char, 4'096> buf{};
-      const auto n = ::recv(connection.socket, buf.data(), buf.size(), 0);
-      if (n <= 0 && errno != EAGAIN) connection.is_closed = true;
-      has_progress = true;
-    }
-    if ((events & (POLLERR | POLLHUP | POLLRDHUP)) != 0) {
-      connection.is_closed = true;
-      has_progress = true;
-      continue;
-    }
-    if ((events & POLLOUT) != 0) {
-      const auto n =
-          ::send(connection.socket, member.bytes.data() + connection.sent,
-                 member.bytes.size() - connection.sent, MSG_NOSIGNAL);
-      if (n < 0 && errno != EAGAIN) connection.is_closed = true;
-      if (n > 0) connection.sent += static_cast<std::size_t>(n);
-      has_progress = true;
-    }
+    if (events == 0) continue;
+    has_progress = true;
+    auto& it = *open[i];
+    if ((events & POLLIN) != 0) Receive(it.socket, it.is_closed);
+    if ((events & (POLLERR | POLLHUP | POLLRDHUP)) != 0) it.is_closed = true;
+    if (it.is_closed || (events & POLLOUT) == 0) continue;
+    const auto& bytes = it.member->bytes;
+    const auto n = ::send(it.socket, bytes.data() + it.sent,
+                          bytes.size() - it.sent, MSG_NOSIGNAL);
+    if (n < 0 && errno != EAGAIN) it.is_closed = true;
+    if (n > 0) it.sent += static_cast<std::size_t>(n);
   }
   return has_progress;
 }
--- a/testing/crowd/crowd.h
+++ b/testing/crowd/crowd.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_TESTING_CROWD_CROWD_H_
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -31,23 +32,28 @@
   /// progress for a while.
   void Press(int n, const CrowdMember& member);
 
-  /// Opens a new connection for each that the server has closed. Returns how
-  /// many were closed.
-  int Reopen(const CrowdMember& member);
+  /// Opens a new connection for each that the server has closed, and presses
+  /// with these.
+  void Reopen();
 
   /// Closes all connections.
   void Close();
 
  private:
+  using MemberPtr = std::shared_ptr<const CrowdMember>;
+
   struct Connection {
     int socket = -1;
+    MemberPtr member;
     std::size_t sent = 0;
     bool is_closed = false;
   };
 
-  void Open(int n);
+  void Open(const MemberPtr& member);
+  /// Sends and receives until nothing moves any more.
+  void Settle();
   /// Sends and receives what is possible. Returns whether anything was.
-  bool Advance(const CrowdMember& member);
+  bool Advance();
 
   const http::Endpoint target_;
   std::vector<Connection> connections_;
