Bound what entries and schedulers hold by their memory

Operators and callers could end an entry or a scheduler as they could a process of the platform: 4,096 connections with bodies of 1 MB were allowed, and no setting named the memory of the machine.

Cause: their HTTP server had limits for one connection each, and none for all.

Change: [process] has memory_mb and max_descriptors, from which the budgets of the program's server and clients are derived; max_header_fields is a setting of [http]. An entry counts the copies of a request's body that its path holds. /metrics shows the budgets.

--- a/src/config/program.cc
+++ b/src/config/program.cc
@@ -88,7 +88,10 @@
                                request.method + " " + path + ": GET or HEAD");
     }
     if (path == "/healthz") return PlainText(kHttpOk, "ok\n");
-    if (path == "/metrics") return MetricsText(metrics.Render());
+    if (path == "/metrics") {
+      resources->Report(metrics);
+      return MetricsText(metrics.Render());
+    }
     return ready ? PlainText(kHttpOk, "ready\n")
                  : PlainText(kHttpUnavailable, "not ready\n");
   }
@@ -99,6 +102,7 @@
   http::ServerLimits server_limits;
   base::Incarnation incarnation{base::MakeUniqueText("i-")};
   base::MetricRegistry metrics;
+  http::ResourcesPtr resources;
   std::atomic<bool> ready{false};
   std::atomic<bool> stopping{false};
   std::atomic<int> exit_code{kExitDone};
@@ -114,6 +118,7 @@
 
 Program::Program(ProgramInfo info)
     : impl_(std::make_unique<Impl>(std::move(info))) {
+  base::KeepHeapCompact();
   impl_->settings.Add(Describe(impl_->process));
   impl_->settings.Add(Describe(impl_->server_limits));
 }
@@ -173,6 +178,10 @@
     base::Log(base::events::kSettingsRefused, {{"file", file}});
     return kExitBadUsage;
   }
+  constexpr int kBytesPerMbShift = 20;
+  impl_->resources = std::make_shared<http::Resources>(
+      http::ProcessLimits{impl_->process.memory_mb << kBytesPerMbShift,
+                          impl_->process.max_descriptors});
   if (!absl::GetFlag(FLAGS_check)) return std::nullopt;
   std::cout << file << ": good\n";
   return kExitDone;
@@ -184,6 +193,10 @@
   return impl_->server_limits;
 }
 
+const http::ResourcesPtr& Program::resources() const {
+  return impl_->resources;
+}
+
 const base::Incarnation& Program::incarnation() const {
   return impl_->incarnation;
 }
@@ -259,6 +272,12 @@
   section.Endpoint("platform", process.platform,
                    "The platform's table, object store and VM list.");
   section.Integer("threads", process.threads, 1, 64, "Threads that serve.");
+  section.Integer("memory_mb", process.memory_mb, 32, 1 << 20,
+                  "Memory of the machine for this process, in MB; peers may "
+                  "make it hold two fifths of that.");
+  section.Integer("max_descriptors", process.max_descriptors, 64, 1'000'000,
+                  "Descriptors for sockets; connections of peers leave a "
+                  "sixteenth free.");
   section.Millis("stop_limit_ms", process.stop_limit, 0, 3'600'000,
                  "A planned stop not finished by then ends with exit code 1.");
   section.Choice("log", process.log, "Least severity that is logged.");
@@ -271,6 +290,8 @@
                   "Connections open at once.");
   section.Integer("max_header_bytes", limits.max_header_bytes, 1'024, 1 << 20,
                   "Size of a request's head; a larger one gets 431.");
+  section.Integer("max_header_fields", limits.max_header_fields, 16, 10'000,
+                  "Fields of a request's head; one with more gets 431.");
   section.Integer("max_body_bytes", limits.max_body_bytes, 1'024, 1 << 30,
                   "Size of a request's body; a larger one gets 413.");
   section.Millis("header_timeout_ms", limits.header_timeout, 10, 600'000,
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -47,6 +47,9 @@
   std::vector<http::Endpoint> peers;
   http::Endpoint platform;
   int threads = 2;
+  /// What the machine gives this process.
+  std::size_t memory_mb = 256;
+  std::size_t max_descriptors = 8'192;
   /// A planned stop that has not finished by then ends the process with 1.
   base::Duration stop_limit{120'000};
   LogLevel log = LogLevel::kInfo;
@@ -94,6 +97,10 @@
   /// Limits of the program's HTTP server, from [http].
   const http::ServerLimits& server_limits() const;
 
+  /// What peers may make the process hold, from [process]. The program's
+  /// server and clients share it. After Start.
+  const http::ResourcesPtr& resources() const;
+
   /// One life of this process.
   const base::Incarnation& incarnation() const;
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -102,9 +102,11 @@
         options_(std::move(options)),
         seed_(std::hash<std::string>()(program.incarnation().str())),
         loop_(base::MakeAsioEventLoop(program.io())),
-        platform_client_(program.io(), PlatformLimits(options_.platform)),
-        runner_client_(program.io(), RunnerLimits(options_.runners)),
-        worker_client_(program.io(), http::ClientLimits()),
+        platform_client_(program.io(), PlatformLimits(options_.platform),
+                         program.resources()),
+        runner_client_(program.io(), RunnerLimits(options_.runners),
+                       program.resources()),
+        worker_client_(program.io(), http::ClientLimits(), program.resources()),
         table_(store::MakeHttpTable(platform_client_, Platform())),
         objects_(store::MakeHttpObjectStore(platform_client_, Platform())),
         vms_(store::MakeHttpVmList(platform_client_, Platform())),
@@ -138,6 +140,7 @@
         explainer_(*loop_, node_),
         api_(options_.api, {*loop_, mirror_, writer_, view_, explainer_}),
         server_(program.io(), program.process().listen, program.server_limits(),
+                program.resources(),
                 program.WithCommonEndpoints(
                     [this](const http::ExchangePtr& it) { Route(it); })) {}
 
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -19,6 +19,9 @@
 constexpr std::string_view kKey = "Idempotency-Key";
 constexpr std::string_view kRequestId = "Lapishatch-Request-Id";
 constexpr std::string_view kWork = "Lapishatch-Work";
+/// Copies of a body that are held while its request is in progress: by the
+/// request path and in the call to a runner.
+constexpr std::size_t kBodyCopies = 2;
 constexpr std::size_t kMaxKeyLength = 128;
 constexpr std::size_t kMaxRequestIdLength = 128;
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
@@ -202,6 +205,15 @@
   }
   auto& request = std::get<routing::RoutedRequest>(parsed);
   const auto id = request.id;
+  if (!exchange->ReplaceBody(kBodyCopies * request.body.size())) {
+    Refusal refusal;
+    refusal.status = kUnavailable;
+    refusal.type = "too-many-bytes";
+    refusal.title = "Too much in progress";
+    refusal.detail = "this entry holds as many bytes as it is allowed";
+    refusal.retry_after_s = 1;
+    return exchange->Respond(RefuseNotRun(exchange->request(), refusal));
+  }
   path_.Handle(std::move(request), [exchange = std::move(exchange), id](
                                        const routing::RequestOutcome& outcome) {
     exchange->Respond(ResponseTo(outcome, id));
--- a/src/http/internal/charged_body.h
+++ b/src/http/internal/charged_body.h
@@ -66,6 +66,7 @@
 
   static std::uint64_t size(const value_type&) { return 0; }
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the concept names it.
   class reader {
    public:
     template <bool is_request, typename Fields>
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -110,8 +110,8 @@
       : program_(program),
         settings_(std::move(settings)),
         loop_(base::MakeAsioEventLoop(program.io())),
-        platform_client_(program.io(), PlatformLimits()),
-        worker_client_(program.io(), WorkerLimits()),
+        platform_client_(program.io(), PlatformLimits(), program.resources()),
+        worker_client_(program.io(), WorkerLimits(), program.resources()),
         platform_(PlatformOptionsOf(program, settings_)),
         table_(store::MakeHttpTable(platform_client_, platform_)),
         vm_list_(store::MakeHttpVmList(platform_client_, platform_)),
@@ -144,6 +144,7 @@
                  TellStatus(std::move(done));
                }),
         server_(program.io(), program.process().listen, program.server_limits(),
+                program.resources(),
                 program.WithCommonEndpoints(
                     [this](const http::ExchangePtr& it) { Receive(it); })) {
     AddCell(base::CellName(program.process().failure_domain.str()));
--- a/testing/net/child_process.h
+++ b/testing/net/child_process.h
@@ -73,6 +73,8 @@
     return found == nullptr ? std::string() : *found;
   }
 
+  pid_t pid() const { return pid_; }
+
   void Signal(int number) const { ::kill(pid_, number); }
 
   /// Waits for its end; the exit code, or minus the signal that ended it.
