Charge frames and connections of the inner port

A client that reached the port of the inner protocol could end an entry or a scheduler with four bytes on each of 300 connections.

Cause: the length of a frame, up to 1 MB, was allocated and cleared before its first byte came, also for peers that had not said who they are; nothing bounded these buffers, or the connections, together with those of HTTP.

Change: the transport charges the payload of a frame until its message is handled, and each connection's descriptor, to the budgets of the process. A first frame has 4 KB at most. The log line on malformed frames is written at most once a second, since any client can cause it.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -14,6 +14,7 @@
 #include "base/heap.h"
 #include "base/ids.h"
 #include "base/log.h"
+#include "base/log_gate.h"
 #include "base/metrics.h"
 #include "base/names.h"
 #include "base/recent_events.h"
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -57,6 +57,9 @@
 wire::AsioTransportOptions TransportOptions(const config::Program& program) {
   wire::AsioTransportOptions options;
   options.identity = IdentityOf(program);
+  auto& resources = *program.resources();
+  options.bytes = &resources.budget(http::ResourceKind::kBytes);
+  options.descriptors = &resources.budget(http::ResourceKind::kDescriptors);
   const auto& process = program.process();
   if (process.peer_advertised.port == 0) return options;
   options.listen = options.identity.endpoint;
--- a/src/http/resources.cc
+++ b/src/http/resources.cc
@@ -57,12 +57,17 @@
 
 Resources::Resources(const ProcessLimits& limits)
     : bytes_(limits.memory_bytes / kBytesDenominator * kBytesNumerator),
-      descriptors_(DescriptorsFor(limits)) {}
+      descriptors_(DescriptorsFor(limits)),
+      log_gate_(kLogInterval) {}
 
 Resources::~Resources() = default;
 
 base::Charge Resources::MakeCharge(ResourceKind kind, BudgetUse use) {
-  return {kind == ResourceKind::kBytes ? bytes_ : descriptors_, use};
+  return {budget(kind), use};
+}
+
+base::Budget& Resources::budget(ResourceKind kind) {
+  return kind == ResourceKind::kBytes ? bytes_ : descriptors_;
 }
 
 const base::Budget& Resources::budget(ResourceKind kind) const {
@@ -193,10 +198,7 @@
 }
 
 void Resources::LogReached(ResourceKind kind) {
-  const auto now = base::SteadyClock().Now();
-  auto logged_at = logged_at_.load();
-  if (logged_at != base::TimePoint{} && now - logged_at < kLogInterval) return;
-  if (!logged_at_.compare_exchange_strong(logged_at, now)) return;
+  if (!log_gate_.Open(base::SteadyClock().Now())) return;
   const auto& counters = CountersOf(kind);
   base::Log(base::events::kPeerLimitReached,
             {{"resource", base::NameOf(kind)},
--- a/src/http/resources.h
+++ b/src/http/resources.h
@@ -50,6 +50,9 @@
 
   base::Charge MakeCharge(ResourceKind kind, base::BudgetUse use);
   const base::Budget& budget(ResourceKind kind) const;
+  /// For holders other than this package's servers and clients. Their charges
+  /// close no connections.
+  base::Budget& budget(ResourceKind kind);
 
   /// Makes a charge of bytes larger or smaller. Before it is refused, peers
   /// whose occupancy is above `occupancy` lose their connections.
@@ -100,7 +103,7 @@
   base::Budget bytes_;
   base::Budget descriptors_;
   std::array<Counters, kKinds> counters_;
-  std::atomic<base::TimePoint> logged_at_{};
+  base::LogGate log_gate_;
   /// Most bytes spent since memory was last given back.
   std::atomic<std::size_t> bytes_peak_{0};
   std::mutex mutex_;
--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -36,6 +36,9 @@
 /// How often the timeouts of the connections are looked at.
 constexpr base::Duration kTick{100};
 
+/// Any client that reaches the port can send malformed frames.
+constexpr base::Duration kMalformedLogInterval{1'000};
+
 bool IsHeartbeat(const Message& message) {
   return std::holds_alternative<Heartbeat>(message);
 }
@@ -166,8 +169,9 @@
     error_code ec;
     const auto address = asio::ip::make_address(target.address, ec);
     if (ec) return nullptr;
-    auto connection =
-        std::make_shared<Connection>(Socket(strand_), target, loop_.Now());
+    auto connection = std::make_shared<Connection>(Socket(strand_), target,
+                                                   options_, loop_.Now());
+    if (!connection->descriptor.TryResize(1)) return nullptr;
     connections_.insert(connection);
     by_target_[target] = connection;
     asio::post(strand_, [self = shared_from_this(), connection,
@@ -278,7 +282,8 @@
       const std::lock_guard lock(mutex_);
       if (stopped_ || connections_.size() >= options_.max_connections) return;
       connection = std::make_shared<Connection>(std::move(socket), std::nullopt,
-                                                loop_.Now());
+                                                options_, loop_.Now());
+      if (!connection->descriptor.TryResize(1)) return;
       connections_.insert(connection);
     }
     OnOpened(connection);
@@ -341,6 +346,7 @@
   }
 
   void ReadHeader(const ConnectionPtr& connection) {
+    connection->payload_charge.Release();
     asio::async_read(connection->socket, asio::buffer(connection->header),
                      [self = shared_from_this(), connection](
                          const error_code& ec, std::size_t) {
@@ -355,11 +361,13 @@
   void ReadPayload(const ConnectionPtr& connection) {
     const auto length = PayloadBytes(
         std::string_view(connection->header.data(), connection->header.size()),
-        options_.max_frame_bytes);
+        connection->peer ? options_.max_frame_bytes : options_.max_hello_bytes);
     if (!length) {
       OnMalformed(connection, "the length of a frame is out of bounds");
       return;
     }
+    // The peer connects again and repeats what it still needs.
+    if (!connection->payload_charge.TryResize(*length)) return Fail(connection);
     connection->payload.resize(*length);
     asio::async_read(connection->socket, asio::buffer(connection->payload),
                      [self = shared_from_this(), connection](
@@ -431,6 +439,8 @@
       const std::lock_guard lock(mutex_);
       ++counts_.malformed_frames;
     }
+    if (!malformed_log_.Open(base::SteadyClock().Now()))
+      return Fail(connection);
     base::Log(base::events::kMalformedFrame,
               {{"peer", connection->peer ? connection->peer->name.str() : ""},
                {"detail", detail}});
@@ -540,6 +550,7 @@
   std::map<Endpoint, Retry> retries_;
   base::Random random_;
   TransportCounts counts_;
+  base::LogGate malformed_log_{kMalformedLogInterval};
 };
 
 /// Stops the links when its owner lets it go.
--- a/src/wire/internal/connection.h
+++ b/src/wire/internal/connection.h
@@ -27,14 +27,21 @@
     std::chrono::steady_clock,
     boost::asio::wait_traits<std::chrono::steady_clock>, Strand>;
 
+/// An empty charge to `budget`, or to nothing.
+inline base::Charge ChargeTo(base::Budget* budget, base::BudgetUse use) {
+  return budget == nullptr ? base::Charge() : base::Charge(*budget, use);
+}
+
 /// One TCP connection of an AsioTransport, opened by either side. Its socket
 /// is used on the transport's strand only, everything else under the
 /// transport's lock.
 struct Connection {
   Connection(Socket opened, std::optional<Endpoint> connects_to,
-             base::TimePoint now)
+             const AsioTransportOptions& options, base::TimePoint now)
       : socket(std::move(opened)),
         target(std::move(connects_to)),
+        descriptor(ChargeTo(options.descriptors, base::BudgetUse::kOutgoing)),
+        payload_charge(ChargeTo(options.bytes, base::BudgetUse::kInput)),
         opened_at(now),
         last_sent(now),
         last_received(now),
@@ -46,6 +53,7 @@
   std::optional<Endpoint> target;
   /// Who the peer is, once its Hello has come.
   std::optional<Identity> peer;
+  base::Charge descriptor;
   bool connected = false;
   bool closed = false;
 
@@ -56,6 +64,8 @@
 
   std::array<char, kFrameHeaderBytes> header{};
   std::string payload;
+  /// Spent on the payload until its message is handled.
+  base::Charge payload_charge;
 
   base::TimePoint opened_at;
   base::TimePoint last_sent;
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -80,6 +80,12 @@
   base::Duration backoff_first{200};
   base::Duration backoff_limit{10'000};
   std::size_t max_frame_bytes = kMaxMessageBytes;
+  /// Of the first frame, from a peer that is not known yet.
+  std::size_t max_hello_bytes = 4 * 1024;
+  /// What frames that are received, and connections, are charged to, if
+  /// anything. Both outlive the transport.
+  base::Budget* bytes = nullptr;
+  base::Budget* descriptors = nullptr;
   /// Per connection.
   std::size_t max_queued_messages = 1'024;
   std::size_t max_queued_bytes = 4 * kMaxMessageBytes;
--- a/test/crowd/process_test.cc
+++ b/test/crowd/process_test.cc
@@ -10,6 +10,8 @@
 #include "net/child_process.h"
 #include "net/raw_socket.h"
 #include "platform/platform.h"
+#include "wire/codec.h"
+#include "wire/frame.h"
 
 namespace lapishatch::crowd {
 namespace {
@@ -120,5 +122,23 @@
   }
 }
 
+TEST_CASE("frames that never come fit the memory of the inner port's process") {
+  // The length of a frame, just below the largest one.
+  const std::string announced{"\0\x0f\0\0", 4};
+  wire::Identity peer;
+  peer.name = wire::ProcessName("p2");
+  peer.domain = base::DomainName("hall");
+  peer.incarnation = base::Incarnation("i-2");
+  peer.endpoint = {"127.0.0.1", 1};
+  const auto hello =
+      wire::MakeFrame(wire::Encode(wire::Hello{wire::kProtocolVersion, peer}));
+  for (const auto& it : kPrograms) {
+    INFO(it.program);
+    const ServingProcess process(it.program, it.sections);
+    process.CheckCrowd(process.peer_endpoint, kCrowd, {announced});
+    process.CheckCrowd(process.peer_endpoint, kCrowd, {hello + announced});
+  }
+}
+
 }  // namespace
 }  // namespace lapishatch::crowd
