Count every refusal of the new limits, and check memory-mb

Operators could not see heads with too many fields, or frames for which there was no memory; a wrong memory-mb would have been taken as it stands.

Cause: the transport charged the budgets directly, past the counters and the log of http::Resources; a head above max_header_fields was counted nowhere.

Change: membership::ChargeTransport charges frames and connections through Resources, which count, log and close idle connections for them as well. fields is a resource of its own in the metrics and in E405. memory-mb below 16 is refused with its name. An evicted request does not write beside a 100-continue that is under way, and a weight of a connection that began meanwhile is small.

Two more cases play requests one behind the other and 10,000 cancellations of unknown names; the largest body is also sent amid a crowd.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -57,9 +57,7 @@
 wire::AsioTransportOptions TransportOptions(const config::Program& program) {
   wire::AsioTransportOptions options;
   options.identity = IdentityOf(program);
-  auto& resources = *program.resources();
-  options.bytes = &resources.budget(http::ResourceKind::kBytes);
-  options.descriptors = &resources.budget(http::ResourceKind::kDescriptors);
+  membership::ChargeTransport(options, program.resources());
   const auto& process = program.process();
   if (process.peer_advertised.port == 0) return options;
   options.listen = options.identity.endpoint;
--- a/src/http/resources.cc
+++ b/src/http/resources.cc
@@ -63,11 +63,7 @@
 Resources::~Resources() = default;
 
 base::Charge Resources::MakeCharge(ResourceKind kind, BudgetUse use) {
-  return {budget(kind), use};
-}
-
-base::Budget& Resources::budget(ResourceKind kind) {
-  return kind == ResourceKind::kBytes ? bytes_ : descriptors_;
+  return {kind == ResourceKind::kBytes ? bytes_ : descriptors_, use};
 }
 
 const base::Budget& Resources::budget(ResourceKind kind) const {
@@ -133,6 +129,13 @@
 }
 
 void Resources::Report(base::MetricRegistry& metrics) const {
+  for (std::size_t i = 0; i < kKinds; ++i) {
+    const std::string name(base::NameOf(static_cast<ResourceKind>(i)));
+    metrics.Set("lapishatch_peer_refusals", {{"resource", name}},
+                static_cast<double>(counters_[i].refusals));
+    metrics.Set("lapishatch_peer_evictions", {{"resource", name}},
+                static_cast<double>(counters_[i].evictions));
+  }
   for (const auto kind : {ResourceKind::kBytes, ResourceKind::kDescriptors}) {
     const auto& held = budget(kind);
     const std::string name(base::NameOf(kind));
@@ -144,11 +147,6 @@
                   {{"resource", name}, {"use", std::string(base::NameOf(use))}},
                   static_cast<double>(held.spent(use)));
     }
-    const auto& counters = counters_[static_cast<std::size_t>(kind)];
-    metrics.Set("lapishatch_peer_refusals", {{"resource", name}},
-                static_cast<double>(counters.refusals));
-    metrics.Set("lapishatch_peer_evictions", {{"resource", name}},
-                static_cast<double>(counters.evictions));
   }
 }
 
@@ -202,8 +200,10 @@
   const auto& counters = CountersOf(kind);
   base::Log(base::events::kPeerLimitReached,
             {{"resource", base::NameOf(kind)},
-             {"held", budget(kind).spent()},
-             {"limit", budget(kind).capacity()},
+             {"bytes", bytes_.spent()},
+             {"bytes_limit", bytes_.capacity()},
+             {"descriptors", descriptors_.spent()},
+             {"descriptors_limit", descriptors_.capacity()},
              {"evicted", counters.evictions.load()},
              {"refused", counters.refusals.load()}});
 }
--- a/src/http/resources.h
+++ b/src/http/resources.h
@@ -26,8 +26,13 @@
   std::size_t max_descriptors = 16'384;
 };
 
-/// A limit that peers of the process can reach.
-enum class ResourceKind : std::uint8_t { kBytes, kDescriptors };
+/// What peers of the process can exhaust.
+enum class ResourceKind : std::uint8_t {
+  kBytes,
+  kDescriptors,
+  /// Of one head; without a budget, since they are bytes in the end.
+  kFields,
+};
 
 /// The budgets of a process for what its peers can make large. All servers and
 /// clients of a process share one, so these hold for the process:
@@ -48,11 +53,9 @@
   Resources(const Resources&) = delete;
   Resources& operator=(const Resources&) = delete;
 
+  /// `kind` must have a budget, here and below.
   base::Charge MakeCharge(ResourceKind kind, base::BudgetUse use);
   const base::Budget& budget(ResourceKind kind) const;
-  /// For holders other than this package's servers and clients. Their charges
-  /// close no connections.
-  base::Budget& budget(ResourceKind kind);
 
   /// Makes a charge of bytes larger or smaller. Before it is refused, peers
   /// whose occupancy is above `occupancy` lose their connections.
@@ -69,7 +72,7 @@
   /// Closes `n` connections of peers, if there are so many that may be closed.
   void CloseConnections(std::size_t n);
 
-  /// Counts a peer that was refused for want of `kind`.
+  /// Counts and logs a peer that was refused for want of `kind`, of any.
   void CountRefusal(ResourceKind kind);
 
   /// Gives memory back to the system if much has been freed since the last
@@ -82,7 +85,7 @@
  private:
   friend class internal::ServerState;
 
-  static constexpr std::size_t kKinds = 2;
+  static constexpr std::size_t kKinds = 3;
 
   struct Counters {
     std::atomic<std::uint64_t> refusals{0};
@@ -117,8 +120,8 @@
 namespace lapishatch::base {
 template <>
 struct EnumNames<http::ResourceKind> {
-  static constexpr std::array<std::string_view, 2> kNames = {"bytes",
-                                                             "descriptors"};
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "bytes", "descriptors", "fields"};
 };
 }  // namespace lapishatch::base
 
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -54,6 +54,13 @@
   return out;
 }
 
+/// What holding `bytes` for `age` weighs. Another thread may have begun later
+/// than it was looked at.
+std::uint64_t WeightOf(std::size_t bytes, base::Duration age) {
+  const auto ms = std::max<base::Duration::rep>(age.count(), 0);
+  return bytes * (static_cast<std::uint64_t>(ms) + 1);
+}
+
 /// Whether a response of this status has no body by definition.
 bool IsBodiless(int status) {
   return status == 204 || status == 304 || status < 200;
@@ -130,9 +137,8 @@
 
   Occupancy OccupancyAt(base::TimePoint now) const override {
     if (!is_evictable_) return {};
-    const auto age = (now - since_.load()).count();
     const auto bytes = kConnectionBytes + input_bytes_;
-    return {bytes, bytes * (static_cast<std::uint64_t>(age) + 1)};
+    return {bytes, WeightOf(bytes, now - since_.load())};
   }
 
   void Evict(ResourceKind kind) override {
@@ -245,7 +251,8 @@
   void ReadNow(error_code ec) {
     if (phase_ == Phase::kClosed) return;
     std::array<char, kBodyReadBytes> buf;
-    const auto limit = phase_ == Phase::kBody ? kBodyReadBytes : kHeadReadBytes;
+    const bool is_large = phase_ == Phase::kBody || phase_ == Phase::kLingering;
+    const auto limit = is_large ? kBodyReadBytes : kHeadReadBytes;
     std::size_t n = 0;
     if (!ec) n = socket_.read_some(asio::buffer(buf.data(), limit), ec);
     if (ec == asio::error::would_block) return AwaitInput();
@@ -271,7 +278,7 @@
       case Phase::kHead:
       case Phase::kBody:
         is_evictable_ = false;
-        if (!ec) return Parse(bytes);
+        if (!ec) return ParseAlso(bytes);
         if (ec != asio::error::eof) return Close();
         return SendLast(MakeInputProblem(beast_http::error::partial_message,
                                          state_->limits));
@@ -334,9 +341,8 @@
   }
 
   std::uint64_t OwnWeight() const {
-    const auto age = base::SteadyClock().Now() - request_began_;
-    return (kConnectionBytes + input_bytes_) *
-           (static_cast<std::uint64_t>(age.count()) + 1);
+    return WeightOf(kConnectionBytes + input_bytes_,
+                    base::SteadyClock().Now() - request_began_);
   }
 
   void BecomeEvictable(base::TimePoint since) {
@@ -345,7 +351,7 @@
   }
 
   /// Parses `bytes`, which follow what is pending.
-  void Parse(std::string_view bytes) {
+  void ParseAlso(std::string_view bytes) {
     unread_ = bytes;
     if (!pending_.empty()) {
       if (!AppendPending(bytes)) return RefuseBusy();
@@ -417,6 +423,7 @@
   }
 
   void RefuseFields() {
+    state_->resources->CountRefusal(ResourceKind::kFields);
     SendLast(MakeInputProblem(beast_http::error::header_limit, state_->limits));
   }
 
@@ -436,12 +443,10 @@
 
   void SendContinue() {
     if (!KeepUnread()) return RefuseBusy();
-    BecomeEvictable(request_began_);
     asio::async_write(
         socket_, asio::buffer(kContinue),
         [self = shared_from_this()](const error_code& ec, std::size_t) {
           if (self->phase_ != Phase::kBody) return;
-          self->is_evictable_ = false;
           if (ec) return self->Close();
           self->unread_ = self->pending_;
           self->Parse();
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -14,5 +14,6 @@
 #include "membership/seeds.h"
 #include "membership/spreader.h"
 #include "membership/status_board.h"
+#include "membership/transport_charges.h"
 
 #endif  // LAPISHATCH_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/scheduler_main/scheduler_process.cc
+++ b/src/scheduler_main/scheduler_process.cc
@@ -79,9 +79,7 @@
 wire::AsioTransportOptions TransportOptionsOf(const config::Program& program) {
   wire::AsioTransportOptions out;
   out.identity = IdentityOf(program);
-  auto& resources = *program.resources();
-  out.bytes = &resources.budget(http::ResourceKind::kBytes);
-  out.descriptors = &resources.budget(http::ResourceKind::kDescriptors);
+  membership::ChargeTransport(out, program.resources());
   const auto& process = program.process();
   if (process.peer_advertised.port == 0) return out;
   out.listen = out.identity.endpoint;
--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -169,9 +169,9 @@
     error_code ec;
     const auto address = asio::ip::make_address(target.address, ec);
     if (ec) return nullptr;
-    auto connection = std::make_shared<Connection>(Socket(strand_), target,
-                                                   options_, loop_.Now());
-    if (!connection->descriptor.TryResize(1)) return nullptr;
+    auto connection =
+        std::make_shared<Connection>(Socket(strand_), target, loop_.Now());
+    if (!ChargeConnection(*connection)) return nullptr;
     connections_.insert(connection);
     by_target_[target] = connection;
     asio::post(strand_, [self = shared_from_this(), connection,
@@ -181,6 +181,16 @@
     return connection;
   }
 
+  bool ChargeConnection(Connection& connection) const {
+    return !options_.charge_connection ||
+           options_.charge_connection(connection.descriptor);
+  }
+
+  bool ChargePayload(Connection& connection, std::size_t bytes) const {
+    return !options_.charge_payload ||
+           options_.charge_payload(connection.payload_charge, bytes);
+  }
+
   void StartWrite(const ConnectionPtr& connection) {
     if (!connection->connected) return;
     asio::post(strand_, [self = shared_from_this(), connection] {
@@ -282,8 +292,8 @@
       const std::lock_guard lock(mutex_);
       if (stopped_ || connections_.size() >= options_.max_connections) return;
       connection = std::make_shared<Connection>(std::move(socket), std::nullopt,
-                                                options_, loop_.Now());
-      if (!connection->descriptor.TryResize(1)) return;
+                                                loop_.Now());
+      if (!ChargeConnection(*connection)) return;
       connections_.insert(connection);
     }
     OnOpened(connection);
@@ -367,7 +377,7 @@
       return;
     }
     // The peer connects again and repeats what it still needs.
-    if (!connection->payload_charge.TryResize(*length)) return Fail(connection);
+    if (!ChargePayload(*connection, *length)) return Fail(connection);
     connection->payload.resize(*length);
     asio::async_read(connection->socket, asio::buffer(connection->payload),
                      [self = shared_from_this(), connection](
--- a/src/wire/internal/connection.h
+++ b/src/wire/internal/connection.h
@@ -27,21 +27,14 @@
     std::chrono::steady_clock,
     boost::asio::wait_traits<std::chrono::steady_clock>, Strand>;
 
-/// An empty charge to `budget`, or to nothing.
-inline base::Charge ChargeTo(base::Budget* budget, base::BudgetUse use) {
-  return budget == nullptr ? base::Charge() : base::Charge(*budget, use);
-}
-
 /// One TCP connection of an AsioTransport, opened by either side. Its socket
 /// is used on the transport's strand only, everything else under the
 /// transport's lock.
 struct Connection {
   Connection(Socket opened, std::optional<Endpoint> connects_to,
-             const AsioTransportOptions& options, base::TimePoint now)
+             base::TimePoint now)
       : socket(std::move(opened)),
         target(std::move(connects_to)),
-        descriptor(ChargeTo(options.descriptors, base::BudgetUse::kOutgoing)),
-        payload_charge(ChargeTo(options.bytes, base::BudgetUse::kInput)),
         opened_at(now),
         last_sent(now),
         last_received(now),
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -82,10 +82,11 @@
   std::size_t max_frame_bytes = kMaxMessageBytes;
   /// Of the first frame, from a peer that is not known yet.
   std::size_t max_hello_bytes = 4 * 1024;
-  /// What frames that are received, and connections, are charged to, if
-  /// anything. Both outlive the transport.
-  base::Budget* bytes = nullptr;
-  base::Budget* descriptors = nullptr;
+  /// Charge a connection, and the payload of a frame in bytes, until the charge
+  /// is released. False if the process has no room for it; the connection is
+  /// closed then. Without them nothing is charged.
+  std::function<bool(base::Charge&)> charge_connection = nullptr;
+  std::function<bool(base::Charge&, std::size_t)> charge_payload = nullptr;
   /// Per connection.
   std::size_t max_queued_messages = 1'024;
   std::size_t max_queued_bytes = 4 * kMaxMessageBytes;
--- a/test/crowd/crowd_site.h
+++ b/test/crowd/crowd_site.h
@@ -33,6 +33,14 @@
 inline constexpr const char* kJobBody =
     R"({"spec":"x","steps":[{"count":1,"cpu":100,"estimate-ms":100}]})";
 
+/// A valid job of `bytes` bytes.
+inline std::string LargeJobBody(std::size_t bytes) {
+  std::string out = R"({"comment":")";
+  const auto rest = std::string(R"(",)") + std::string(kJobBody).substr(1);
+  out.append(bytes - out.size() - rest.size(), 'x');
+  return out + rest;
+}
+
 /// A lapishatch-site process with little memory and few descriptors, and the
 /// platform's stand-in on a thread of its own.
 class CrowdSite {
@@ -68,10 +76,10 @@
 
   /// Hands in one valid job, again on a new connection after a refusal or a
   /// closed connection. Returns whether it was accepted.
-  bool IsServed() const {
+  bool IsServed(const std::string& body = kJobBody) const {
     constexpr int kAttempts = 25;
     for (int i = 0; i < kAttempts; ++i) {
-      if (StatusOf(RequestWithBody(NextJob(), kJobBody)) == 200) return true;
+      if (StatusOf(RequestWithBody(NextJob(), body)) == 200) return true;
       std::this_thread::sleep_for(std::chrono::milliseconds(100));
     }
     return false;
--- a/test/crowd/memory_test.cc
+++ b/test/crowd/memory_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <string>
+#include <vector>
 
 #include "crowd_site.h"
 
@@ -118,8 +119,7 @@
   site.OnStandin([](fakes::FakeRowStore& it) {
     it.SetFaultForTransactions(fakes::StoreFault::kSilent);
   });
-  const auto text = R"({"comment":")" + std::string(261'000, 'x') + R"(",)" +
-                    std::string(kJobBody).substr(1);
+  const auto text = LargeJobBody(kLargeBody);
   Crowd crowd(site.api());
   crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), text)});
   crowd.Reopen();
@@ -179,15 +179,42 @@
   }
 }
 
-TEST_CASE("the largest body is served in calm") {
+TEST_CASE("the largest body is served in calm, and amid a crowd") {
+  constexpr std::size_t kLargestBody = 256 * 1024;
+  const auto body = LargeJobBody(kLargestBody);
+  REQUIRE(body.size() == kLargestBody);
   CrowdSite site;
-  std::string body = R"({"comment":")";
-  const std::string rest =
-      std::string(R"(",)") + std::string(kJobBody).substr(1);
-  body.append(256 * 1024 - body.size() - rest.size(), 'x');
-  body += rest;
-  REQUIRE(body.size() == 256 * 1024);
   CHECK(site.StatusOf(RequestWithBody(CrowdSite::NextJob(), body)) == 200);
+  Crowd crowd(site.api());
+  crowd.Press(kCrowd, {UnfinishedChunks(kUnknownJob, kLargeBody, kLargeChunk)});
+  CHECK(site.IsServed(body));
+  CheckSound(site);
+}
+
+TEST_CASE("requests one behind the other fit the memory of the VM") {
+  CrowdSite site;
+  std::string requests;
+  while (requests.size() < kLargeBody) {
+    requests += RequestHead("GET", kUnknownJob, "");
+  }
+  CheckCrowd(site, site.api(), kCrowd, {requests, Reading::kNever});
+}
+
+TEST_CASE("cancellations of unknown names fit the memory of the VM") {
+  constexpr int kConnections = 100;
+  constexpr int kNames = 100;
+  CrowdSite site;
+  std::vector<CrowdMember> members;
+  for (int i = 0; i < kConnections; ++i) {
+    std::string requests;
+    for (int k = 0; k < kNames; ++k) {
+      requests += RequestHead("DELETE", CrowdSite::NextJob(), "");
+    }
+    members.push_back({requests});
+  }
+  Crowd crowd(site.api());
+  crowd.Press(members);
+  CheckSound(site);
 }
 
 TEST_CASE("a planned stop amid a crowd ends, and a restart into it serves") {
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -22,6 +22,7 @@
 [limits]
 cpu-share = 0.25
 cores = 2
+memory-mb = 200
 max-fds = 4100
 [bounds]
 grace-s = 6
@@ -41,6 +42,7 @@
   CHECK(settings.api_endpoint == http::Endpoint{"10.0.0.7", 8521});
   CHECK(settings.store_endpoint == http::Endpoint{"10.9.0.1", 8524});
   CHECK(settings.max_descriptors == 3'900);
+  CHECK(settings.memory_bytes == std::size_t{200} << 20);
   CHECK(settings.cores == 0.5);
   CHECK(settings.stop_grace_period == base::Duration(6'000));
   CHECK(settings.bounds.stop_timeout == base::Duration(900));
@@ -66,6 +68,9 @@
     out.replace(out.find("grace-s = 6"), 11, line);
     return problem(out);
   };
+  std::string small(kSettings);
+  small.replace(small.find("memory-mb = 200"), 15, "memory-mb = 15");
+  CHECK(problem(small) == "x.toml: limits.memory-mb must be 16 or more");
   CHECK(with_bound("drain-ms = \"soon\"") ==
         "x.toml: bounds.drain-ms must be a number");
   CHECK(with_bound("evacuate-ms = 0") ==
--- a/testing/crowd/crowd.cc
+++ b/testing/crowd/crowd.cc
@@ -42,6 +42,13 @@
   Settle();
 }
 
+void Crowd::Press(const std::vector<CrowdMember>& members) {
+  for (const auto& it : members) {
+    Open(std::make_shared<const CrowdMember>(it));
+  }
+  Settle();
+}
+
 void Crowd::Reopen() {
   std::vector<MemberPtr> members;
   std::erase_if(connections_, [&](const Connection& it) {
--- a/testing/crowd/crowd.h
+++ b/testing/crowd/crowd.h
@@ -32,6 +32,9 @@
   /// progress for a while.
   void Press(int n, const CrowdMember& member);
 
+  /// The same for one connection for each of `members`.
+  void Press(const std::vector<CrowdMember>& members);
+
   /// Opens a new connection for each that the server has closed, and presses
   /// with these.
   void Reopen();
