Close connections that give way on their own turn in threaded processes

Found by reading: closing a connection within a call that needs room runs handlers of that connection. In an entry or a scheduler the caller may hold a lock (the transport does, a stream's buffer does) that such a handler takes as well.

Change: Closing says when connections that give way are closed. Entries and schedulers post it, and the margins of the budgets serve until then; a process of the platform, whose only thread runs everything without locks, closes at once. Streams and the transport's connections close nobody. Evictions are counted when they happen.

--- a/src/http/internal/session.h
+++ b/src/http/internal/session.h
@@ -50,7 +50,7 @@
   /// Gives up an idle connection or an unfinished request, to free `kind`. An
   /// unfinished request is refused (503) if the connection itself may stay for
   /// that.
-  virtual void Evict(ResourceKind kind) = 0;
+  virtual void Evict(ResourceKind kind, Closing closing) = 0;
 };
 
 /// What the sessions of one server share. Sessions are registered in shards, so
--- a/src/http/internal/stream_buffer.h
+++ b/src/http/internal/stream_buffer.h
@@ -88,7 +88,8 @@
 
  private:
   bool TryHold(std::size_t bytes) {
-    return !resources_ || resources_->TryHold(charge_, bytes, 0);
+    return !resources_ ||
+           resources_->TryHold(charge_, bytes, Resources::kKeepConnections);
   }
 
   const std::size_t limit_;
--- a/src/http/resources.cc
+++ b/src/http/resources.cc
@@ -55,8 +55,9 @@
 
 }  // namespace
 
-Resources::Resources(const ProcessLimits& limits)
-    : bytes_(limits.memory_bytes / kBytesDenominator * kBytesNumerator),
+Resources::Resources(const ProcessLimits& limits, Closing closing)
+    : closing_(closing),
+      bytes_(limits.memory_bytes / kBytesDenominator * kBytesNumerator),
       descriptors_(DescriptorsFor(limits)),
       log_gate_(kLogInterval) {}
 
@@ -93,7 +94,8 @@
   const auto ceiling = CeilingOf(descriptors_, kOutgoingDivisor);
   if (!descriptor.TryResize(1, ceiling)) {
     CloseConnections(BatchOf(ResourceKind::kDescriptors, 1));
-    if (!descriptor.TryResize(1, ceiling)) {
+    const auto margin = CeilingOf(descriptors_, 2 * kOutgoingDivisor);
+    if (!descriptor.TryResize(1, margin)) {
       CountRefusal(ResourceKind::kDescriptors);
       return false;
     }
@@ -158,6 +160,7 @@
 
 void Resources::Evict(ResourceKind kind, std::size_t goal,
                       std::uint64_t occupancy) {
+  if (occupancy == kKeepConnections) return;
   std::vector<std::shared_ptr<internal::ServerState>> servers;
   {
     const std::lock_guard lock(mutex_);
@@ -181,8 +184,7 @@
   for (const auto& it : candidates) {
     if (freed >= goal) break;
     freed += kind == ResourceKind::kBytes ? it.occupancy.bytes : 1;
-    ++CountersOf(kind).evictions;
-    it.session->Evict(kind);
+    it.session->Evict(kind, closing_);
   }
   if (freed > 0) LogReached(kind);
 }
--- a/src/http/resources.h
+++ b/src/http/resources.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <string_view>
@@ -26,6 +27,15 @@
   std::size_t max_descriptors = 16'384;
 };
 
+/// When a connection that gives way is closed.
+enum class Closing : std::uint8_t {
+  /// Within the call that needs room, which must hold no lock: for a process
+  /// whose only thread runs all servers.
+  kAtOnce,
+  /// Soon. Until then, the margins of the budgets serve.
+  kPosted,
+};
+
 /// What peers of the process can exhaust.
 enum class ResourceKind : std::uint8_t {
   kBytes,
@@ -45,10 +55,11 @@
 /// When a budget is short, connections that are idle or have an unfinished
 /// request are closed, those first that hold most for longest. A request that
 /// was received whole is never given up for another one. Safe from several
-/// threads; on a single one, what was closed is free at once.
+/// threads.
 class Resources {
  public:
-  explicit Resources(const ProcessLimits& limits);
+  explicit Resources(const ProcessLimits& limits,
+                     Closing closing = Closing::kPosted);
   ~Resources();
   Resources(const Resources&) = delete;
   Resources& operator=(const Resources&) = delete;
@@ -58,7 +69,8 @@
   const base::Budget& budget(ResourceKind kind) const;
 
   /// Makes a charge of bytes larger or smaller. Before it is refused, peers
-  /// whose occupancy is above `occupancy` lose their connections.
+  /// whose occupancy is above `occupancy` lose their connections; none does
+  /// with kKeepConnections.
   bool TryHold(base::Charge& charge, std::size_t bytes,
                std::uint64_t occupancy);
 
@@ -75,6 +87,9 @@
   /// Counts and logs a peer that was refused for want of `kind`, of any.
   void CountRefusal(ResourceKind kind);
 
+  /// Counts a connection that gave way for `kind`.
+  void CountEviction(ResourceKind kind) { ++CountersOf(kind).evictions; }
+
   /// Gives memory back to the system if much has been freed since the last
   /// time. Cheap otherwise.
   void OnReleased();
@@ -82,6 +97,9 @@
   /// Sets the metrics of the budgets.
   void Report(base::MetricRegistry& metrics) const;
 
+  static constexpr std::uint64_t kKeepConnections =
+      std::numeric_limits<std::uint64_t>::max();
+
  private:
   friend class internal::ServerState;
 
@@ -103,6 +121,7 @@
   /// Logs that a limit was reached, at most once in a while.
   void LogReached(ResourceKind kind);
 
+  const Closing closing_;
   base::Budget bytes_;
   base::Budget descriptors_;
   std::array<Counters, kKinds> counters_;
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -141,16 +141,15 @@
     return {bytes, WeightOf(bytes, now - since_.load())};
   }
 
-  void Evict(ResourceKind kind) override {
-    OnStrand([this, kind] {
-      if (!is_evictable_) return;
-      // A request has arrived and is about to be read.
-      if (phase_ == Phase::kIdle && HasBytes()) return;
-      const bool is_refusable =
-          phase_ == Phase::kHead || phase_ == Phase::kBody;
-      if (is_refusable && kind == ResourceKind::kBytes) return RefuseBusy();
-      Close();
-    });
+  void Evict(ResourceKind kind, Closing closing) override {
+    const auto step = [self = shared_from_this(), kind] {
+      self->GiveWay(kind);
+    };
+    if (closing == Closing::kAtOnce) {
+      asio::dispatch(socket_.get_executor(), step);
+    } else {
+      asio::post(socket_.get_executor(), step);
+    }
   }
 
   bool AllowBody(std::size_t capacity) override {
@@ -656,6 +655,16 @@
 
   // Ending.
 
+  void GiveWay(ResourceKind kind) {
+    if (!is_evictable_) return;
+    // A request has arrived and is about to be read.
+    if (phase_ == Phase::kIdle && HasBytes()) return;
+    state_->resources->CountEviction(kind);
+    const bool is_refusable = phase_ == Phase::kHead || phase_ == Phase::kBody;
+    if (is_refusable && kind == ResourceKind::kBytes) return RefuseBusy();
+    Close();
+  }
+
   void OnDeadline() {
     switch (phase_) {
       case Phase::kIdle:
--- a/src/membership/transport_charges.cc
+++ b/src/membership/transport_charges.cc
@@ -12,7 +12,8 @@
   options.charge_connection = [resources](base::Charge& charge) {
     charge =
         resources->MakeCharge(ResourceKind::kDescriptors, BudgetUse::kOutgoing);
-    return resources->TryConnect(charge);
+    // The transport calls with its lock held, so nothing may be closed here.
+    return charge.TryResize(1);
   };
   options.charge_payload = [resources = std::move(resources)](
                                base::Charge& charge, std::size_t bytes) {
