--- a/src/wire/asio_transport.cc
+++ b/src/wire/asio_transport.cc
@@ -449,11 +449,11 @@
       const std::lock_guard lock(mutex_);
       ++counts_.malformed_frames;
     }
-    if (!malformed_log_.Open(base::SteadyClock().Now()))
-      return Fail(connection);
-    base::Log(base::events::kMalformedFrame,
-              {{"peer", connection->peer ? connection->peer->name.str() : ""},
-               {"detail", detail}});
+    if (malformed_log_.Open(base::SteadyClock().Now())) {
+      base::Log(base::events::kMalformedFrame,
+                {{"peer", connection->peer ? connection->peer->name.str() : ""},
+                 {"detail", detail}});
+    }
     Fail(connection);
   }
 
--- a/test/base/budget_test.cc
+++ b/test/base/budget_test.cc
@@ -62,6 +62,7 @@
   std::atomic<bool> has_exceeded{false};
   {
     std::vector<std::jthread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
       threads.emplace_back([&] {
         Charge charge(budget, BudgetUse::kInput);
--- a/testing/crowd/crowd.cc
+++ b/testing/crowd/crowd.cc
@@ -23,7 +23,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(target.port);
   ::inet_pton(AF_INET, target.address.c_str(), &address.sin_addr);
-  ::connect(out, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  // A failure shows when the socket is polled.
+  static_cast<void>(
+      ::connect(out, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
   return out;
 }
 
@@ -82,10 +84,10 @@
   std::vector<Connection*> open;
   for (auto& it : connections_) {
     if (it.is_closed) continue;
-    short events = POLLRDHUP;
+    polled.push_back({it.socket, POLLRDHUP, 0});
+    auto& events = polled.back().events;
     if (it.member->reading == Reading::kAlways) events |= POLLIN;
     if (it.sent < it.member->bytes.size()) events |= POLLOUT;
-    polled.push_back({it.socket, events, 0});
     open.push_back(&it);
   }
   if (::poll(polled.data(), polled.size(), kPollMs) <= 0) return false;
