Say in the crowd tests what the store does, and name the parser's second step

Cause: reading the diff anew: four tests spelled out how a fault gets to the thread of the stand-in, and ParseAlso did not say what it parses.

Change: CrowdSite::SetStoreFault and SetTransactionFault; ParseMore.

--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -277,7 +277,7 @@
       case Phase::kHead:
       case Phase::kBody:
         is_evictable_ = false;
-        if (!ec) return ParseAlso(bytes);
+        if (!ec) return ParseMore(bytes);
         if (ec != asio::error::eof) return Close();
         return SendLast(MakeInputProblem(beast_http::error::partial_message,
                                          state_->limits));
@@ -350,7 +350,7 @@
   }
 
   /// Parses `bytes`, which follow what is pending.
-  void ParseAlso(std::string_view bytes) {
+  void ParseMore(std::string_view bytes) {
     unread_ = bytes;
     if (!pending_.empty()) {
       if (!AppendPending(bytes)) return RefuseBusy();
--- a/test/crowd/crowd_site.h
+++ b/test/crowd/crowd_site.h
@@ -63,15 +63,12 @@
   pid_t pid() const { return process_.pid(); }
   soak::SiteProcess& process() { return process_; }
 
-  /// Runs `step` on the stand-in's thread.
-  template <typename Step>
-  void OnStandin(Step step) {
-    std::promise<void> done;
-    boost::asio::post(io_, [&] {
-      step(rows_);
-      done.set_value();
-    });
-    done.get_future().get();
+  /// The store's fault from now on: in all calls, or in transactions only.
+  void SetStoreFault(fakes::StoreFault fault) {
+    OnStandin([this, fault] { rows_.SetFaultForAll(fault); });
+  }
+  void SetTransactionFault(fakes::StoreFault fault) {
+    OnStandin([this, fault] { rows_.SetFaultForTransactions(fault); });
   }
 
   /// Hands in one valid job, again on a new connection after a refusal or a
@@ -117,6 +114,17 @@
   std::size_t peak_descriptors() const { return peak_descriptors_; }
 
  private:
+  /// Runs `step` on the stand-in's thread, and waits for it.
+  template <typename Step>
+  void OnStandin(Step step) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      step();
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
   static jobs::QueueConfiguration Configuration() {
     jobs::QueueConfiguration out;
     out.version = 1;
--- a/test/crowd/memory_test.cc
+++ b/test/crowd/memory_test.cc
@@ -8,6 +8,8 @@
 namespace lapishatch::crowd {
 namespace {
 
+using fakes::StoreFault;
+
 /// Just below the largest body that is accepted.
 constexpr std::size_t kLargeBody = 262'000;
 constexpr std::size_t kLargeChunk = 64 * 1024;
@@ -102,30 +104,22 @@
   unfinished.resize(whole.size() - 2);
   CheckCrowd(site, site.api(), kLargeCrowd, {unfinished});
   // They are held while the store does not answer.
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForAll(fakes::StoreFault::kSilent);
-  });
+  site.SetStoreFault(StoreFault::kSilent);
   Crowd crowd(site.api());
   crowd.Press(kLargeCrowd, {whole});
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForAll(fakes::StoreFault::kNone);
-  });
+  site.SetStoreFault(StoreFault::kNone);
   crowd.Close();
   CheckSound(site);
 }
 
 TEST_CASE("whole bodies that wait for the store fit the memory of the VM") {
   CrowdSite site;
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForTransactions(fakes::StoreFault::kSilent);
-  });
+  site.SetTransactionFault(StoreFault::kSilent);
   const auto text = LargeJobBody(kLargeBody);
   Crowd crowd(site.api());
   crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), text)});
   crowd.Reopen();
-  site.OnStandin([](fakes::FakeRowStore& it) {
-    it.SetFaultForTransactions(fakes::StoreFault::kNone);
-  });
+  site.SetTransactionFault(StoreFault::kNone);
   crowd.Close();
   CheckSound(site);
 }
@@ -146,14 +140,10 @@
                      R"("required-label":")" +
                      std::string(kLargeBody - 100, 'x') + R"("}]})";
   for (const auto& body : {zeros, lists, objects, label}) {
-    site.OnStandin([](fakes::FakeRowStore& it) {
-      it.SetFaultForTransactions(fakes::StoreFault::kSilent);
-    });
+    site.SetTransactionFault(StoreFault::kSilent);
     Crowd crowd(site.api());
     crowd.Press(kCrowd, {RequestWithBody(CrowdSite::NextJob(), body)});
-    site.OnStandin([](fakes::FakeRowStore& it) {
-      it.SetFaultForTransactions(fakes::StoreFault::kNone);
-    });
+    site.SetTransactionFault(StoreFault::kNone);
     crowd.Close();
     CheckSound(site);
   }
