--- a/src/http/internal/input_problems.h
+++ b/src/http/internal/input_problems.h
@@ -18,10 +18,11 @@
 /// What a peer is told beyond the limit of connections.
 Response MakeFullProblem();
 
-/// What a peer is told whose request does not fit into the memory that is left.
+/// Refusal of a request for which the budget of bytes has no room.
 Response MakeBusyProblem();
 
-/// What a peer is told whose answer does not fit: its request may have run.
+/// Replaces an answer for which the budget of bytes has no room: the request
+/// may have run.
 Response MakeUnsentProblem();
 
 /// What a peer is told whose request does not have exactly one Host field.
--- a/src/http/internal/session.h
+++ b/src/http/internal/session.h
@@ -20,8 +20,8 @@
 /// What giving up a session frees.
 struct Occupancy {
   std::size_t bytes = 0;
-  /// Bytes times the milliseconds since the connection or its request began: a
-  /// peer that dribbles weighs as much as one that stands still.
+  /// Bytes times the milliseconds since the connection or its request began, so
+  /// that slow progress does not protect a peer.
   std::uint64_t weight = 0;
 };
 
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -324,12 +324,12 @@
     input_charge_.TryResize(input_bytes_);
   }
 
-  /// Charges `n` more bytes of fields that the parser holds. False if there is
-  /// no memory for them.
-  bool HoldFields(std::size_t n) {
+  /// Charges `n` more bytes of the head, which has `fields` now. False if there
+  /// is no memory for them.
+  bool HoldHead(std::size_t n, std::size_t fields) {
     constexpr std::size_t kBytesPerField = 96;
     head_size_ = std::min(head_size_ + n, state_->limits.max_header_bytes);
-    head_bytes_ = head_size_ + CountFields() * kBytesPerField;
+    head_bytes_ = head_size_ + fields * kBytesPerField;
     return HoldInput(0);
   }
 
@@ -368,10 +368,9 @@
       unread_.remove_prefix(n);
       const bool needs_more = ec == beast_http::error::need_more;
       if (ec == boost::system::errc::not_enough_memory) return RefuseBusy();
-      if (CountFields() > state_->limits.max_header_fields) {
-        return RefuseFields();
-      }
-      if (phase_ == Phase::kHead && !HoldFields(n)) return RefuseBusy();
+      const auto fields = CountFields();
+      if (fields > state_->limits.max_header_fields) return RefuseFields();
+      if (phase_ == Phase::kHead && !HoldHead(n, fields)) return RefuseBusy();
       if (ec && !needs_more) {
         return SendLast(MakeInputProblem(ec, state_->limits));
       }
--- a/test/crowd/crowd_site.h
+++ b/test/crowd/crowd_site.h
@@ -157,7 +157,6 @@
 
   void AwaitReady() const {
     net::AwaitThat([this] {
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
       return StatusOf(ready(), RequestHead("GET", "/", "")) == 200;
     });
   }
--- a/test/http/resources_test.cc
+++ b/test/http/resources_test.cc
@@ -60,6 +60,13 @@
     exchange->Respond(std::move(out));
   }
 
+  /// Sends a whole request with `bytes` of body, which is kept. Returns whether
+  /// it was received.
+  bool Hold(RawSocket& socket, std::size_t bytes) {
+    socket.Send(Post("/held", bytes) + std::string(bytes, 'x'));
+    return net::AwaitThat([this] { return CountHeld() == 1; });
+  }
+
   std::size_t CountHeld() {
     const std::lock_guard lock(mutex);
     return held.size();
@@ -98,8 +105,7 @@
   Fixture it;
   constexpr std::size_t kBody = 90'000;
   RawSocket held(it.server.endpoint());
-  held.Send(Post("/held", kBody) + std::string(kBody, 'x'));
-  REQUIRE(net::AwaitThat([&] { return it.CountHeld() == 1; }));
+  REQUIRE(it.Hold(held, kBody));
   RawSocket refused(it.server.endpoint());
   refused.Send(Post("/refused", kBody) + std::string(kBody, 'x'));
   const auto refusal = refused.ReadToEnd();
@@ -118,8 +124,7 @@
   Fixture it;
   constexpr std::size_t kBody = 90'000;
   RawSocket held(it.server.endpoint());
-  held.Send(Post("/held", kBody) + std::string(kBody, 'x'));
-  REQUIRE(net::AwaitThat([&] { return it.CountHeld() == 1; }));
+  REQUIRE(it.Hold(held, kBody));
   CHECK(it.spent(BudgetUse::kRequests) >= kBody);
   CHECK_FALSE(it.held.front()->ReplaceBody(kMemory));
   CHECK(it.held.front()->request().body.empty());
