--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -45,6 +45,8 @@
 constexpr std::int64_t kStopMs = 150;
 constexpr std::int64_t kRestoreMs = 100;
 constexpr std::int64_t kCheckpointMs = 2'000;
+/// When a task that lasts is at work.
+constexpr std::int64_t kStartupMs = 300;
 constexpr std::int64_t kGangTimeoutMs = 3'000;
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -545,7 +547,13 @@
         gang.began_at_ms == 0 && now - run.started_ms > kGangTimeoutMs;
     if (is_alone) return "alone";
   }
-  return WorkedMs(task, run) >= run.work_ms ? "done" : "";
+  const auto worked = WorkedMs(task, run);
+  if (run.lasts) {
+    const bool has_failed =
+        run.fails_after_ms > 0 && worked >= run.fails_after_ms;
+    return has_failed ? "failed" : "";
+  }
+  return worked >= run.work_ms ? "done" : "";
 }
 
 void Runner::Tick() {
@@ -653,7 +661,12 @@
   Run started;
   started.run = run;
   const auto spec = Str(order.at("spec"));
-  started.work_ms = std::stoll(spec);
+  started.lasts = spec.starts_with("L");
+  if (started.lasts) {
+    started.fails_after_ms = std::stoll(spec.substr(1));
+  } else {
+    started.work_ms = std::stoll(spec);
+  }
   started.started_ms = NowMs();
   const auto slash = spec.find('/');
   if (slash != std::string::npos) {
@@ -707,8 +720,11 @@
   json::array running;
   for (const auto& [task, run] : running_) {
     const auto worked = WorkedMs(task, run);
-    const auto percent = std::clamp<std::int64_t>(
-        100 * worked / std::max<std::int64_t>(run.work_ms, 1), 0, 99);
+    const auto percent =
+        run.lasts
+            ? std::clamp<std::int64_t>(100 * worked / kStartupMs, 0, 100)
+            : std::clamp<std::int64_t>(
+                  100 * worked / std::max<std::int64_t>(run.work_ms, 1), 0, 99);
     running.push_back(json::array{task, run.run, run.checkpoint, percent, 0});
   }
   json::array ended;
@@ -930,6 +946,16 @@
   return json::serialize(out);
 }
 
+std::string LastingJobBody(int tasks, std::int64_t ms, Shape needs) {
+  json::object step{{"count", tasks},
+                    {"cpu", needs.cpu},
+                    {"mem-mb", needs.memory_mb},
+                    {"long-running", true}};
+  if (needs.gpu > 0) step["gpu"] = needs.gpu;
+  return json::serialize(json::object{{"spec", "L" + std::to_string(ms)},
+                                      {"steps", json::array{step}}});
+}
+
 std::string JobId(std::uint64_t n) {
   char out[17];
   std::snprintf(
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -168,8 +168,9 @@
 };
 
 /// A runner without admission check. A task works for as many milliseconds as
-/// its spec says; a spec MS/N is that of a gang of N tasks. If `saves`, a task
-/// saves a checkpoint after each 2 s of work.
+/// its spec says; a spec MS/N is that of a gang of N tasks. A spec LMS is that
+/// of a task that lasts and fails after MS milliseconds, or never for 0. If
+/// `saves`, a task saves a checkpoint after each 2 s of work.
 class Runner {
  public:
   Runner(asio::io_context& io, Store& store, RunLog& log, Record& record,
@@ -197,6 +198,8 @@
     std::int64_t stop_at_ms = 0;
     std::string checkpoint;
     std::size_t gang_size = 0;
+    bool lasts = false;
+    std::int64_t fails_after_ms = 0;
   };
   struct ListedEnd {
     std::uint64_t number = 0;
@@ -324,6 +327,9 @@
 std::string JobBody(int tasks, std::int64_t ms, Shape needs, bool checkpointing,
                     bool is_gang = false);
 
+/// Body of a job of `tasks` tasks that last and fail after `ms`; 0 for never.
+std::string LastingJobBody(int tasks, std::int64_t ms, Shape needs);
+
 /// A name for job `n`, spread over the parts of the store as by chance.
 std::string JobId(std::uint64_t n);
 
