--- a/review/standin-3/run_case.sh
+++ b/review/standin-3/run_case.sh
@@ -1,16 +1,17 @@
 # Sourced by the run.sh of each case, from the root of the repository.
-# run_case CASE: starts the stand-ins of the case and the VMs that they write
-# settings for, each by the command of the deploy file; restarts a process that
-# ends; ends all of them. Returns what the stand-ins return.
+# run_case CASE RECORD: starts the stand-ins of the case and the VMs that they
+# write settings for, each by the command of the deploy file; restarts a process
+# that ends; ends all of them. The stand-ins write into RECORD what was sent,
+# answered and run. Returns what the stand-ins return.
 
 run_case() {
-  local case="$1" trouble="${TROUBLE:-1}" tmp world result node
+  local case="$1" record="$2" trouble="${TROUBLE:-1}" tmp world result node
   [ -x target/bin/lapishatch-site ] && [ -x "target/review-3/case-$case" ] || {
     echo "build the deploy file and run review/build-3.sh first" >&2
     return 2
   }
   tmp=$(mktemp -d)
-  "target/review-3/case-$case" "$tmp" "review/$case/record.txt" "$trouble" &
+  "target/review-3/case-$case" "$tmp" "$record" "$trouble" &
   world=$!
   for _ in $(seq 100); do
     [ -e "$tmp/world-ready" ] && break
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <sys/types.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -127,9 +128,21 @@
   return out;
 }
 
+/// A free port for another process. It lies below the ports that the system
+/// gives out, in a range of its own for each of the scripts that run at once.
 std::uint16_t FreePort(asio::io_context& io) {
-  tcp::acceptor acceptor(io, Loopback(0));
-  return acceptor.local_endpoint().port();
+  constexpr int kFirst = 12'000;
+  constexpr int kRanges = 800;
+  constexpr int kPerRange = 20;
+  static int next = kFirst + getpid() % kRanges * kPerRange;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(next++);
+    tcp::acceptor acceptor(io);
+    acceptor.open(tcp::v4());
+    boost::system::error_code taken;
+    acceptor.bind(Loopback(port), taken);
+    if (!taken) return port;
+  }
 }
 
 }  // namespace
@@ -691,6 +704,8 @@
   const auto task = Str(order.at("task"));
   const auto run = order.at("run-id").to_number<int>();
   if (IsStale(order)) return Answer(409, {{"reason", "fence"}});
+  record_.Write("runner " + id_ + ": is told to stop " + task + " run " +
+                std::to_string(run));
   const auto it = running_.find(task);
   if (it != running_.end() && it->second.run == run) {
     if (it->second.stop_at_ms == 0) it->second.stop_at_ms = NowMs() + kStopMs;
@@ -875,6 +890,7 @@
     if (ready == sites_.size()) co_return true;
     co_await Sleep(200);
   }
+  record_.Write("not all VMs answer: the case can't run");
   co_return false;
 }
 
@@ -883,9 +899,8 @@
   for (int i = 0; i < 5; ++i) {
     const auto site = next_site_++ % sites_.size();
     out = co_await Call(site, "POST", id, body);
-    record_.Write("client: POST " + id + " (" + std::to_string(body.size()) +
-                  " bytes) to " + sites_[site].node + ": " +
-                  std::to_string(out.status));
+    record_.Write("client: POST " + id + " " + body + " to " +
+                  sites_[site].node + ": " + std::to_string(out.status));
     const bool is_over = out.status != 0 && out.status != 429 &&
                          out.status != 503 && out.status != 502 &&
                          out.status != 504;
