Log tasks whose stop is overdue, and count the tasks that stop

The logs had "job_cancelled" and nothing after it: they could not tell a stop that was never sent from one that was refused, lost or carried out late, nor whether the worker was known.

Change: E688 and the gauge lapishatch_tasks_stopping; the event says whether the worker is known and reachable, whether an order is under way and how many were sent.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -64,6 +64,9 @@
                base::ServiceName service, Epoch epoch,
                base::Duration former_leases, const ServiceOwnerOptions& options,
                OwnerPermissions permissions);
+  ~OwnedService();
+  OwnedService(const OwnedService&) = delete;
+  OwnedService& operator=(const OwnedService&) = delete;
 
   void Start();
 
@@ -246,6 +249,8 @@
   void UpdateStartWindow(const StartResult& result, base::TimePoint sent);
   void OnStartResult(const jobs::TaskName& task, int run, StartResult result);
   void SendStops();
+  void ReportStops();
+  void SetStoppingGauge(int tasks);
   void SendStop(const jobs::TaskName& task, int run,
                 const base::WorkerName& name);
   void OnStopResult(const jobs::TaskName& task, int run,
@@ -316,6 +321,9 @@
   /// Whether the guarantees were overcommitted when that was last logged.
   bool was_overcommitted_ = false;
   base::TimePoint overcommitment_logged_at_{};
+  /// Number of tasks that had to stop when it was last reported.
+  int reported_stopping_ = 0;
+  base::TimePoint next_stop_log_at_{};
   /// Whether the last decision round held back starts until starts in flight
   /// are answered.
   bool is_limited_by_start_window_ = false;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -96,6 +96,11 @@
   /// Number of start requests without an answer.
   int unanswered_starts = 0;
   bool is_stop_in_flight = false;
+  /// When this owner first found that the task has to stop; the epoch if it
+  /// need not.
+  base::TimePoint stopping_since{};
+  /// Number of stop orders that were sent.
+  int stops_sent = 0;
   /// The worker has started again since the start request was sent: the task is
   /// lost unless the present incarnation lists it.
   bool is_lost_unless_listed = false;
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -386,7 +386,11 @@
       auto& member = unit->members[i];
       const bool can_stop = member.state == MemberState::kUnconfirmed ||
                             member.state == MemberState::kRunning;
-      if (!can_stop || member.is_stop_in_flight) continue;
+      if (!can_stop) continue;
+      if (member.stopping_since == base::TimePoint{}) {
+        member.stopping_since = dependencies_.loop.Now();
+      }
+      if (member.is_stop_in_flight) continue;
       member.is_stop_in_flight = true;
       SendStop(JobTracker::NameOf(*unit, i), unit->last_run, member.worker);
     }
@@ -397,6 +401,9 @@
                             const base::WorkerName& name) {
   auto* worker = FindWorker(name);
   if (worker == nullptr || !permissions_.may_renew()) return;
+  if (auto* unit = FindUnitOfRun(task, run)) {
+    ++JobTracker::MemberOf(*unit, task.index).stops_sent;
+  }
   dependencies_.worker_client.Stop(
       worker->session->address(), {task, run, epoch_}, options_.stop_timeout,
       [weak = weak_from_this(), task, run, name](const StopResult& result) {
@@ -433,6 +440,57 @@
       });
 }
 
+void OwnedService::SetStoppingGauge(int tasks) {
+  if (dependencies_.metrics == nullptr || tasks == reported_stopping_) return;
+  reported_stopping_ = tasks;
+  dependencies_.metrics->Set("lapishatch_tasks_stopping",
+                             {{"service", service_.str()}}, tasks);
+}
+
+/// Reports the tasks that have to stop, and logs those that take too long.
+void OwnedService::ReportStops() {
+  constexpr base::Duration kLogInterval{2'000};
+  const auto now = dependencies_.loop.Now();
+  int stopping = 0;
+  int overdue = 0;
+  const Unit* oldest_unit = nullptr;
+  const Member* oldest = nullptr;
+  for (const auto* unit : tracker_.to_stop()) {
+    for (const auto& it : unit->members) {
+      const bool is_stopping = it.state != MemberState::kTerminated &&
+                               it.stopping_since != base::TimePoint{};
+      if (!is_stopping) continue;
+      ++stopping;
+      if (now - it.stopping_since < options_.stop_overdue_after) continue;
+      ++overdue;
+      if (oldest != nullptr && it.stopping_since >= oldest->stopping_since) {
+        continue;
+      }
+      oldest_unit = unit;
+      oldest = &it;
+    }
+  }
+  SetStoppingGauge(stopping);
+  if (oldest == nullptr || now < next_stop_log_at_) return;
+  next_stop_log_at_ = now + kLogInterval;
+  const auto task = JobTracker::NameOf(
+      *oldest_unit,
+      static_cast<std::size_t>(oldest - oldest_unit->members.data()));
+  const auto* worker = FindWorker(oldest->worker);
+  base::Log(base::events::kStopOverdue,
+            {{"service", service_.str()},
+             {"overdue", overdue},
+             {"request", task.job},
+             {"task", TextOf(task)},
+             {"run", oldest_unit->last_run},
+             {"worker", oldest->worker},
+             {"waited_ms", (now - oldest->stopping_since).count()},
+             {"known", worker != nullptr},
+             {"reachable", worker != nullptr && worker->session->IsReachable()},
+             {"under_way", oldest->is_stop_in_flight},
+             {"sent", oldest->stops_sent}});
+}
+
 void OwnedService::LogEndedJobs() {
   for (const auto& it : tracker_.TakeEnded()) {
     ForgetRunTimes(it);
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -62,6 +62,8 @@
            [this](const StoredRow& row) { OnRequestRow(row); },
            [this](const std::string& reason) { GiveUpOwnership(reason); }}) {}
 
+OwnedService::~OwnedService() { SetStoppingGauge(0); }
+
 void OwnedService::Start() {
   loader_.Start();
   Tick();
@@ -195,6 +197,7 @@
     StopStalledUnits();
     HandleEvacuationChanges();
     StopUnitsOnDrainingWorkers();
+    ReportStops();
     worker_health_.ReleaseExpired(dependencies_.loop.Now());
     indexer_.Update();
     remover_.Update();
--- a/src/dispatch/service_owner.h
+++ b/src/dispatch/service_owner.h
@@ -62,6 +62,8 @@
   base::Duration stop_timeout{600};
   /// A stop is sent again until the worker lists the end of the task.
   base::Duration stop_retry_interval{500};
+  /// A task that still runs this long after it had to stop is logged.
+  base::Duration stop_overdue_after{2'000};
   int max_start_attempts = 3;
   OwnerFitnessOptions fitness;
   /// A worker that refused an order as unhealthy or for lack of capacity gets
