Send a stop again that could not be sent when it was due

Cause: SendStops marked the order of each task as in flight before SendStop looked whether it could be sent. For a worker that was not known yet, or without the right to renew leases, no call was made, and only the answer to a call cleared the mark.

Change: an order is under way for as long as its ticket lives, which the callback of the call holds, then the timer of the repetition (StopOrder). A call that is not made, or is dropped, holds none, so that the next round, at the latest a tick later, sends it. There is no mark left to clear.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -252,9 +252,10 @@
   void ReportStops();
   void SetStoppingGauge(int tasks);
   void SendStop(const jobs::TaskName& task, int run,
-                const base::WorkerName& name);
+                const base::WorkerName& name, const StopOrder::Ticket& ticket);
   void OnStopResult(const jobs::TaskName& task, int run,
-                    const base::WorkerName& name, const StopResult& result);
+                    const base::WorkerName& name, const StopResult& result,
+                    const StopOrder::Ticket& ticket);
 
   /// Logs the jobs that have ended since the last call.
   void LogEndedJobs();
@@ -321,8 +322,8 @@
   /// Whether the guarantees were overcommitted when that was last logged.
   bool was_overcommitted_ = false;
   base::TimePoint overcommitment_logged_at_{};
-  /// Number of tasks that had to stop when it was last reported.
-  int reported_stopping_ = 0;
+  /// Number of tasks that had to stop when it was last reported, -1 if never.
+  int reported_stopping_ = -1;
   base::TimePoint next_stop_log_at_{};
   /// Whether the last decision round held back starts until starts in flight
   /// are answered.
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "dispatch/internal/stop_order.h"
 #include "dispatch/worker_client.h"
 #include "estimation/pace_meter.h"
 #include "jobs/job.h"
@@ -95,12 +96,7 @@
   base::TimePoint verified_start_at{};
   /// Number of start requests without an answer.
   int unanswered_starts = 0;
-  bool is_stop_in_flight = false;
-  /// When this owner first found that the task has to stop; the epoch if it
-  /// need not.
-  base::TimePoint stopping_since{};
-  /// Number of stop orders that were sent.
-  int stops_sent = 0;
+  StopOrder stop_order{};
   /// The worker has started again since the start request was sent: the task is
   /// lost unless the present incarnation lists it.
   bool is_lost_unless_listed = false;
--- a/src/dispatch/owned_orders.cc
+++ b/src/dispatch/owned_orders.cc
@@ -380,6 +380,9 @@
   ScheduleDecisionRound();
 }
 
+/// Sends an order to each task that has to stop and has none under way. Where
+/// that is impossible now, the next round tries again: a round follows each
+/// tick, and each report of a worker.
 void OwnedService::SendStops() {
   for (auto* unit : tracker_.to_stop()) {
     for (std::size_t i = 0; i < unit->members.size(); ++i) {
@@ -387,34 +390,38 @@
       const bool can_stop = member.state == MemberState::kUnconfirmed ||
                             member.state == MemberState::kRunning;
       if (!can_stop) continue;
-      if (member.stopping_since == base::TimePoint{}) {
-        member.stopping_since = dependencies_.loop.Now();
+      auto& order = member.stop_order;
+      if (order.due_since == base::TimePoint{}) {
+        order.due_since = dependencies_.loop.Now();
       }
-      if (member.is_stop_in_flight) continue;
-      member.is_stop_in_flight = true;
-      SendStop(JobTracker::NameOf(*unit, i), unit->last_run, member.worker);
+      if (order.IsUnderWay()) continue;
+      SendStop(JobTracker::NameOf(*unit, i), unit->last_run, member.worker,
+               order.Begin());
     }
   }
 }
 
 void OwnedService::SendStop(const jobs::TaskName& task, int run,
-                            const base::WorkerName& name) {
+                            const base::WorkerName& name,
+                            const StopOrder::Ticket& ticket) {
   auto* worker = FindWorker(name);
   if (worker == nullptr || !permissions_.may_renew()) return;
   if (auto* unit = FindUnitOfRun(task, run)) {
-    ++JobTracker::MemberOf(*unit, task.index).stops_sent;
+    ++JobTracker::MemberOf(*unit, task.index).stop_order.sent;
   }
   dependencies_.worker_client.Stop(
       worker->session->address(), {task, run, epoch_}, options_.stop_timeout,
-      [weak = weak_from_this(), task, run, name](const StopResult& result) {
+      [weak = weak_from_this(), task, run, name,
+       ticket](const StopResult& result) {
         const auto self = weak.lock();
-        if (self) self->OnStopResult(task, run, name, result);
+        if (self) self->OnStopResult(task, run, name, result, ticket);
       });
 }
 
 void OwnedService::OnStopResult(const jobs::TaskName& task, int run,
                                 const base::WorkerName& name,
-                                const StopResult& result) {
+                                const StopResult& result,
+                                const StopOrder::Ticket& ticket) {
   const auto* refused = std::get_if<Refused>(&result);
   if (refused != nullptr && refused->reason == RefusalReason::kStaleEpoch) {
     return GiveUpOwnership("a worker has seen a higher epoch");
@@ -429,15 +436,11 @@
   }
   // The worker normally reports the end before this delay has passed. If it
   // does not, the order may have been lost and is sent again.
-  dependencies_.loop.After(
-      options_.stop_retry_interval, [weak = weak_from_this(), task, run] {
-        const auto self = weak.lock();
-        if (!self) return;
-        if (auto* it = self->FindUnitOfRun(task, run)) {
-          JobTracker::MemberOf(*it, task.index).is_stop_in_flight = false;
-          self->ScheduleDecisionRound();
-        }
-      });
+  dependencies_.loop.After(options_.stop_retry_interval,
+                           [weak = weak_from_this(), ticket] {
+                             if (const auto self = weak.lock())
+                               self->ScheduleDecisionRound();
+                           });
 }
 
 void OwnedService::SetStoppingGauge(int tasks) {
@@ -458,12 +461,13 @@
   for (const auto* unit : tracker_.to_stop()) {
     for (const auto& it : unit->members) {
       const bool is_stopping = it.state != MemberState::kTerminated &&
-                               it.stopping_since != base::TimePoint{};
+                               it.stop_order.due_since != base::TimePoint{};
       if (!is_stopping) continue;
       ++stopping;
-      if (now - it.stopping_since < options_.stop_overdue_after) continue;
+      if (now - it.stop_order.due_since < options_.stop_overdue_after) continue;
       ++overdue;
-      if (oldest != nullptr && it.stopping_since >= oldest->stopping_since) {
+      if (oldest != nullptr &&
+          it.stop_order.due_since >= oldest->stop_order.due_since) {
         continue;
       }
       oldest_unit = unit;
@@ -484,11 +488,11 @@
              {"task", TextOf(task)},
              {"run", oldest_unit->last_run},
              {"worker", oldest->worker},
-             {"waited_ms", (now - oldest->stopping_since).count()},
+             {"waited_ms", (now - oldest->stop_order.due_since).count()},
              {"known", worker != nullptr},
              {"reachable", worker != nullptr && worker->session->IsReachable()},
-             {"under_way", oldest->is_stop_in_flight},
-             {"sent", oldest->stops_sent}});
+             {"under_way", oldest->stop_order.IsUnderWay()},
+             {"sent", oldest->stop_order.sent}});
 }
 
 void OwnedService::LogEndedJobs() {
--- a/src/dispatch/owned_reports.cc
+++ b/src/dispatch/owned_reports.cc
@@ -56,7 +56,8 @@
     if (auto* stray_unit = tracker_.FindUnit(it.task)) {
       strays += ResourcesPerTask(*stray_unit->step_run->step);
     }
-    SendStop(it.task, it.run, name);
+    // The worker lists it again in its next report.
+    SendStop(it.task, it.run, name, nullptr);
   }
   if (auto* fleet_worker = fleet_.Find(name)) {
     fleet_worker->stray_usage = strays;
