Reject jobs beyond their limits, and live with those in the store

Cause, two faults one behind the other. The tasks were multiplied with the occurrences in 64 bits before they were compared with the limit, and the product was negative. And an owner expanded whatever lay in the store, so that each successor met the row again.

Owners read jobs through ReadStoredJob: one beyond a limit fails, one that cannot be read, or whose progress is not its own, is held until it is cancelled. Progress is checked against its job, and numbers and enumerators when they are decoded: a stored state out of range ended the entry process that was asked for it.

--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -46,6 +47,19 @@
                 const jobs::JobProgress* progress, std::uint64_t row_version,
                 base::Duration age, base::TimePoint now);
 
+  /// Adds a job that cannot be run, without units. It is held: nothing of it
+  /// starts, and it counts as waiting in no queue, until it is cancelled or
+  /// rejected. `final_state` is its state if it has ended.
+  JobEntry* AddFlawed(const base::JobName& name,
+                      std::optional<jobs::JobState> final_state,
+                      std::uint64_t row_version, base::TimePoint now);
+
+  /// Fails a job that was added with AddFlawed.
+  void Reject(JobEntry& job);
+
+  /// Number of jobs that are held.
+  int held_jobs() const { return held_jobs_; }
+
   /// Handles a checkpoint reported by the current run.
   static void OnCheckpoint(Unit& unit, const std::string& checkpoint,
                            base::TimePoint now);
@@ -203,6 +217,7 @@
   std::array<DirtyJobs, jobs::kProgressPartitionCount> dirty_;
   std::set<const JobEntry*, NameOrder> unfinished_;
   std::vector<base::JobName> ended_;
+  int held_jobs_ = 0;
 };
 
 }  // namespace lapishatch::dispatch::internal
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -21,6 +21,7 @@
 #include "dispatch/internal/service_loader.h"
 #include "dispatch/internal/silent_domains.h"
 #include "dispatch/internal/start_window.h"
+#include "dispatch/internal/stored_job.h"
 #include "dispatch/internal/task_planner.h"
 #include "dispatch/internal/waiting_count_writer.h"
 #include "dispatch/internal/worker_drain.h"
@@ -127,6 +128,9 @@
   void FollowRequests();
   void OnRequestSnapshot(const std::vector<store::StoredRow>& rows);
   void OnRequestRow(const store::StoredRow& row);
+  void AddJob(UsableJob stored, store::RowVersion progress_version);
+  void AddFlawedJob(const base::JobName& name, const FlawedJob& flawed,
+                    store::RowVersion progress_version);
   void OnCancelRequest(const base::JobName& name);
 
   // Workers.
@@ -251,6 +255,7 @@
   void SendStops();
   void ReportStops();
   void SetStoppingGauge(int tasks);
+  void SetHeldGauge(int jobs);
   void SendStop(const jobs::TaskName& task, int run,
                 const base::WorkerName& name, const StopOrder::Ticket& ticket);
   void OnStopResult(const jobs::TaskName& task, int run,
@@ -325,6 +330,8 @@
   /// Number of tasks that had to stop when it was last reported, -1 if never.
   int reported_stopping_ = -1;
   base::TimePoint next_stop_log_at_{};
+  /// Number of held jobs when it was last reported, -1 if never.
+  int reported_held_ = -1;
   /// Whether the last decision round held back starts until starts in flight
   /// are answered.
   bool is_limited_by_start_window_ = false;
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -190,6 +190,8 @@
   kAttempts,
   /// Too many workers were lost while they ran a task of the job.
   kWorkerLosses,
+  /// The job exceeds a limit, and an earlier version accepted it.
+  kLimits,
 };
 
 /// Why a job failed, for logs: the task that reached a limit, and its counts.
@@ -212,6 +214,8 @@
   /// its tasks may be running.
   std::vector<std::deque<StepRun>> runs;
   bool is_cancel_requested = false;
+  /// It cannot be run, and has not ended; see JobTracker::AddFlawed.
+  bool is_held = false;
   base::TimePoint added_at{};
   /// When the job was accepted, on the clock of this process.
   base::TimePoint accepted_at{};
@@ -260,8 +264,8 @@
 };
 template <>
 struct EnumNames<dispatch::internal::JobFailure> {
-  static constexpr std::array<std::string_view, 3> kNames = {"none", "attempts",
-                                                             "worker-losses"};
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "none", "attempts", "worker-losses", "limits"};
 };
 }  // namespace lapishatch::base
 
--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -66,6 +66,33 @@
   return entry.get();
 }
 
+JobEntry* JobTracker::AddFlawed(const base::JobName& name,
+                                std::optional<JobState> final_state,
+                                std::uint64_t row_version,
+                                base::TimePoint now) {
+  auto& entry = jobs_[name];
+  if (entry) return entry.get();
+  entry = std::make_unique<JobEntry>();
+  jobs::Job job;
+  job.name = name;
+  entry->job = std::make_shared<const jobs::Job>(std::move(job));
+  entry->partition = jobs::ProgressPartitionIndex(name);
+  entry->added_at = now;
+  entry->accepted_at = now;
+  entry->row_version = row_version;
+  entry->state = final_state.value_or(JobState::kQueued);
+  entry->is_held = !final_state;
+  if (entry->is_held) ++held_jobs_;
+  return entry.get();
+}
+
+void JobTracker::Reject(JobEntry& job) {
+  if (IsFinal(job.state)) return;
+  job.failure.reason = JobFailure::kLimits;
+  job.failure.task.job = job.job->name;
+  End(job, JobState::kFailed);
+}
+
 void JobTracker::MarkDirty(JobEntry& job, base::TimePoint due) {
   const auto [it, is_new] = dirty(job.partition).try_emplace(&job, due);
   if (!is_new) it->second = std::min(it->second, due);
@@ -146,6 +173,7 @@
   const auto it = jobs_.find(name);
   if (it == jobs_.end()) return;
   RemoveFromIndexes(*it->second);
+  if (it->second->is_held) --held_jobs_;
   unfinished_.erase(it->second.get());
   dirty(it->second->partition).erase(it->second.get());
   jobs_.erase(it);
@@ -499,6 +527,7 @@
 /// Prevents further starts of the job and stops its running tasks.
 void JobTracker::End(JobEntry& job, JobState state) {
   job.state = state;
+  if (std::exchange(job.is_held, false)) --held_jobs_;
   unfinished_.erase(&job);
   ended_.push_back(job.job->name);
   // Callers wait for the end of the job.
@@ -569,7 +598,8 @@
 jobs::WaitingJobCounts JobTracker::CountWaitingJobs() const {
   jobs::WaitingJobCounts out;
   for (const auto& [name, it] : jobs_) {
-    if (it->state == JobState::kQueued) ++out[it->job->queue];
+    const bool is_waiting = it->state == JobState::kQueued && !it->is_held;
+    if (is_waiting) ++out[it->job->queue];
   }
   return out;
 }
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -62,7 +62,10 @@
            [this](const StoredRow& row) { OnRequestRow(row); },
            [this](const std::string& reason) { GiveUpOwnership(reason); }}) {}
 
-OwnedService::~OwnedService() { SetStoppingGauge(0); }
+OwnedService::~OwnedService() {
+  SetStoppingGauge(0);
+  SetHeldGauge(0);
+}
 
 void OwnedService::Start() {
   loader_.Start();
@@ -142,38 +145,56 @@
   if (row.is_deleted) return remover_.OnRequestDeleted(row);
   if (!remover_.AddRequest(row)) return;
   const base::JobName name(row.address.key);
-  auto job = jobs::DecodeJob(row.value);
-  if (!job) {
-    base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
-    return;
-  }
-  if (!job->is_indexed) indexer_.AddUnindexed(name);
-  std::optional<jobs::JobProgress> progress;
-  store::RowVersion version = store::kAbsent;
   const auto it = progress_rows_.find(name);
-  if (it != progress_rows_.end()) {
-    version = it->second.version;
-    // A job's progress is newer than its request; an older row is that of an
-    // earlier job of the same name.
-    const bool is_own = version > row.version;
-    if (is_own) progress = jobs::DecodeProgress(it->second.value);
-    if (is_own && !progress) {
-      base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
-      return;
-    }
+  const auto version =
+      it == progress_rows_.end() ? store::kAbsent : it->second.version;
+  // A job's progress is newer than its request; an older row is that of an
+  // earlier job of the same name.
+  const bool has_progress = version > row.version;
+  auto stored = ReadStoredJob(row, has_progress ? &it->second : nullptr);
+  if (const auto* flawed = std::get_if<FlawedJob>(&stored)) {
+    AddFlawedJob(name, *flawed, version);
+  } else {
+    AddJob(std::get<UsableJob>(std::move(stored)), version);
   }
+  if (remover_.TakeCancellation(name)) OnCancelRequest(name);
+}
+
+void OwnedService::AddJob(UsableJob stored,
+                          store::RowVersion progress_version) {
+  const auto name = stored.job.name;
+  if (!stored.job.is_indexed) indexer_.AddUnindexed(name);
   // The clocks of two VMs may differ slightly, and one may have jumped, so the
   // age is limited to a plausible range.
   constexpr base::Duration kMaxAge{600'000};
-  const auto age =
-      std::clamp(base::Duration(dependencies_.unix_ms() - job->accepted_ms),
-                 base::Duration(0), kMaxAge);
-  const auto* entry = tracker_.Add(
-      std::make_shared<const jobs::Job>(std::move(*job)),
-      progress ? &*progress : nullptr, version, age, dependencies_.loop.Now());
+  const auto age = std::clamp(
+      base::Duration(dependencies_.unix_ms() - stored.job.accepted_ms),
+      base::Duration(0), kMaxAge);
+  const auto* entry =
+      tracker_.Add(std::make_shared<const jobs::Job>(std::move(stored.job)),
+                   stored.progress ? &*stored.progress : nullptr,
+                   progress_version, age, dependencies_.loop.Now());
   // The owner that recorded the end has logged it, so it is not logged again.
   if (IsFinal(entry->state)) remover_.MarkEnded(name);
-  if (remover_.TakeCancellation(name)) OnCancelRequest(name);
+}
+
+/// Fails a job that can never run. Any other is held: a later version of the
+/// program may be able to run it, and its caller can cancel it.
+void OwnedService::AddFlawedJob(const base::JobName& name,
+                                const FlawedJob& flawed,
+                                store::RowVersion progress_version) {
+  auto* entry = tracker_.AddFlawed(name, flawed.final_state, progress_version,
+                                   dependencies_.loop.Now());
+  if (flawed.final_state) {
+    remover_.MarkEnded(name);
+    return;
+  }
+  base::Log(base::events::kJobUnusable, {{"request", name},
+                                         {"service", service_.str()},
+                                         {"flaw", base::NameOf(flawed.flaw)},
+                                         {"detail", flawed.detail},
+                                         {"held", !flawed.is_impossible}});
+  if (flawed.is_impossible) tracker_.Reject(*entry);
 }
 
 void OwnedService::OnCancelRequest(const base::JobName& name) {
@@ -198,6 +219,7 @@
     HandleEvacuationChanges();
     StopUnitsOnDrainingWorkers();
     ReportStops();
+    SetHeldGauge(tracker_.held_jobs());
     worker_health_.ReleaseExpired(dependencies_.loop.Now());
     indexer_.Update();
     remover_.Update();
@@ -215,10 +237,17 @@
   });
 }
 
+void OwnedService::SetHeldGauge(int jobs) {
+  if (dependencies_.metrics == nullptr || jobs == reported_held_) return;
+  reported_held_ = jobs;
+  dependencies_.metrics->Set("lapishatch_jobs_held",
+                             {{"service", service_.str()}}, jobs);
+}
+
 bool OwnedService::MayRemove(const base::JobName& name) {
   const auto* job = tracker_.Find(name);
-  // A request that cannot be decoded has no job.
-  if (job == nullptr) return true;
+  // Nothing of a held job runs but strays, which are stopped anyway.
+  if (job == nullptr || job->is_held) return true;
   if (!IsFinal(job->state)) return false;
   for (const auto& runs : job->runs) {
     for (const auto& run : runs) {
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -8,6 +8,8 @@
 #include <tuple>
 #include <utility>
 
+#include "jobs/job_limits.h"
+
 namespace lapishatch::jobs {
 namespace {
 
@@ -29,6 +31,11 @@
     return value == nullptr ? 0 : value->to_number<std::int64_t>();
   }
 
+  int Int(std::string_view key) const {
+    const auto* value = Find(key);
+    return value == nullptr ? 0 : value->to_number<int>();
+  }
+
   double Real(std::string_view key) const {
     const auto* value = Find(key);
     return value == nullptr ? 0 : value->to_number<double>();
@@ -58,6 +65,20 @@
   const json::object& object_;
 };
 
+/// Bounds of values that only order the work and date it, so that a wrong one
+/// does no other harm.
+constexpr double kMaxSlackFactor = 1e6;
+constexpr std::int64_t kMaxUnixMs = std::int64_t{1} << 53;
+
+/// Throws if `Enum` has no value of this number.
+template <typename Enum>
+Enum ToEnum(int value) {
+  const bool is_valid =
+      value >= 0 && static_cast<std::size_t>(value) < base::kEnumSize<Enum>;
+  if (!is_valid) throw std::invalid_argument("invalid enumerator");
+  return static_cast<Enum>(value);
+}
+
 json::object EncodeStep(const Step& step) {
   json::object out;
   out["tasks"] = step.tasks;
@@ -85,7 +106,7 @@
 Step DecodeStep(const json::object& object) {
   const ObjectReader reader(object);
   Step out;
-  out.tasks = static_cast<int>(reader.Number("tasks"));
+  out.tasks = reader.Int("tasks");
   out.needs = {reader.Number("cpu"), reader.Number("memory"),
                reader.Number("accelerators")};
   out.run_time_estimate = base::Duration(reader.Number("estimate"));
@@ -99,7 +120,7 @@
   out.is_service = reader.Flag("service");
   out.required_label = reader.String("label");
   out.preferred_rack = base::RackName(reader.String("rack"));
-  out.max_tasks_per_worker = static_cast<int>(reader.Number("per_worker"));
+  out.max_tasks_per_worker = reader.Int("per_worker");
   out.uses_spare_cpu = reader.Flag("fills");
   return out;
 }
@@ -222,10 +243,10 @@
   int length_ = 0;
 };
 
-/// Decodes a step written by DoneRanges. A range longer than `kMaxRangeLength`
-/// is rejected, whatever the row says.
+/// Decodes a step written by DoneRanges. Rows with more than `kMaxUnits` units
+/// are rejected, whatever their ranges say.
 void DecodeDone(const json::array& step, std::vector<UnitRecord>& out) {
-  constexpr int kMaxRangeLength = 100'000;
+  constexpr int kMaxUnits = 100'000;
   UnitRecord unit;
   unit.occurrence = step.at(0).to_number<int>();
   unit.step = step.at(1).to_number<int>();
@@ -233,9 +254,11 @@
   for (std::size_t i = 2; i < step.size(); i += 2) {
     const auto first = step.at(i).to_number<int>();
     const auto length = step.at(i + 1).to_number<int>();
-    if (length < 0 || length > kMaxRangeLength) {
-      throw std::invalid_argument("invalid length of a unit range");
-    }
+    const bool is_valid = first >= 0 && first <= kMaxUnits && length >= 0 &&
+                          length <= kMaxUnits &&
+                          out.size() + static_cast<std::size_t>(length) <=
+                              static_cast<std::size_t>(kMaxUnits);
+    if (!is_valid) throw std::invalid_argument("invalid range of units");
     for (int n = 0; n < length; ++n) {
       unit.index = first + n;
       out.push_back(unit);
@@ -248,7 +271,7 @@
   out.occurrence = fields.at(0).to_number<int>();
   out.step = fields.at(1).to_number<int>();
   out.index = fields.at(2).to_number<int>();
-  out.phase = static_cast<UnitPhase>(fields.at(3).to_number<int>());
+  out.phase = ToEnum<UnitPhase>(fields.at(3).to_number<int>());
   out.last_run = fields.at(4).to_number<int>();
   out.failures = fields.at(5).to_number<int>();
   out.last_failed_run = fields.at(6).to_number<int>();
@@ -386,16 +409,18 @@
     for (const auto& it : reader.Array("steps")) {
       out.steps.push_back(DecodeStep(it.as_object()));
     }
-    out.schedule = {static_cast<int>(reader.Number("times")),
-                    reader.Number("first_due"), reader.Number("interval")};
+    out.schedule = {reader.Int("times"), reader.Number("first_due"),
+                    reader.Number("interval")};
     out.queue = QueueName(reader.String("queue"));
     out.service = base::ServiceName(reader.String("service"));
     out.organisation = base::OrganisationName(reader.String("organisation"));
-    out.priority = static_cast<int>(reader.Number("priority"));
-    out.max_attempts = static_cast<int>(reader.Number("max_attempts"));
-    out.slack_factor = reader.Real("slack");
-    out.target_latency = base::Duration(reader.Number("target_latency"));
-    out.accepted_ms = reader.Number("accepted");
+    out.priority = reader.Int("priority");
+    out.max_attempts = reader.Int("max_attempts");
+    out.slack_factor = std::clamp(reader.Real("slack"), 0.0, kMaxSlackFactor);
+    out.target_latency = base::Duration(std::clamp(
+        reader.Number("target_latency"), std::int64_t{0}, kMaxJobNumber));
+    out.accepted_ms =
+        std::clamp(reader.Number("accepted"), std::int64_t{0}, kMaxUnixMs);
     out.is_indexed = reader.Flag("indexed");
     return out;
   });
@@ -423,7 +448,7 @@
   return Decode(text, [](const json::object& object) {
     const ObjectReader reader(object);
     JobProgress out;
-    out.state = static_cast<JobState>(reader.Number("state"));
+    out.state = ToEnum<JobState>(reader.Int("state"));
     for (const auto& it : reader.Array("units")) {
       out.units.push_back(DecodeUnit(it.as_array()));
     }
