--- a/test/dispatch/stop_order_test.cc
+++ b/test/dispatch/stop_order_test.cc
@@ -1,9 +1,9 @@
+#include "dispatch/internal/stop_order.h"
+
 #include <catch2/catch.hpp>
 #include <functional>
 #include <utility>
 
-#include "dispatch/internal/stop_order.h"
-
 namespace lapishatch::dispatch::internal {
 namespace {
 
--- a/test/site/job_numbers_test.cc
+++ b/test/site/job_numbers_test.cc
@@ -39,17 +39,16 @@
       {"estimate-ms", "0", "2147483647", "2147483648"},
       {"max-per-server", "0", "2147483647", "2147483648"},
       {"repeat-count", "0", "1500", "2147483648", false},
-      {"start-at-ms", "0", "9223372036854775807", "9223372036854775808",
-       false},
+      {"start-at-ms", "0", "9223372036854775807", "9223372036854775808", false},
       {"interval-ms", "0", "2147483647", "2147483648", false},
   };
   for (const auto& it : members) {
     const auto problem = [&it](const std::string& value) {
       const auto text = '"' + it.member + "\":" + value;
-      return it.is_of_step ? ProblemOf(BodyWith(it.member == "count"
-                                                    ? text
-                                                    : "\"count\":1," + text))
-                           : ProblemOf(BodyWith(R"("count":1)", text));
+      return it.is_of_step
+                 ? ProblemOf(BodyWith(
+                       it.member == "count" ? text : "\"count\":1," + text))
+                 : ProblemOf(BodyWith(R"("count":1)", text));
     };
     INFO(it.member);
     CHECK(problem(it.smallest).empty());
@@ -90,10 +89,9 @@
   CHECK(ProblemOf(R"({"steps":[)" + steps +
                   R"(],"repeat-count":2147483647})") == tasks);
   const auto due = [](const std::string& start, const std::string& repeat) {
-    return ProblemOf(BodyWith(R"("count":1)",
-                              "\"start-at-ms\":" + start +
-                                  ",\"interval-ms\":100,\"repeat-count\":" +
-                                  repeat));
+    return ProblemOf(BodyWith(
+        R"("count":1)", "\"start-at-ms\":" + start +
+                            ",\"interval-ms\":100,\"repeat-count\":" + repeat));
   };
   CHECK(due("9223372036854775807", "1").empty());
   CHECK(due("9223372036854775607", "3").empty());
@@ -126,7 +124,8 @@
 /// Guards against a caller who cannot learn of, cancel or repeat a job whose
 /// rows cannot be read.
 TEST_CASE("a stored job that cannot be read is answered and can be cancelled") {
-  for (const std::string request : {"", "x", R"({"steps":[{"tasks":1e400}]})"}) {
+  for (const std::string request :
+       {"", "x", R"({"steps":[{"tasks":1e400}]})"}) {
     for (const std::string progress : {"-", "", R"({"state":99})"}) {
       INFO(request + " / " + progress);
       StoredJobWorld world;
@@ -144,5 +143,20 @@
   }
 }
 
+/// Guards against a job that the store refuses for its size each time.
+TEST_CASE("a job whose request exceeds a row is rejected with its size") {
+  StoredJobWorld world;
+  std::string steps;
+  for (int i = 0; i < 200; ++i) {
+    steps += (i == 0 ? "" : ",");
+    steps += R"({"count":1,"required-label":")" + std::string(400, 'x') + "\"}";
+  }
+  const auto response = world.Send("POST", 1, 1, StoredJobWorld::kName,
+                                   R"({"spec":"s","steps":[)" + steps + "]}");
+  CHECK(response.status == 400);
+  CHECK(response.body.find("at most 65536 bytes") != std::string::npos);
+  CHECK(world.store.rows_in(std::string(jobs::kRequestTable)) == 0);
+}
+
 }  // namespace
 }  // namespace lapishatch::platform
