--- a/src/dispatch/internal/job_tracker.h
+++ b/src/dispatch/internal/job_tracker.h
@@ -50,11 +50,11 @@
   /// Adds a job that cannot be run, without units. It is held: nothing of it
   /// starts, and it counts as waiting in no queue, until it is cancelled or
   /// rejected. `final_state` is its state if it has ended.
-  JobEntry* AddFlawed(const base::JobName& name,
-                      std::optional<jobs::JobState> final_state,
-                      std::uint64_t row_version, base::TimePoint now);
+  JobEntry* AddInvalid(const base::JobName& name,
+                       std::optional<jobs::JobState> final_state,
+                       std::uint64_t row_version, base::TimePoint now);
 
-  /// Fails a job that was added with AddFlawed.
+  /// Fails a job that was added with AddInvalid.
   void Reject(JobEntry& job);
 
   /// Number of jobs that are held.
--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -129,8 +129,8 @@
   void OnRequestSnapshot(const std::vector<store::StoredRow>& rows);
   void OnRequestRow(const store::StoredRow& row);
   void AddJob(UsableJob stored, store::RowVersion progress_version);
-  void AddFlawedJob(const base::JobName& name, const FlawedJob& flawed,
-                    store::RowVersion progress_version);
+  void AddInvalidJob(const base::JobName& name, const InvalidJob& invalid,
+                     store::RowVersion progress_version);
   void OnCancelRequest(const base::JobName& name);
 
   // Workers.
--- a/src/dispatch/internal/stored_job.h
+++ b/src/dispatch/internal/stored_job.h
@@ -14,11 +14,11 @@
 namespace lapishatch::dispatch::internal {
 
 /// Why an owner cannot run a job from its rows.
-enum class JobFlaw : std::uint8_t {
+enum class InvalidJobReason : std::uint8_t {
   /// The request cannot be decoded: it is cut, or of a later version.
   kUnreadable,
   /// The request is that of a job of another name.
-  kForeign,
+  kNameMismatch,
   /// The progress cannot be decoded, or is not that of the job.
   kProgress,
   /// The job exceeds a limit. Earlier versions accepted such jobs.
@@ -32,8 +32,8 @@
 };
 
 /// A job that cannot be run.
-struct FlawedJob {
-  JobFlaw flaw = JobFlaw::kUnreadable;
+struct InvalidJob {
+  InvalidJobReason reason = InvalidJobReason::kUnreadable;
   /// What is wrong, for logs; may be empty.
   std::string_view detail;
   /// Whether the job can never be run, by any version of the program.
@@ -42,7 +42,7 @@
   std::optional<jobs::JobState> final_state;
 };
 
-using StoredJob = std::variant<UsableJob, FlawedJob>;
+using StoredJob = std::variant<UsableJob, InvalidJob>;
 
 /// Reads a job from its request row and its progress row, null for none. Rows
 /// of any content are read without an exception.
@@ -53,9 +53,9 @@
 
 namespace lapishatch::base {
 template <>
-struct EnumNames<dispatch::internal::JobFlaw> {
+struct EnumNames<dispatch::internal::InvalidJobReason> {
   static constexpr std::array<std::string_view, 4> kNames = {
-      "unreadable", "foreign", "progress", "limits"};
+      "unreadable", "name-mismatch", "progress", "limits"};
 };
 }  // namespace lapishatch::base
 
--- a/src/dispatch/internal/unit.h
+++ b/src/dispatch/internal/unit.h
@@ -214,7 +214,7 @@
   /// its tasks may be running.
   std::vector<std::deque<StepRun>> runs;
   bool is_cancel_requested = false;
-  /// It cannot be run, and has not ended; see JobTracker::AddFlawed.
+  /// It cannot be run, and has not ended; see JobTracker::AddInvalid.
   bool is_held = false;
   base::TimePoint added_at{};
   /// When the job was accepted, on the clock of this process.
--- a/src/dispatch/job_tracker.cc
+++ b/src/dispatch/job_tracker.cc
@@ -66,10 +66,10 @@
   return entry.get();
 }
 
-JobEntry* JobTracker::AddFlawed(const base::JobName& name,
-                                std::optional<JobState> final_state,
-                                std::uint64_t row_version,
-                                base::TimePoint now) {
+JobEntry* JobTracker::AddInvalid(const base::JobName& name,
+                                 std::optional<JobState> final_state,
+                                 std::uint64_t row_version,
+                                 base::TimePoint now) {
   auto& entry = jobs_[name];
   if (entry) return entry.get();
   entry = std::make_unique<JobEntry>();
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -152,8 +152,8 @@
   // earlier job of the same name.
   const bool has_progress = version > row.version;
   auto stored = ReadStoredJob(row, has_progress ? &it->second : nullptr);
-  if (const auto* flawed = std::get_if<FlawedJob>(&stored)) {
-    AddFlawedJob(name, *flawed, version);
+  if (const auto* invalid = std::get_if<InvalidJob>(&stored)) {
+    AddInvalidJob(name, *invalid, version);
   } else {
     AddJob(std::get<UsableJob>(std::move(stored)), version);
   }
@@ -180,21 +180,22 @@
 
 /// Fails a job that can never run. Any other is held: a later version of the
 /// program may be able to run it, and its caller can cancel it.
-void OwnedService::AddFlawedJob(const base::JobName& name,
-                                const FlawedJob& flawed,
-                                store::RowVersion progress_version) {
-  auto* entry = tracker_.AddFlawed(name, flawed.final_state, progress_version,
-                                   dependencies_.loop.Now());
-  if (flawed.final_state) {
+void OwnedService::AddInvalidJob(const base::JobName& name,
+                                 const InvalidJob& invalid,
+                                 store::RowVersion progress_version) {
+  auto* entry = tracker_.AddInvalid(name, invalid.final_state, progress_version,
+                                    dependencies_.loop.Now());
+  if (invalid.final_state) {
     remover_.MarkEnded(name);
     return;
   }
-  base::Log(base::events::kJobUnusable, {{"request", name},
-                                         {"service", service_.str()},
-                                         {"flaw", base::NameOf(flawed.flaw)},
-                                         {"detail", flawed.detail},
-                                         {"held", !flawed.is_impossible}});
-  if (flawed.is_impossible) tracker_.Reject(*entry);
+  base::Log(base::events::kJobUnusable,
+            {{"request", name},
+             {"service", service_.str()},
+             {"reason", base::NameOf(invalid.reason)},
+             {"detail", invalid.detail},
+             {"held", !invalid.is_impossible}});
+  if (invalid.is_impossible) tracker_.Reject(*entry);
 }
 
 void OwnedService::OnCancelRequest(const base::JobName& name) {
--- a/src/dispatch/stored_job.cc
+++ b/src/dispatch/stored_job.cc
@@ -8,27 +8,27 @@
                         const store::StoredRow* progress) {
   auto recorded = progress == nullptr ? std::nullopt
                                       : jobs::DecodeProgress(progress->value);
-  FlawedJob flawed;
+  InvalidJob invalid;
   if (recorded && IsFinal(recorded->state)) {
-    flawed.final_state = recorded->state;
+    invalid.final_state = recorded->state;
   }
   auto job = jobs::DecodeJob(request.value);
-  if (!job) return flawed;
+  if (!job) return invalid;
   if (job->name.str() != request.address.key) {
-    flawed.flaw = JobFlaw::kForeign;
-    return flawed;
+    invalid.reason = InvalidJobReason::kNameMismatch;
+    return invalid;
   }
   if (const auto limit = jobs::FindExceededLimit(job->steps, job->schedule)) {
-    flawed.flaw = JobFlaw::kLimits;
-    flawed.detail = base::NameOf(*limit);
-    flawed.is_impossible = true;
-    return flawed;
+    invalid.reason = InvalidJobReason::kLimits;
+    invalid.detail = base::NameOf(*limit);
+    invalid.is_impossible = true;
+    return invalid;
   }
-  const bool has_sound_progress =
+  const bool has_valid_progress =
       progress == nullptr || (recorded && jobs::IsProgressOf(*recorded, *job));
-  if (!has_sound_progress) {
-    flawed.flaw = JobFlaw::kProgress;
-    return flawed;
+  if (!has_valid_progress) {
+    invalid.reason = InvalidJobReason::kProgress;
+    return invalid;
   }
   return UsableJob{*std::move(job), std::move(recorded)};
 }
--- a/test/dispatch/flawed_job_test.cc
+++ b/test/dispatch/invalid_job_test.cc
@@ -17,13 +17,13 @@
 constexpr std::int64_t kMaxInt64 = std::numeric_limits<std::int64_t>::max();
 
 /// A service with rows in its store that this build did not write.
-struct FlawedJobWorld : OwnerWorld {
-  FlawedJobWorld() : OwnerWorld(1, 2) {
+struct InvalidJobWorld : OwnerWorld {
+  InvalidJobWorld() : OwnerWorld(1, 2) {
     workers().run_time = [](const jobs::TaskName&) { return Duration(500); };
     RunFor(1'500);
   }
 
-  ~FlawedJobWorld() {
+  ~InvalidJobWorld() {
     for (const auto& it : workers().violations()) FAIL_CHECK(it);
   }
 
@@ -107,14 +107,14 @@
   };
   for (const auto& it : cases) {
     INFO(it.name);
-    FlawedJobWorld world;
-    auto job = OwnerWorld::MakeJob("flawed", 1, 1);
+    InvalidJobWorld world;
+    auto job = OwnerWorld::MakeJob("invalid", 1, 1);
     it.change(job);
     world.PutAccepted(job);
     world.RunFor(500);
-    CHECK(world.StateOf("flawed") == JobState::kFailed);
+    CHECK(world.StateOf("invalid") == JobState::kFailed);
     world.CheckOthersComplete();
-    CHECK(world.StateOf("flawed") == JobState::kFailed);
+    CHECK(world.StateOf("invalid") == JobState::kFailed);
     CHECK(world.workers().starts({job.name, 0, 0, 0}) == 0);
     CHECK(world.metrics().Render().find(
               "lapishatch_jobs_failed_total{reason=\"limits\"} 1") !=
@@ -124,8 +124,8 @@
 
 /// Guards against a failed job whose rows are kept for ever.
 TEST_CASE("a stored job beyond a limit is removed after its retention") {
-  FlawedJobWorld world;
-  auto job = OwnerWorld::MakeJob("flawed", kMaxInt, 1);
+  InvalidJobWorld world;
+  auto job = OwnerWorld::MakeJob("invalid", kMaxInt, 1);
   world.PutAccepted(job);
   world.RunFor(185'000);
   CHECK(world.store().rows_in(std::string(jobs::kRequestTable)) == 0);
@@ -134,7 +134,7 @@
 
 /// Guards against due times that are far away and count as past.
 TEST_CASE("an occurrence that is due in the far future does not start") {
-  FlawedJobWorld world;
+  InvalidJobWorld world;
   auto job = OwnerWorld::MakeJob("far", 1, 1);
   job.schedule = {1, kMaxInt64, kMaxInt};
   world.PutAccepted(job);
@@ -178,12 +178,12 @@
                          jobs::kMaxJobNumber};
        }},
   };
-  FlawedJobWorld world;
+  InvalidJobWorld world;
   constexpr int kCopies = 4;
   for (int i = 0; i < kCopies; ++i) {
     for (const auto& it : cases) {
-      auto job = OwnerWorld::MakeJob(std::string(it.name) + std::to_string(i),
-                                     1, 1);
+      auto job =
+          OwnerWorld::MakeJob(std::string(it.name) + std::to_string(i), 1, 1);
       it.change(job);
       world.Submit(job);
       world.RunFor(50);
@@ -196,7 +196,7 @@
 /// Guards against request rows that end their reader, or that nobody can
 /// remove.
 TEST_CASE("a request that cannot be read is held until it is cancelled") {
-  const auto sound = jobs::EncodeJob(OwnerWorld::MakeJob("flawed", 1, 1));
+  const auto valid = jobs::EncodeJob(OwnerWorld::MakeJob("invalid", 1, 1));
   const auto foreign = jobs::EncodeJob(OwnerWorld::MakeJob("other", 1, 1));
   const std::vector<std::string> values = {
       "",
@@ -204,27 +204,27 @@
       "[]",
       "{}",
       std::string("\0\xff\xfe", 3),
-      sound.substr(0, sound.size() / 2),
+      valid.substr(0, valid.size() / 2),
       foreign,
-      R"({"name":"flawed","steps":[{"tasks":1e400}]})",
-      R"({"name":"flawed","steps":[{"tasks":1.5}]})",
-      R"({"name":"flawed","steps":[{"tasks":)" + std::string(4'000, '9') +
+      R"({"name":"invalid","steps":[{"tasks":1e400}]})",
+      R"({"name":"invalid","steps":[{"tasks":1.5}]})",
+      R"({"name":"invalid","steps":[{"tasks":)" + std::string(4'000, '9') +
           "}]}",
-      R"({"name":"flawed","steps":)" + std::string(20'000, '[') +
+      R"({"name":"invalid","steps":)" + std::string(20'000, '[') +
           std::string(20'000, ']') + "}",
   };
   for (const auto& it : values) {
     INFO(it.substr(0, 60));
-    FlawedJobWorld world;
-    world.PutRequest("flawed", it);
+    InvalidJobWorld world;
+    world.PutRequest("invalid", it);
     world.RunFor(500);
     CHECK(world.HasHeldJobs(1));
     world.CheckOthersComplete();
     CHECK(world.HasHeldJobs(1));
-    world.Cancel("flawed");
+    world.Cancel("invalid");
     world.RunFor(500);
     CHECK(world.HasHeldJobs(0));
-    CHECK(world.StateOf("flawed") == JobState::kCancelled);
+    CHECK(world.StateOf("invalid") == JobState::kCancelled);
     world.RunFor(185'000);
     CHECK(world.store().rows_in(std::string(jobs::kRequestTable)) == 0);
   }
@@ -258,20 +258,20 @@
   };
   for (const auto& it : values) {
     INFO(it);
-    FlawedJobWorld world;
+    InvalidJobWorld world;
     world.KillOwner(world.OwnerName());
-    auto job = OwnerWorld::MakeJob("flawed", 2, 1);
+    auto job = OwnerWorld::MakeJob("invalid", 2, 1);
     job.steps[0].is_gang = true;
     world.PutAccepted(job);
-    world.PutProgress("flawed", it);
+    world.PutProgress("invalid", it);
     world.StartOwner("vm1");
     world.RunFor(6'000);
     CHECK(world.HasHeldJobs(1));
     world.CheckOthersComplete();
     CHECK(world.workers().starts({job.name, 0, 0, 0}) == 0);
-    world.Cancel("flawed");
+    world.Cancel("invalid");
     world.RunFor(500);
-    CHECK(world.StateOf("flawed") == JobState::kCancelled);
+    CHECK(world.StateOf("invalid") == JobState::kCancelled);
   }
 }
 
@@ -285,15 +285,15 @@
 
 /// Guards against a held job that is kept after its request was deleted.
 TEST_CASE("a held job whose request is deleted is forgotten") {
-  FlawedJobWorld world;
-  world.PutRequest("flawed", "x");
+  InvalidJobWorld world;
+  world.PutRequest("invalid", "x");
   world.RunFor(500);
   CHECK(world.HasHeldJobs(1));
   world.store().Remove(
       std::string(jobs::kRequestTable),
       jobs::RequestPartition(base::ServiceName(OwnerWorld::kService),
-                             base::JobName("flawed")),
-      "flawed");
+                             base::JobName("invalid")),
+      "invalid");
   world.RunFor(1'000);
   CHECK(world.HasHeldJobs(0));
 }
@@ -319,11 +319,11 @@
     }
     return text;
   };
-  FlawedJobWorld world;
+  InvalidJobWorld world;
   world.KillOwner(world.OwnerName());
   constexpr int kRows = 30;
   for (int i = 0; i < kRows; ++i) {
-    const auto name = "flawed" + std::to_string(i);
+    const auto name = "invalid" + std::to_string(i);
     auto job = OwnerWorld::MakeJob(name, 2, 1);
     job.steps.push_back(job.steps[0]);
     job.steps[1].depends_on = {0};
