Read the list of VMs although one entry is malformed

What operators of similar systems saw: one entry with a port out of range, a number too large or deep nesting, and the programs that read the list stopped following it.

Change: such entries are left out and counted, E504 at most every 10 s; port 0 counts as malformed. A body that is no list is refused as before, and the stand-in refuses lists with such entries, as before.

--- a/src/store/http_platform.cc
+++ b/src/store/http_platform.cc
@@ -118,14 +118,18 @@
   return ResultOf<PutResult>(UnfinishedFrom(response));
 }
 
-VmListResult VmListResultOf(ClientResult result) {
+VmListResult VmListResultOf(ClientResult result, base::LogGate& log) {
   auto response = ReadResponse(std::move(result));
   if (auto* failed = std::get_if<ReadFailed>(&response)) return *failed;
   const auto& found = std::get<Response>(response);
   if (found.status != kOk) return ReadFailed{Unexpected(found)};
   auto vms = ParseVms(found.body);
   if (!vms) return ReadFailed{"not a list of VMs"};
-  return std::move(*vms);
+  if (vms->unreadable > 0 && log.Open(base::SteadyClock().Now())) {
+    base::Log(base::events::kRowUnreadable,
+              {{"table", "vms"}, {"entries", vms->unreadable}});
+  }
+  return std::move(vms->vms);
 }
 
 /// Sends requests to the platform.
@@ -225,13 +229,16 @@
 
   void List(std::function<void(VmListResult)> done) override {
     caller_.Send(MakeGet("/vms"),
-                 [done = std::move(done)](ClientResult result) {
-                   done(VmListResultOf(std::move(result)));
+                 [done = std::move(done), log = log_](ClientResult result) {
+                   done(VmListResultOf(std::move(result), *log));
                  });
   }
 
  private:
   Caller caller_;
+  /// Shared with the callbacks, which may come later.
+  const std::shared_ptr<base::LogGate> log_ =
+      std::make_shared<base::LogGate>(base::Duration(10'000));
 };
 
 }  // namespace
--- a/src/store/vm_list.cc
+++ b/src/store/vm_list.cc
@@ -21,7 +21,7 @@
   if (value == nullptr) return std::nullopt;
   boost::system::error_code ec;
   const auto out = value->to_number<std::uint16_t>(ec);
-  if (ec) return std::nullopt;
+  if (ec || out == 0) return std::nullopt;
   return out;
 }
 
@@ -72,17 +72,19 @@
   return json::serialize(body);
 }
 
-std::optional<std::vector<Vm>> ParseVms(std::string_view body) {
+std::optional<ParsedVms> ParseVms(std::string_view body) {
   boost::system::error_code ec;
   const auto value = json::parse(body, ec);
   if (ec || !value.is_object()) return std::nullopt;
   const auto* vms = value.as_object().if_contains("vms");
   if (vms == nullptr || !vms->is_array()) return std::nullopt;
-  std::vector<Vm> out;
+  ParsedVms out;
   for (const auto& it : vms->as_array()) {
-    auto vm = VmFrom(it);
-    if (!vm) return std::nullopt;
-    out.push_back(std::move(*vm));
+    if (auto vm = VmFrom(it)) {
+      out.vms.push_back(std::move(*vm));
+    } else {
+      ++out.unreadable;
+    }
   }
   return out;
 }
--- a/src/store/vm_list.h
+++ b/src/store/vm_list.h
@@ -2,6 +2,7 @@
 #define LAPISHATCH_STORE_VM_LIST_H_
 
 #include <array>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -46,8 +47,16 @@
 /// The list in the platform's JSON, as docs/OUTSIDE.md gives it.
 std::string SerializeVms(const std::vector<Vm>& vms);
 
+/// A list as it was read.
+struct ParsedVms {
+  std::vector<Vm> vms;
+  /// Number of entries that cannot be read. They are left out: a VM that
+  /// another writer describes wrongly must not hide the others.
+  std::size_t unreadable = 0;
+};
+
 /// Nothing when `body` is no such list.
-std::optional<std::vector<Vm>> ParseVms(std::string_view body);
+std::optional<ParsedVms> ParseVms(std::string_view body);
 
 }  // namespace lapishatch::store
 
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -344,9 +344,11 @@
 
   Response SetVms(const std::string& body) {
     auto vms = store::ParseVms(body);
-    if (!vms) return BadFaultRequest("not a list of VMs");
+    if (!vms || vms->unreadable > 0) {
+      return BadFaultRequest("not a list of VMs");
+    }
     const std::lock_guard lock(vms_mutex_);
-    vms_ = std::move(*vms);
+    vms_ = std::move(vms->vms);
     return JsonAnswer({{"vms", vms_.size()}});
   }
 
