Own a service although a fence holds no epoch

It could happen here: with "-1", 2^64 - 1 or a longer number in a fence row, written by another program, each owner took it for that of a later owner and gave the service up, for ever: nothing was started.

Cause: the text was read as an unsigned number without checks.

Change: an epoch is the version of an earlier row, so a fence that is no number, or not below the version of its own row, is overwritten.

"an owner row of another writer is taken over" passed before: any value that is not renewed counts as a holder that has stopped.

--- a/src/dispatch/service_loader.cc
+++ b/src/dispatch/service_loader.cc
@@ -1,5 +1,7 @@
 #include "dispatch/internal/service_loader.h"
 
+#include <absl/strings/numbers.h>
+
 #include <deque>
 #include <utility>
 
@@ -19,6 +21,14 @@
 constexpr base::Duration kRetryDelay{100};
 constexpr std::size_t kRowsPerPage = 500;
 
+/// The epoch in a fence row; 0 if another writer has put something else there.
+/// An epoch is the version of an earlier row.
+Epoch FenceEpochIn(const store::StoredRow& row) {
+  Epoch out = 0;
+  const bool is_epoch = absl::SimpleAtoi(row.value, &out) && out < row.version;
+  return is_epoch ? out : 0;
+}
+
 }  // namespace
 
 class ServiceLoader::Impl : public std::enable_shared_from_this<Impl> {
@@ -71,7 +81,7 @@
     }
     if (conflict->present.empty()) return Fence(partition, store::kAbsent);
     const auto& row = conflict->present.front();
-    const auto other = std::strtoull(row.value.c_str(), nullptr, 10);
+    const auto other = FenceEpochIn(row);
     if (other > epoch_) return on_lost_("a later owner has fenced a partition");
     if (other < epoch_) return Fence(partition, row.version);
     // An earlier attempt was committed although its answer was lost.
