Take no registration for a crash of the worker at its address

It could happen here: an entry of another program that names the address of a worker. The worker answers that it is not the one meant, which counted as a crash at its address, once for each change of the entry, so that the worker became suspect; each change was also logged.

Change: a worker that has never answered and has no tasks has not crashed; its end is logged at most every 10 s.

Tests: "an entry with the address of another worker does not harm it" failed before: 20 changes, 20 times crash="recorded". "entries of the largest capacity ..." and "tasks run on while the entry of their worker is unreadable" passed before.

--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -327,6 +327,8 @@
   /// Whether the guarantees were overcommitted when that was last logged.
   bool was_overcommitted_ = false;
   base::TimePoint overcommitment_logged_at_{};
+  /// Bounds the logs of workers that end before they have answered.
+  base::LogGate unseen_worker_log_{base::Duration(10'000)};
   /// Number of tasks that had to stop when it was last reported, -1 if never.
   int reported_stopping_ = -1;
   base::TimePoint next_stop_log_at_{};
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -117,6 +117,10 @@
   if (reason != WorkerLossReason::kRestarted) return CrashRecord::kNoCrash;
   const auto* worker = FindWorker(name);
   if (worker == nullptr) return CrashRecord::kNoCrash;
+  // Its registration may have named the address of another worker.
+  const bool was_seen =
+      worker->session->has_answered() || !tracker_.MembersOn(name).empty();
+  if (!was_seen) return CrashRecord::kNoCrash;
   if (departures_.contains(name)) return CrashRecord::kAnnounced;
   if (RunsSuspect(name)) return CrashRecord::kSuspect;
   const auto now = dependencies_.loop.Now();
@@ -230,7 +234,13 @@
                                  WorkerLossReason reason) {
   const auto members = tracker_.MembersOn(name);
   const auto crash = RecordCrash(name, reason);
-  LogWorkerGone(name, members.size(), reason, crash);
+  const auto* worker = FindWorker(name);
+  const bool was_seen = !members.empty() ||
+                        (worker != nullptr && worker->session->has_answered());
+  // Another writer may register such a worker again and again.
+  if (was_seen || unseen_worker_log_.Open(dependencies_.loop.Now())) {
+    LogWorkerGone(name, members.size(), reason, crash);
+  }
   EndLostMembers(name, members, reason);
   ScheduleDecisionRound();
 }
