Limit the numbers of worker reports, configurations and waiting counts

It could happen here: a clock of 2^63 - 1 in a worker's report overflows the times of its lease, and a percentage of 1e300, a slack factor or a guarantee beyond 32 bits were converted without a check (undefined; -2^31 here). A key that is no UTF-8 made a whole answer of the store unreadable: "syntax error".

Lines about unreadable rows of the store and about the home of the index are bounded.

--- a/src/jobs/job_index.cc
+++ b/src/jobs/job_index.cc
@@ -125,7 +125,11 @@
                  const std::function<void(LocateResult)>& done) {
     auto service = DecodeIndexEntry(row.value);
     if (!service) {
-      base::Log(base::events::kRowUnreadable, {{"key", row.address.key}});
+      // Each submission reads the row until it is right.
+      if (unreadable_log_.Open(base::SteadyClock().Now())) {
+        base::Log(base::events::kRowUnreadable,
+                  {{"table", kIndexTable}, {"key", row.address.key}});
+      }
       return done(IndexUnavailable{"the home service cannot be decoded"});
     }
     home_ = std::move(service);
@@ -200,6 +204,7 @@
   store::RowStore& store_;
   /// Empty until it is known; it never changes in the store.
   std::optional<base::ServiceName> home_;
+  base::LogGate unreadable_log_{base::Duration(10'000)};
 };
 
 JobIndex::JobIndex(store::RowStore& store)
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -70,6 +70,9 @@
 constexpr double kMaxSlackFactor = 1e6;
 constexpr std::int64_t kMaxUnixMs = std::int64_t{1} << 53;
 
+/// Counts of several services are added up.
+constexpr int kMaxWaitingJobs = 10'000'000;
+
 /// Throws if `Enum` has no value of this number.
 template <typename Enum>
 Enum ToEnum(int value) {
@@ -489,7 +492,11 @@
     WaitingJobCounts out;
     for (const auto& it : object) {
       const std::string name(it.key().data(), it.key().size());
-      out[QueueName(name)] = it.value().to_number<int>();
+      const auto n = it.value().to_number<int>();
+      if (n < 0 || n > kMaxWaitingJobs) {
+        throw std::invalid_argument("invalid number of waiting jobs");
+      }
+      out[QueueName(name)] = n;
     }
     return out;
   });
--- a/test/site/codec_test.cc
+++ b/test/site/codec_test.cc
@@ -240,6 +240,58 @@
   CHECK_FALSE(DecodeQueueConfiguration("no"));
 }
 
+/// Guards against one number that keeps a configuration from being used, or
+/// overflows where it is added up.
+TEST_CASE("numbers of a configuration beyond their limits are limited") {
+  const auto read = DecodeQueueConfiguration(R"({"version":7,
+    "routes":[{"name":"q","host":"h","service":"s","prefix":"/p/",
+      "slack-factor":1e300,"max-attempts":-4,"priority":1e18,
+      "target-latency-ms":9223372036854775807}],
+    "tenants":[{"name":"o","api-keys":[],"guaranteed":{"gpu":1e30}},
+      {"name":"p","api-keys":[],"guaranteed":{"gpu":-8}}]})");
+  REQUIRE(read);
+  constexpr int kMax = 2'147'483'647;
+  CHECK(read->queues[0].slack_factor == kMax);
+  CHECK(read->queues[0].max_attempts == 1);
+  CHECK(read->queues[0].priority == kMax);
+  CHECK(read->queues[0].target_latency == base::Duration(kMax));
+  CHECK(read->organisations[0].guaranteed_accelerators == kMax);
+  CHECK(read->organisations[1].guaranteed_accelerators == 0);
+}
+
+/// Guards against a worker's clock or progress that overflows a sum.
+TEST_CASE("numbers of a report beyond their limits are not used") {
+  const auto report = [](const std::string& clock, const std::string& percent) {
+    return DecodePollResponse("{\"clock-ms\":" + clock +
+                              R"(,"running":[["a.0.0.0",1,"",)" + percent +
+                              R"(]],"ended":[]})");
+  };
+  for (const auto* clock : {"9223372036854775807", "-9223372036854775808",
+                            "1e400", "1.5", "\"7\""}) {
+    INFO(clock);
+    CHECK(std::holds_alternative<PollResponseProblem>(report(clock, "1")));
+  }
+  for (const auto& [percent, expected] :
+       {std::pair("1e300", 100), {"-1e300", 0}, {"41", 41}}) {
+    const auto read = report("7", percent);
+    REQUIRE(std::holds_alternative<dispatch::WorkerReport>(read));
+    CHECK(std::get<dispatch::WorkerReport>(read).running[0].percent ==
+          expected);
+  }
+}
+
+/// Guards against a key of another writer that hides the rows beside it.
+TEST_CASE("a row whose key is no text does not hide the other rows") {
+  const auto rows = DecodeRows(
+      "{\"rows\":[{\"table\":\"servers\",\"key\":\"\xff\xfe\",\"row-version\":"
+      "3,"
+      "\"value\":\"e30=\"},{\"table\":\"servers\",\"key\":\"d\",\"row-"
+      "version\":6,"
+      "\"value\":\"e30=\"}]}");
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[1].address.key == "d");
+}
+
 TEST_CASE("the body of a job submission is decoded") {
   const auto read = DecodeJobBody(R"({"spec":"s","steps":[
     {"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},
