Bound the former leases that a row says

Change: a time above what any owner grants counts as malformed, which is as the longest leases.

Test: "former leases of any length in a row delay restarts no longer" failed with before (1 start after 30 s).

--- a/src/dispatch/owner_lease.cc
+++ b/src/dispatch/owner_lease.cc
@@ -233,7 +233,8 @@
   base::Duration RecordedFormerLeases() const {
     std::int64_t ms = 0;
     const bool is_known = former_row_ && former_row_->version >= epoch_row_ &&
-                          absl::SimpleAtoi(former_row_->value, &ms) && ms >= 0;
+                          absl::SimpleAtoi(former_row_->value, &ms) &&
+                          ms >= 0 && ms <= MaxFormerLeases().count();
     return is_known ? base::Duration(ms) : MaxFormerLeases();
   }
 
--- a/test/dispatch/malformed_rows_test.cc
+++ b/test/dispatch/malformed_rows_test.cc
@@ -132,6 +132,33 @@
   }
 }
 
+/// Guards against tasks that wait for leases which no former owner can have
+/// granted.
+TEST_CASE("former leases of any length in a row delay restarts no longer") {
+  for (const auto* value : {"9223372036854775807", "86400000", "x"}) {
+    INFO(value);
+    OwnerWorld world(1, 2);
+    world.RunFor(1'500);
+    world.workers().run_time = [](const jobs::TaskName&) {
+      return Duration(5'000);
+    };
+    world.Submit(OwnerWorld::MakeJob("a", 1, 1));
+    world.RunFor(500);
+    const jobs::TaskName task{base::JobName("a"), 0, 0, 0};
+    const auto worker = world.workers().FindWorkerRunning(task);
+    REQUIRE_FALSE(worker.str().empty());
+    world.KillOwner(world.OwnerName());
+    world.workers().Crash(worker);
+    world.Deregister(worker);
+    world.store().Put(std::string(kOwnerTable), OwnerWorld::kService,
+                      std::string(kFormerKey), value);
+    world.StartOwner("vm1");
+    world.RunFor(30'000);
+    CHECK(world.workers().starts(task) == 2);
+    CHECK(world.StateOf("a") == JobState::kCompleted);
+  }
+}
+
 /// Guards against an owner row of another writer that nobody takes over.
 TEST_CASE("an owner row of another writer is taken over") {
   for (const auto* value : {"", "x", "vm0/1", "\xff\xfe"}) {
