--- a/src/dispatch/internal/stored_job.h
+++ b/src/dispatch/internal/stored_job.h
@@ -21,7 +21,8 @@
   kNameMismatch,
   /// The progress cannot be decoded, or is not that of the job.
   kProgress,
-  /// The job exceeds a limit. Earlier versions accepted such jobs.
+  /// The job exceeds a limit and can never be run. Earlier versions accepted
+  /// such jobs.
   kLimits,
 };
 
@@ -36,8 +37,6 @@
   InvalidJobReason reason = InvalidJobReason::kUnreadable;
   /// What is wrong, for logs; may be empty.
   std::string_view detail;
-  /// Whether the job can never be run, by any version of the program.
-  bool is_impossible = false;
   /// Its state if the progress row says that it has ended.
   std::optional<jobs::JobState> final_state;
 };
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -189,13 +189,14 @@
     remover_.MarkEnded(name);
     return;
   }
+  const bool is_impossible = invalid.reason == InvalidJobReason::kLimits;
   base::Log(base::events::kJobUnusable,
             {{"request", name},
              {"service", service_.str()},
              {"reason", base::NameOf(invalid.reason)},
              {"detail", invalid.detail},
-             {"held", !invalid.is_impossible}});
-  if (invalid.is_impossible) tracker_.Reject(*entry);
+             {"held", !is_impossible}});
+  if (is_impossible) tracker_.Reject(*entry);
 }
 
 void OwnedService::OnCancelRequest(const base::JobName& name) {
--- a/src/dispatch/stored_job.cc
+++ b/src/dispatch/stored_job.cc
@@ -21,7 +21,6 @@
   if (const auto limit = jobs::FindExceededLimit(job->steps, job->schedule)) {
     invalid.reason = InvalidJobReason::kLimits;
     invalid.detail = base::NameOf(*limit);
-    invalid.is_impossible = true;
     return invalid;
   }
   const bool has_valid_progress =
