--- a/src/dispatch/owned_stops.cc
+++ b/src/dispatch/owned_stops.cc
@@ -93,11 +93,11 @@
   }
   // The worker normally reports the end before this delay has passed. If it
   // does not, the order may have been lost and is sent again.
-  dependencies_.loop.After(options_.stop_retry_interval,
-                           [weak = weak_from_this(), ticket] {
-                             if (const auto self = weak.lock())
-                               self->ScheduleDecisionRound();
-                           });
+  const auto retry = [weak = weak_from_this(), ticket] {
+    const auto self = weak.lock();
+    if (self) self->ScheduleDecisionRound();
+  };
+  dependencies_.loop.After(options_.stop_retry_interval, retry);
 }
 
 void OwnedService::SetStoppingGauge(int tasks) {
