Play every answer to a stop, and more faults around it

The histories of unsent_stop_test now freeze owners, silence their connections and make them hand over, and lose registrations more often; a case of its own plays each answer to a stop (not sent, no answer, another incarnation, each refusal but that of the epoch, and one that is not true).

--- a/test/dispatch/unsent_stop_test.cc
+++ b/test/dispatch/unsent_stop_test.cc
@@ -125,89 +125,194 @@
   CHECK_FALSE(world.workers().IsRunning(task));
 }
 
-/// Guards against stops that are skipped, lost or forgotten in any state of the
-/// worker and of the owner: once both are well again, no run of a cancelled job
-/// is left.
-TEST_CASE("whatever has to stop is stopped in histories of random faults") {
-  const auto seed = GENERATE(range(1, 121));
-  std::mt19937_64 random(static_cast<std::uint64_t>(seed));
-  const auto draw = [&random](int min, int max) {
-    return std::uniform_int_distribution<int>(min, max)(random);
-  };
-  constexpr int kWorkers = 4;
-  constexpr int kJobs = 10;
-  UnknownWorkerWorld world(kWorkers);
-  int vms = 1;
-  std::vector<WorkerRegistration> missing;
-  std::vector<base::WorkerName> cut;
-  std::vector<std::string> cancelled;
-  const auto return_all = [&] {
-    for (const auto& it : missing) world.Reregister(it);
-    missing.clear();
-    for (const auto& it : cut) world.workers().Reconnect("", it);
-    cut.clear();
-    world.store().SetFaultForAll(fakes::StoreFault::kNone);
+/// Guards against a stop that is not repeated after some answer to it.
+TEST_CASE("a stop is repeated until the end of its task is listed") {
+  const std::vector<StopResult> answers = {
+      NotSent{"no connection"},
+      NoAnswer{"timeout"},
+      OtherIncarnation{},
+      Refused{RefusalReason::kStaleRun},
+      Refused{RefusalReason::kExpired},
+      Refused{RefusalReason::kInsufficientCapacity},
+      Refused{RefusalReason::kInvalid},
+      Refused{RefusalReason::kUnhealthy},
+      // It says so, but the task runs on.
+      Stopped{},
   };
-  for (int i = 0; i < kJobs; ++i) {
-    auto job = OwnerWorld::MakeJob("job" + std::to_string(i), draw(1, 4), 1);
-    job.steps[0].is_gang = draw(1, 3) == 1;
-    job.priority = draw(0, 1);
-    world.Submit(job);
-    world.RunFor(draw(50, 600));
-    const auto worker = OwnerWorld::WorkerNameAt(draw(0, kWorkers - 1));
-    const bool is_registered =
-        std::none_of(missing.begin(), missing.end(),
-                     [&](const auto& it) { return it.name == worker; });
-    switch (draw(0, 6)) {
-      case 0:
-        if (is_registered) {
-          missing.push_back(world.RegistrationOf(worker));
-          world.Deregister(worker);
+  for (const auto& answer : answers) {
+    INFO("answer " << answer.index());
+    UnknownWorkerWorld world;
+    const auto task = world.Start("a");
+    int faults = 3;
+    world.workers().stop_fault = [&]() -> std::optional<StopResult> {
+      if (faults-- <= 0) return std::nullopt;
+      return answer;
+    };
+    world.Cancel("a");
+    world.RunFor(2 * kStopBoundMs);
+    CHECK_FALSE(world.workers().IsRunning(task));
+    CHECK(faults < 0);
+  }
+}
+
+/// A history in which workers' registrations, connections, the store and the
+/// owner fail at random while jobs are cancelled, and then are all well again.
+class StopHistory {
+ public:
+  explicit StopHistory(std::uint64_t seed) : random_(seed), world_(kWorkers) {}
+
+  void Run() {
+    for (int i = 0; i < kJobs; ++i) {
+      auto job = OwnerWorld::MakeJob(NameOf(i), Draw(1, kMaxTasks), 1);
+      job.steps[0].is_gang = Draw(1, 3) == 1;
+      job.priority = Draw(0, 1);
+      world_.Submit(job);
+      world_.RunFor(Draw(50, 600));
+      InjectFault();
+      world_.RunFor(Draw(50, 1'500));
+      if (Draw(1, 3) == 1) world_.SetCostForAll(Duration(0));
+      cancelled_.push_back(NameOf(Draw(0, i)));
+      world_.Cancel(cancelled_.back());
+    }
+    Repair();
+    world_.RunFor(2'000);
+    // A call may have failed with the store.
+    for (const auto& it : cancelled_) world_.Cancel(it);
+    constexpr int kSettlingTimeMs = 12'000;
+    world_.RunFor(kSettlingTimeMs);
+  }
+
+  /// Tasks of cancelled jobs that run.
+  std::vector<std::string> Running() {
+    std::vector<std::string> out;
+    for (const auto& it : cancelled_) {
+      for (int i = 0; i < kMaxTasks; ++i) {
+        const jobs::TaskName task{base::JobName(it), 0, 0, i};
+        if (world_.workers().IsRunning(task)) {
+          out.push_back(it + '/' + std::to_string(i));
         }
-        [[fallthrough]];
+      }
+    }
+    return out;
+  }
+
+  /// Whether the owner reports that nothing has to stop.
+  bool HasNothingToStop() {
+    return world_.metrics().Render().find(
+               "lapishatch_tasks_stopping{service=\"survey\"} 0") !=
+           std::string::npos;
+  }
+
+ private:
+  static constexpr int kWorkers = 4;
+  static constexpr int kJobs = 10;
+  static constexpr int kMaxTasks = 4;
+
+  static std::string NameOf(int job) { return "job" + std::to_string(job); }
+
+  int Draw(int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(random_);
+  }
+
+  void InjectFault() {
+    const auto worker = OwnerWorld::WorkerNameAt(Draw(0, kWorkers - 1));
+    const auto owner = world_.OwnerName();
+    switch (Draw(0, 11)) {
+      case 0:
+        ReplaceOwner();
+        break;
       case 1:
-        if (const auto owner = world.OwnerName(); !owner.empty()) {
-          world.KillOwner(owner);
-          world.StartOwner("vm" + std::to_string(vms++));
-        }
+      case 9:
+      case 10:
+        // As after an outage of the store in which registrations expired.
+        Deregister(worker);
+        ReplaceOwner();
         break;
       case 2:
-        world.workers().Disconnect("", worker);
-        cut.push_back(worker);
+        world_.workers().Disconnect("", worker);
+        cut_.push_back(worker);
         break;
       case 3:
-        world.store().SetFaultForAll(fakes::StoreFault::kBusy);
+        world_.store().SetFaultForAll(fakes::StoreFault::kBusy);
         break;
       case 4:
-        world.workers().DelayNextStart(worker, Duration(draw(500, 5'000)));
+        world_.workers().DelayNextStart(worker, Duration(Draw(500, 5'000)));
         break;
       case 5:
-        if (is_registered) world.Drain(worker, Duration(draw(0, 3'000)));
+        if (IsRegistered(worker)) {
+          world_.Drain(worker, Duration(Draw(0, 3'000)));
+        }
+        break;
+      case 6:
+        if (!owner.empty()) world_.SetCost(owner, Duration(Draw(50, 2'000)));
+        break;
+      case 7:
+        if (!owner.empty()) world_.workers().Sever(owner);
+        break;
+      case 8:
+        // Without evacuations the owner starts nothing and hands over.
+        if (!owner.empty()) PauseEvacuations(owner);
         break;
       default:
-        return_all();
+        Repair();
         break;
     }
-    world.RunFor(draw(50, 1'500));
-    const auto victim = "job" + std::to_string(draw(0, i));
-    world.Cancel(victim);
-    cancelled.push_back(victim);
-  }
-  return_all();
-  world.RunFor(2'000);
-  for (const auto& it : cancelled) world.Cancel(it);
-  constexpr int kSettlingTimeMs = 12'000;
-  world.RunFor(kSettlingTimeMs);
-  CAPTURE(seed);
-  for (const auto& it : cancelled) {
-    for (int i = 0; i < 4; ++i) {
-      CAPTURE(it, i);
-      CHECK_FALSE(world.workers().IsRunning({base::JobName(it), 0, 0, i}));
-    }
   }
-  CHECK(world.metrics().Render().find(
-            "lapishatch_tasks_stopping{service=\"survey\"} 0") !=
-        std::string::npos);
+
+  bool IsRegistered(const base::WorkerName& worker) const {
+    return std::none_of(missing_.begin(), missing_.end(),
+                        [&](const auto& it) { return it.name == worker; });
+  }
+
+  void Deregister(const base::WorkerName& worker) {
+    if (!IsRegistered(worker)) return;
+    missing_.push_back(world_.RegistrationOf(worker));
+    world_.Deregister(worker);
+  }
+
+  void ReplaceOwner() {
+    const auto owner = world_.OwnerName();
+    if (owner.empty()) return;
+    world_.KillOwner(owner);
+    world_.StartOwner("vm" + std::to_string(vms_++));
+  }
+
+  void PauseEvacuations(const std::string& owner) {
+    world_.PauseEvacuations(owner);
+    paused_.push_back(owner);
+  }
+
+  void Repair() {
+    for (const auto& it : missing_) world_.Reregister(it);
+    missing_.clear();
+    for (const auto& it : cut_) world_.workers().Reconnect("", it);
+    cut_.clear();
+    for (const auto& it : paused_) world_.ResumeEvacuations(it);
+    paused_.clear();
+    world_.SetCostForAll(Duration(0));
+    world_.store().SetFaultForAll(fakes::StoreFault::kNone);
+  }
+
+  std::mt19937_64 random_;
+  UnknownWorkerWorld world_;
+  int vms_ = 1;
+  std::vector<WorkerRegistration> missing_;
+  std::vector<base::WorkerName> cut_;
+  std::vector<std::string> paused_;
+  std::vector<std::string> cancelled_;
+};
+
+/// Guards against stops that are skipped, lost or forgotten in any state of the
+/// worker and of the owner.
+TEST_CASE("whatever has to stop is stopped in histories of random faults") {
+  constexpr std::uint64_t kSeeds = 200;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    StopHistory history(seed);
+    history.Run();
+    INFO("seed " << seed);
+    CHECK(history.Running() == std::vector<std::string>());
+    CHECK(history.HasNothingToStop());
+  }
 }
 
 }  // namespace
--- a/testing/fakes/fake_task_workers.cc
+++ b/testing/fakes/fake_task_workers.cc
@@ -110,6 +110,14 @@
 
   void Stop(const dispatch::WorkerAddress& address, StopOrder order,
             Duration timeout, std::function<void(StopResult)> done) override {
+    const auto fault = workers_.stop_fault ? workers_.stop_fault()
+                                           : std::optional<StopResult>();
+    if (fault) {
+      const bool is_answered = !std::holds_alternative<NoAnswer>(*fault);
+      workers_.time_.After(is_answered ? kDelay : timeout,
+                           [done = std::move(done), fault] { done(*fault); });
+      return;
+    }
     Deliver<StopResult>(address.name, timeout, std::move(done),
                         [this, order](Worker& it, auto answer) {
                           answer(workers_.Stop(it, order));
--- a/testing/fakes/fake_task_workers.h
+++ b/testing/fakes/fake_task_workers.h
@@ -32,6 +32,9 @@
   /// does not.
   std::function<std::optional<base::Duration>(const jobs::TaskName&)>
       crash_after;
+  /// Answer of a worker to a stop order that it does not carry out; nullopt for
+  /// one that it does. A NoAnswer is given after the caller's timeout.
+  std::function<std::optional<dispatch::StopResult>()> stop_fault;
   /// Called when a task starts on a worker.
   std::function<void(const base::WorkerName&)> on_start;
   /// Called after a worker has crashed.
