--- a/test/dispatch/unsent_stop_test.cc
+++ b/test/dispatch/unsent_stop_test.cc
@@ -310,7 +310,8 @@
     StopHistory history(seed);
     history.Run();
     INFO("seed " << seed);
-    CHECK(history.Running() == std::vector<std::string>());
+    CAPTURE(history.Running());
+    CHECK(history.Running().empty());
     CHECK(history.HasNothingToStop());
   }
 }
--- a/test/site/job_numbers_test.cc
+++ b/test/site/job_numbers_test.cc
@@ -127,7 +127,7 @@
   for (const std::string request :
        {"", "x", R"({"steps":[{"tasks":1e400}]})"}) {
     for (const std::string progress : {"-", "", R"({"state":99})"}) {
-      INFO(request + " / " + progress);
+      INFO(request << " / " << progress);
       StoredJobWorld world;
       world.PutRow(jobs::kRequestTable,
                    jobs::RequestPartition(world.service, world.name), request);
--- a/test/site/malformed_registration_test.cc
+++ b/test/site/malformed_registration_test.cc
@@ -107,7 +107,7 @@
   fakes::VirtualTime time;
   fakes::FakeRowStore store{time};
   base::MetricRegistry metrics;
-  const dispatch::Bounds bounds;
+  const dispatch::Bounds bounds{};
   std::map<base::WorkerName, dispatch::WorkerRegistration> workers;
   WorkerFeed feed{time,
                   store.For("vm"),
