Keep late answers in a test away from its stack

Measured: test_jobs passes with and without the sanitizer (address, undefined behaviour); test_site, test_store and the cases of test_dispatch about invalid jobs, stops and malformed rows pass with it as well.

--- a/test/jobs/moved_queue_test.cc
+++ b/test/jobs/moved_queue_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -41,27 +42,30 @@
   }
 
   SubmitResult Submit(JobService& process, const ServiceName& service) {
-    std::optional<SubmitResult> out;
+    // The answer may come after this call.
+    const auto out = std::make_shared<std::optional<SubmitResult>>();
     process.Submit(MakeJob(service),
-                   [&out](const SubmitResult& it) { out = it; });
+                   [out](const SubmitResult& it) { *out = it; });
     RunFor(4'000);
-    return out.value_or(JobNotAccepted{"no answer"});
+    return out->value_or(JobNotAccepted{"no answer"});
   }
 
   StateResult ReadState(JobService& process, const ServiceName& service) {
-    std::optional<StateResult> out;
+    // The answer may come after this call.
+    const auto out = std::make_shared<std::optional<StateResult>>();
     process.ReadState(service, MakeJob(service).name,
-                      [&out](const StateResult& it) { out = it; });
+                      [out](const StateResult& it) { *out = it; });
     RunFor(100);
-    return out.value_or(JobStoreUnavailable{"no answer"});
+    return out->value_or(JobStoreUnavailable{"no answer"});
   }
 
   CancelResult Cancel(JobService& process, const ServiceName& service) {
-    std::optional<CancelResult> out;
+    // The answer may come after this call.
+    const auto out = std::make_shared<std::optional<CancelResult>>();
     process.Cancel(service, MakeJob(service).name,
-                   [&out](const CancelResult& it) { out = it; });
+                   [out](const CancelResult& it) { *out = it; });
     RunFor(100);
-    return out.value_or(JobStoreUnavailable{"no answer"});
+    return out->value_or(JobStoreUnavailable{"no answer"});
   }
 
   /// Writes the job's state as the owner of `service` does.
