--- a/src/dispatch/internal/owned_service.h
+++ b/src/dispatch/internal/owned_service.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -123,6 +124,15 @@
     base::TimePoint at{};
   };
 
+  /// A gauge of this service, and its value when it was last reported.
+  struct Gauge {
+    std::string_view name;
+    std::optional<int> reported{};
+  };
+
+  /// Reports the value if it has changed.
+  void SetGauge(Gauge& gauge, int value);
+
   // Loading.
   void OnLoaded(LoadedService loaded);
   void FollowRequests();
@@ -212,8 +222,11 @@
   /// Workers that crashed recently or do not answer, and on which no suspect
   /// task runs that may be the cause.
   DownWorkers FindDownWorkers() const;
-  /// Records the crash of a worker for its address, unless the worker was
-  /// draining or a suspect task on it may be the cause.
+  /// Whether the worker has answered this owner or was given tasks. The
+  /// registration of any other may name the address of another worker.
+  bool WasInUse(const base::WorkerName& name) const;
+  /// Records the crash of a worker for its address, unless the worker was not
+  /// in use, was draining, or a suspect task on it may be the cause.
   CrashRecord RecordCrash(const base::WorkerName& name,
                           WorkerLossReason reason);
   void UpdateWorkerStates();
@@ -254,8 +267,6 @@
   void OnStartResult(const jobs::TaskName& task, int run, StartResult result);
   void SendStops();
   void ReportStops();
-  void SetStoppingGauge(int tasks);
-  void SetHeldGauge(int jobs);
   void SendStop(const jobs::TaskName& task, int run,
                 const base::WorkerName& name, const StopOrder::Ticket& ticket);
   void OnStopResult(const jobs::TaskName& task, int run,
@@ -327,13 +338,13 @@
   /// Whether the guarantees were overcommitted when that was last logged.
   bool was_overcommitted_ = false;
   base::TimePoint overcommitment_logged_at_{};
-  /// Bounds the logs of workers that end before they have answered.
-  base::LogGate unseen_worker_log_{base::Duration(10'000)};
-  /// Number of tasks that had to stop when it was last reported, -1 if never.
-  int reported_stopping_ = -1;
+  /// Bounds the log of workers that end unused.
+  base::LogGate unused_worker_log_{base::Duration(10'000)};
+  /// Tasks that have to stop and may still run.
+  Gauge stopping_gauge_{"lapishatch_tasks_stopping"};
+  /// Jobs that cannot be run and are not cancelled.
+  Gauge held_gauge_{"lapishatch_jobs_held"};
   base::TimePoint next_stop_log_at_{};
-  /// Number of held jobs when it was last reported, -1 if never.
-  int reported_held_ = -1;
   /// Whether the last decision round held back starts until starts in flight
   /// are answered.
   bool is_limited_by_start_window_ = false;
--- a/src/dispatch/owned_losses.cc
+++ b/src/dispatch/owned_losses.cc
@@ -112,15 +112,19 @@
   return out;
 }
 
+bool OwnedService::WasInUse(const base::WorkerName& name) const {
+  const auto it = workers_.find(name);
+  const bool has_answered =
+      it != workers_.end() && it->second.session->has_answered();
+  return has_answered || !tracker_.MembersOn(name).empty();
+}
+
 CrashRecord OwnedService::RecordCrash(const base::WorkerName& name,
                                       WorkerLossReason reason) {
   if (reason != WorkerLossReason::kRestarted) return CrashRecord::kNoCrash;
   const auto* worker = FindWorker(name);
   if (worker == nullptr) return CrashRecord::kNoCrash;
-  // Its registration may have named the address of another worker.
-  const bool was_seen =
-      worker->session->has_answered() || !tracker_.MembersOn(name).empty();
-  if (!was_seen) return CrashRecord::kNoCrash;
+  if (!WasInUse(name)) return CrashRecord::kNoCrash;
   if (departures_.contains(name)) return CrashRecord::kAnnounced;
   if (RunsSuspect(name)) return CrashRecord::kSuspect;
   const auto now = dependencies_.loop.Now();
@@ -234,11 +238,8 @@
                                  WorkerLossReason reason) {
   const auto members = tracker_.MembersOn(name);
   const auto crash = RecordCrash(name, reason);
-  const auto* worker = FindWorker(name);
-  const bool was_seen = !members.empty() ||
-                        (worker != nullptr && worker->session->has_answered());
-  // Another writer may register such a worker again and again.
-  if (was_seen || unseen_worker_log_.Open(dependencies_.loop.Now())) {
+  // Another writer may register an unused worker again and again.
+  if (WasInUse(name) || unused_worker_log_.Open(dependencies_.loop.Now())) {
     LogWorkerGone(name, members.size(), reason, crash);
   }
   EndLostMembers(name, members, reason);
--- a/src/dispatch/owned_service.cc
+++ b/src/dispatch/owned_service.cc
@@ -63,8 +63,8 @@
            [this](const std::string& reason) { GiveUpOwnership(reason); }}) {}
 
 OwnedService::~OwnedService() {
-  SetStoppingGauge(0);
-  SetHeldGauge(0);
+  SetGauge(stopping_gauge_, 0);
+  SetGauge(held_gauge_, 0);
 }
 
 void OwnedService::Start() {
@@ -221,7 +221,7 @@
     HandleEvacuationChanges();
     StopUnitsOnDrainingWorkers();
     ReportStops();
-    SetHeldGauge(tracker_.held_jobs());
+    SetGauge(held_gauge_, tracker_.held_jobs());
     worker_health_.ReleaseExpired(dependencies_.loop.Now());
     indexer_.Update();
     remover_.Update();
@@ -239,11 +239,10 @@
   });
 }
 
-void OwnedService::SetHeldGauge(int jobs) {
-  if (dependencies_.metrics == nullptr || jobs == reported_held_) return;
-  reported_held_ = jobs;
-  dependencies_.metrics->Set("lapishatch_jobs_held",
-                             {{"service", service_.str()}}, jobs);
+void OwnedService::SetGauge(Gauge& gauge, int value) {
+  if (dependencies_.metrics == nullptr || value == gauge.reported) return;
+  gauge.reported = value;
+  dependencies_.metrics->Set(gauge.name, {{"service", service_.str()}}, value);
 }
 
 bool OwnedService::MayRemove(const base::JobName& name) {
--- a/src/dispatch/owned_stops.cc
+++ b/src/dispatch/owned_stops.cc
@@ -100,19 +100,12 @@
   dependencies_.loop.After(options_.stop_retry_interval, retry);
 }
 
-void OwnedService::SetStoppingGauge(int tasks) {
-  if (dependencies_.metrics == nullptr || tasks == reported_stopping_) return;
-  reported_stopping_ = tasks;
-  dependencies_.metrics->Set("lapishatch_tasks_stopping",
-                             {{"service", service_.str()}}, tasks);
-}
-
 /// Reports the tasks that have to stop, and logs those that take too long.
 void OwnedService::ReportStops() {
   constexpr base::Duration kLogInterval{2'000};
   const auto now = dependencies_.loop.Now();
   const auto stops = CountStops(tracker_, now - options_.stop_overdue_after);
-  SetStoppingGauge(stops.tasks);
+  SetGauge(stopping_gauge_, stops.tasks);
   if (stops.overdue == 0 || now < next_stop_log_at_) return;
   next_stop_log_at_ = now + kLogInterval;
   const auto& member = *stops.oldest;
--- a/test/dispatch/invalid_job_test.cc
+++ b/test/dispatch/invalid_job_test.cc
@@ -66,7 +66,7 @@
   }
 };
 
-struct ImpossibleJob {
+struct JobChange {
   const char* name;
   std::function<void(jobs::Job&)> change;
 };
@@ -74,7 +74,7 @@
 /// Guards against a stored job whose expansion ends each process that owns the
 /// service, one after the other.
 TEST_CASE("a stored job beyond a limit fails and harms no other") {
-  const std::vector<ImpossibleJob> cases = {
+  const std::vector<JobChange> cases = {
       {"as many tasks and occurrences as a number holds",
        [](jobs::Job& job) {
          job.steps[0].tasks = kMaxInt;
@@ -146,7 +146,7 @@
 /// Guards against work or sums that grow with a job's numbers beyond what its
 /// limits promise.
 TEST_CASE("jobs at the limits harm no other") {
-  const std::vector<ImpossibleJob> cases = {
+  const std::vector<JobChange> cases = {
       {"tasks that fit nowhere",
        [](jobs::Job& job) {
          job.steps[0].tasks = jobs::kMaxTasksPerJob;
